--- /dev/null
+++ b/core/src/main/kotlin/org/agatestream/core/ErrorKind.kt
@@ -0,0 +1,63 @@
+package org.agatestream.core
+
+/** Says whether the request that an error answers has run. */
+public enum class RunState(
+    /** The word in the `run` field and the `x-agatestream-run` header of an error answer. */
+    public val word: String,
+) {
+    /** The request has not run and will not run because of this call. */
+    NOT_RUN("no"),
+
+    /** The request may have run; a repeat may run it a second time. */
+    UNKNOWN("unknown"),
+
+    /** The request ran and its error is the backend server's own. */
+    RAN("yes"),
+}
+
+/** Says whether and when a caller should repeat a request. */
+public enum class RetryAdvice {
+    /** A repeat meets the same error. */
+    NEVER,
+
+    /** A repeat through another entry address may work at once. */
+    OTHER_ADDRESS,
+
+    /** A repeat may work after the span in the `retry-after` header. */
+    LATER,
+}
+
+/** The closed list of error kinds; each has one answer in the table from kind to HTTP status and code. */
+public enum class ErrorKind(
+    public val status: Int,
+    public val code: String,
+    public val run: RunState,
+    public val retry: RetryAdvice,
+) {
+    MALFORMED_REQUEST(400, "malformed_request", RunState.NOT_RUN, RetryAdvice.NEVER),
+    INVALID_SETTING(400, "invalid_setting", RunState.NOT_RUN, RetryAdvice.NEVER),
+    DUPLICATE_ITEM(400, "duplicate_item", RunState.NOT_RUN, RetryAdvice.NEVER),
+    UNKNOWN_KEY(401, "unknown_key", RunState.NOT_RUN, RetryAdvice.NEVER),
+    FORBIDDEN(403, "forbidden", RunState.NOT_RUN, RetryAdvice.NEVER),
+    UNKNOWN_ROUTE(404, "unknown_route", RunState.NOT_RUN, RetryAdvice.NEVER),
+    UNKNOWN_MODEL(404, "unknown_model", RunState.NOT_RUN, RetryAdvice.NEVER),
+    UNKNOWN_JOB(404, "unknown_job", RunState.NOT_RUN, RetryAdvice.NEVER),
+    METHOD_NOT_ALLOWED(405, "method_not_allowed", RunState.NOT_RUN, RetryAdvice.NEVER),
+    REQUEST_TIMEOUT(408, "request_timeout", RunState.NOT_RUN, RetryAdvice.LATER),
+    REVISION_CONFLICT(409, "revision_conflict", RunState.NOT_RUN, RetryAdvice.NEVER),
+    KEY_REUSED(409, "idempotency_key_reused", RunState.NOT_RUN, RetryAdvice.NEVER),
+    IN_PROGRESS(409, "in_progress", RunState.UNKNOWN, RetryAdvice.LATER),
+    BODY_TOO_LARGE(413, "body_too_large", RunState.NOT_RUN, RetryAdvice.NEVER),
+    RATE_EXCEEDED(429, "rate_exceeded", RunState.NOT_RUN, RetryAdvice.LATER),
+    HEAD_TOO_LARGE(431, "head_too_large", RunState.NOT_RUN, RetryAdvice.NEVER),
+    OUTCOME_UNKNOWN(502, "outcome_unknown", RunState.UNKNOWN, RetryAdvice.NEVER),
+    BACKEND_FAILED(502, "backend_failed", RunState.UNKNOWN, RetryAdvice.LATER),
+    NO_CAPACITY(503, "no_capacity", RunState.NOT_RUN, RetryAdvice.LATER),
+    LIMIT_UNAVAILABLE(503, "limit_unavailable", RunState.NOT_RUN, RetryAdvice.OTHER_ADDRESS),
+    NOT_CURRENT(503, "not_current", RunState.NOT_RUN, RetryAdvice.OTHER_ADDRESS),
+    SHUTTING_DOWN(503, "shutting_down", RunState.NOT_RUN, RetryAdvice.OTHER_ADDRESS),
+    PLATFORM_UNAVAILABLE(503, "platform_unavailable", RunState.NOT_RUN, RetryAdvice.LATER),
+    CHANGE_PENDING(503, "change_pending", RunState.UNKNOWN, RetryAdvice.LATER),
+    DEADLINE_EXCEEDED(504, "deadline_exceeded", RunState.UNKNOWN, RetryAdvice.NEVER),
+    INTERNAL(500, "internal", RunState.UNKNOWN, RetryAdvice.NEVER),
+}
