Mend the HTTP server and client against the flow control's real behaviour

Cause: Netty's FlowControlHandler counts every read as a demand for one message and forgets open demands when a read of the socket completes without one. The code took reads as idempotent and lasting, so a head in two packets hung, a second read swallowed the head of a pipelined request, and the end of a close-delimited body was lost. Besides, an unasked answer could reach the next request, informational answers ended an exchange, HEAD and HTTP/1.0 answers were framed wrongly, requests without a body closed their connection, and a refusal was lost by a reset while the sender was still sending.

Change: ReadDemand holds one demand and puts it again; a connection is freed only after its queue was read, its request was sent whole and its answer taken whole; HEAD, HTTP/1.0, 1xx, slow heads, slow bodies and readers that stand still are handled; the rest of a refused body is read before the close; the end of a connection is seen while an answer is under way; cancelled connects no longer leak. Ruled out: the decoder as the cause of the lost end of body (it emits it; the flow control dropped it).

--- a/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
@@ -8,20 +8,18 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.channels.Channel
 
-/** Carries one request at a time to a server and the answer back. */
+/** Carries one request at a time to a server and the answer back; its state changes on the event loop only. */
 internal class ClientConnection : ChannelInboundHandlerAdapter() {
     private lateinit var ctx: ChannelHandlerContext
-
-    @Volatile
-    private var current: Exchange? = null
+    private val demand = ReadDemand()
+    private var current: ClientExchange? = null
+    private var skipping = false
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         this.ctx = ctx
@@ -31,20 +29,17 @@
         request: HttpRequestSpec,
         release: () -> Unit,
     ): ExchangeResult {
-        val exchange =
-            Exchange(ctx) {
-                current = null
-                release()
-            }
-        current = exchange
-        if (!ctx.channel().isActive) return ExchangeResult.NotSent("the connection was closed")
-        ctx.writeAndFlush(request.toMessage())
-        ctx.read()
-        return try {
-            exchange.head.await()
+        val exchange = ClientExchange(this) { free(it, release) }
+        try {
+            val message = request.toMessage()
+            ctx.executor().execute { start(exchange, message) }
+            return exchange.head.await()
         } catch (e: CancellationException) {
             ctx.close()
             throw e
+        } catch (e: IllegalArgumentException) {
+            ctx.close()
+            throw e
         }
     }
 
@@ -52,16 +47,23 @@
         ctx: ChannelHandlerContext,
         msg: Any,
     ) {
+        demand.meet()
         val exchange = current
         when {
             exchange == null -> rejectUnasked(msg)
-            msg is HttpResponse && msg.status().code() == STATUS_CONTINUE -> ctx.read()
+            msg is HttpResponse && msg.decoderResult().isFailure -> ctx.close()
+            msg is HttpResponse && msg.status().codeClass() == HttpStatusClass.INFORMATIONAL -> skip()
             msg is HttpResponse -> exchange.begin(msg)
+            msg is HttpContent && skipping -> skipContent(msg)
             msg is HttpContent -> exchange.deliver(msg)
             else -> ReferenceCountUtil.release(msg)
         }
     }
 
+    override fun channelReadComplete(ctx: ChannelHandlerContext) {
+        demand.renew(ctx)
+    }
+
     override fun channelInactive(ctx: ChannelHandlerContext) {
         current?.lost("the connection was closed")
     }
@@ -73,100 +75,67 @@
         ctx.close()
     }
 
-    /** Closes a connection on which an answer came that no request waits for. */
-    private fun rejectUnasked(msg: Any) {
-        ReferenceCountUtil.release(msg)
-        ctx.close()
+    /** Asks the socket for the next piece of the answer under way. */
+    fun requestBody() {
+        ctx.executor().execute { demand.request(ctx) }
     }
 
-    private fun HttpRequestSpec.toMessage(): DefaultFullHttpRequest {
-        val message =
-            DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                HttpMethod.valueOf(method),
-                target,
-                Unpooled.wrappedBuffer(body),
-            )
-        message.headers().set(HttpHeaderNames.HOST, address)
-        headers.forEach { (name, value) -> message.headers().add(name, value) }
-        message.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
-        return message
+    fun close() {
+        ctx.close()
     }
 
-    /** The state of one request and its answer. */
-    private class Exchange(
-        private val ctx: ChannelHandlerContext,
-        private val release: () -> Unit,
-    ) : HttpAnswer {
-        val head = CompletableDeferred<ExchangeResult>()
-        private lateinit var response: HttpResponse
-
-        // Bounded by demand: one read of the socket puts in at most one part.
-        private val parts = Channel<BodyPart>(Channel.UNLIMITED)
-
-        @Volatile
-        private var ended = false
-
-        override val status: Int
-            get() = response.status().code()
-
-        override fun header(name: String): String? = response.headers().get(name)
-
-        fun begin(message: HttpResponse) {
-            if (message.decoderResult().isFailure) {
-                ctx.close()
-                return
-            }
-            response = message
-            head.complete(ExchangeResult.Answered(this))
-        }
-
-        fun deliver(content: HttpContent) {
-            val bytes = ByteArray(content.content().readableBytes())
-            content.content().readBytes(bytes)
-            content.release()
-            if (content.decoderResult().isFailure) {
-                ctx.close()
-                return
-            }
-            if (bytes.isNotEmpty()) parts.trySend(BodyPart.Chunk(bytes))
-            if (content is LastHttpContent) {
-                end()
-            } else if (bytes.isEmpty()) {
-                ctx.read()
-            }
+    private fun start(
+        exchange: ClientExchange,
+        message: DefaultFullHttpRequest,
+    ) {
+        if (!ctx.channel().isActive) {
+            message.release()
+            exchange.head.complete(ExchangeResult.NotSent("the connection was closed"))
+            return
         }
+        current = exchange
+        ctx.writeAndFlush(message).addListener { exchange.requestSent = it.isSuccess }
+        demand.request(ctx)
+    }
 
-        fun lost(reason: String) {
-            head.complete(ExchangeResult.Lost(reason))
-            if (!ended) parts.trySend(BodyPart.Broken(reason))
+    /** Frees the connection after a whole answer, or closes it if another exchange could be mixed up with this one. */
+    private fun free(
+        exchange: ClientExchange,
+        release: () -> Unit,
+    ) {
+        current = null
+        if (!exchange.mayReuse()) {
+            ctx.close()
+            return
         }
+        // Shows an answer that nobody asked for, and later the loss of the idle connection.
+        demand.request(ctx)
+        if (ctx.channel().isActive) release()
+    }
 
-        override suspend fun nextChunk(): BodyPart {
-            parts.tryReceive().getOrNull()?.let { return it }
-            if (ended) return parts.tryReceive().getOrNull() ?: BodyPart.End
-            ctx.read()
-            return parts.receive()
-        }
+    private fun skip() {
+        skipping = true
+        demand.request(ctx)
+    }
 
-        override fun close() {
-            if (!ended) ctx.close()
-        }
+    private fun skipContent(content: HttpContent) {
+        if (content is LastHttpContent) skipping = false
+        content.release()
+        demand.request(ctx)
+    }
 
-        private fun end() {
-            ended = true
-            parts.trySend(BodyPart.End)
-            if (HttpUtil.isKeepAlive(response)) {
-                // An idle connection is read so that its loss shows before it is taken again.
-                ctx.read()
-                release()
-            } else {
-                ctx.close()
-            }
-        }
+    /** Closes a connection on which an answer came that no request waits for. */
+    private fun rejectUnasked(msg: Any) {
+        ReferenceCountUtil.release(msg)
+        ctx.close()
     }
 
-    private companion object {
-        const val STATUS_CONTINUE = 100
+    private fun HttpRequestSpec.toMessage(): DefaultFullHttpRequest {
+        val content = Unpooled.wrappedBuffer(body)
+        val message = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), target, content)
+        message.headers().set(HttpHeaderNames.HOST, address)
+        headers.forEach { (name, value) -> message.headers().add(name, value) }
+        message.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
+        return message
     }
 }
--- a/http/src/main/kotlin/org/agatestream/http/HttpCall.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpCall.kt
@@ -62,6 +62,7 @@
     /** The body stopped before its end. */
     public data class Broken(
         public val reason: String,
+        public val kind: ErrorKind = ErrorKind.MALFORMED_REQUEST,
     ) : BodyPart
 }
 
@@ -95,7 +96,7 @@
             }
 
             is BodyPart.Broken -> {
-                return ErrorKind.MALFORMED_REQUEST.toFailed("the body broke off: ${part.reason}")
+                return part.kind.toFailed("the body broke off: ${part.reason}")
             }
         }
     }
--- a/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.flow.FlowControlHandler
+import kotlinx.coroutines.CancellationException
 import java.net.InetSocketAddress
 import java.util.ArrayDeque
 import java.util.concurrent.ConcurrentHashMap
@@ -22,6 +23,8 @@
     public val target: String,
     public val headers: List<Pair<String, String>> = emptyList(),
     public val body: ByteArray = ByteArray(0),
+    /** True to use a new connection, which can't have been closed by its server while it was idle. */
+    public val fresh: Boolean = false,
 )
 
 /** What became of a request. */
@@ -86,7 +89,7 @@
     /** Sends [request] and waits for the head of the answer; cancelling the wait closes the connection. */
     public suspend fun exchange(request: HttpRequestSpec): ExchangeResult {
         val channel =
-            takeIdle(request.address)
+            takeIdle(request)
                 ?: connect(request.address)
                 ?: return ExchangeResult.NotSent("the connection was refused")
         val connection = channel.pipeline().get(ClientConnection::class.java)
@@ -96,11 +99,17 @@
     private suspend fun connect(address: String): Channel? {
         val target = parseAddress(address)
         val future = bootstrap.connect(target)
-        return if (future.awaitDone()) future.channel() else null
+        try {
+            return if (future.awaitDone()) future.channel() else null
+        } catch (e: CancellationException) {
+            future.addListener { future.channel().close() }
+            throw e
+        }
     }
 
-    private fun takeIdle(address: String): Channel? {
-        val queue = idle[address] ?: return null
+    private fun takeIdle(request: HttpRequestSpec): Channel? {
+        if (request.fresh) return null
+        val queue = idle[request.address] ?: return null
         synchronized(queue) {
             while (true) {
                 val channel = queue.pollFirst() ?: return null
--- a/http/src/main/kotlin/org/agatestream/http/HttpLimits.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpLimits.kt
@@ -15,4 +15,6 @@
     val senderTimeout: Duration = 10.seconds,
     /** How long a connection may be idle between requests. */
     val keepAliveTimeout: Duration = 75.seconds,
+    /** How long a reader may take in nothing while an answer waits for it. */
+    val readerTimeout: Duration = 30.seconds,
 )
--- a/http/src/main/kotlin/org/agatestream/http/HttpServer.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpServer.kt
@@ -8,7 +8,6 @@
 import io.netty.channel.nio.NioIoHandler
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.flow.FlowControlHandler
 import kotlinx.coroutines.CoroutineScope
 import java.net.InetSocketAddress
@@ -65,10 +64,11 @@
             val initializer =
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(ch: SocketChannel) {
-                        val connection = ServerConnection(limits, scope, handler)
+                        val encoder = ResponseEncoder()
+                        val connection = ServerConnection(limits, encoder, scope, handler)
                         connections.add(connection)
                         ch.closeFuture().addListener { connections.remove(connection) }
-                        ch.pipeline().addLast(StrictRequestDecoder(limits), HttpResponseEncoder())
+                        ch.pipeline().addLast(StrictRequestDecoder(limits, connection::bytesArrived), encoder)
                         ch.pipeline().addLast(FlowControlHandler(), connection)
                     }
                 }
--- /dev/null
+++ b/http/src/main/kotlin/org/agatestream/http/RequestFaults.kt
@@ -0,0 +1,35 @@
+package org.agatestream.http
+
+import io.netty.handler.codec.TooLongFrameException
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.QueryStringDecoder
+import org.agatestream.core.ErrorKind
+import org.agatestream.core.Failure
+
+/** Stands in for a request whose head can't be read. */
+internal val UNREADABLE_REQUEST: HttpRequest = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/")
+
+/** Returns what is wrong with the head of this request, or null. */
+internal fun HttpRequest.findFault(limits: HttpLimits): Failure? {
+    val cause = decoderResult().cause()
+    return when {
+        cause is TooLongFrameException -> headTooLarge(limits)
+        cause != null -> malformed("the request is no valid HTTP")
+        protocolVersion().majorVersion() != 1 -> malformed("the server speaks HTTP/1.1")
+        !hasReadablePath() -> malformed("the path is not properly percent-encoded")
+        else -> null
+    }
+}
+
+private fun HttpRequest.hasReadablePath(): Boolean = runCatching { QueryStringDecoder(uri()).path() }.isSuccess
+
+private fun headTooLarge(limits: HttpLimits): Failure =
+    Failure(
+        ErrorKind.HEAD_TOO_LARGE,
+        "a request line has up to ${limits.maxRequestLineBytes} bytes and a head up to ${limits.maxHeadBytes} bytes",
+    )
+
+private fun malformed(message: String): Failure = Failure(ErrorKind.MALFORMED_REQUEST, message)
--- a/http/src/main/kotlin/org/agatestream/http/ServerConnection.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ServerConnection.kt
@@ -2,12 +2,9 @@
 
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
-import io.netty.handler.codec.TooLongFrameException
+import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpRequest
-import io.netty.handler.codec.http.LastHttpContent
-import io.netty.handler.codec.http.TooLongHttpHeaderException
-import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import io.netty.util.concurrent.ScheduledFuture
 import kotlinx.coroutines.CancellationException
@@ -17,27 +14,36 @@
 import org.agatestream.core.Failure
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
-/** Serves the requests of one connection, one after the other. */
+/** Serves the requests of one connection, one after the other; its state changes on the event loop only. */
 internal class ServerConnection(
     private val limits: HttpLimits,
+    private val encoder: ResponseEncoder,
     private val scope: CoroutineScope,
     private val handler: suspend (HttpCall) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var ctx: ChannelHandlerContext
+    private val demand = ReadDemand()
     private var call: ServerCall? = null
-    private var pending: Any? = null
+    private var pending: HttpRequest? = null
     private var timer: ScheduledFuture<*>? = null
+    private var headArriving = false
+    private var discarding = false
 
     @Volatile
-    private var closing = false
+    var closing: Boolean = false
+        private set
 
     @Volatile
     var busy: Boolean = false
         private set
 
-    override fun channelActive(ctx: ChannelHandlerContext) {
+    override fun handlerAdded(ctx: ChannelHandlerContext) {
         this.ctx = ctx
+    }
+
+    override fun channelActive(ctx: ChannelHandlerContext) {
         awaitRequest()
     }
 
@@ -45,20 +51,29 @@
         ctx: ChannelHandlerContext,
         msg: Any,
     ) {
+        demand.meet()
+        if (discarding) {
+            ReferenceCountUtil.release(msg)
+            demand.request(ctx)
+            return
+        }
         timer?.cancel(false)
         val current = call
         when {
             msg is HttpRequest && current == null -> begin(msg)
-            msg is HttpContent && current != null && !current.bodyComplete -> deliver(current, msg)
-            current != null -> pending = msg
+            msg is HttpRequest -> pending = msg
+            msg is HttpContent && current != null -> deliver(current, msg)
             else -> ReferenceCountUtil.release(msg)
         }
     }
 
+    override fun channelReadComplete(ctx: ChannelHandlerContext) {
+        demand.renew(ctx)
+    }
+
     override fun channelInactive(ctx: ChannelHandlerContext) {
         timer?.cancel(false)
         call?.connectionLost()
-        pending?.let { ReferenceCountUtil.release(it) }
         pending = null
     }
 
@@ -73,41 +88,55 @@
         ctx.close()
     }
 
-    /** Asks the socket for the next piece of the running request's body. */
-    fun requestBody() {
+    /** Bounds the time that a request head may take from its first byte. */
+    fun bytesArrived() {
+        if (call != null || headArriving || discarding) return
+        headArriving = true
+        startTimer(limits.senderTimeout) { if (call == null) begin(UNREADABLE_REQUEST, SLOW_HEAD) }
+    }
+
+    /** Asks the socket for the next piece of the body of [current]. */
+    fun requestBody(current: ServerCall) {
         ctx.executor().execute {
-            startTimer(limits.senderTimeout) { call?.fail("the sender was silent too long") }
-            ctx.read()
+            if (call === current && !current.bodyComplete) {
+                startTimer(
+                    limits.senderTimeout,
+                ) { current.fail("the sender was silent too long", ErrorKind.REQUEST_TIMEOUT) }
+                demand.request(ctx)
+            }
         }
     }
 
+    /** Closes the connection once no request is under way. */
     fun closeWhenIdle() {
         closing = true
-        ctx.executor().execute { if (call == null) ctx.close() }
+        ctx.executor().execute { if (call == null && !headArriving) ctx.close() }
     }
 
     fun closeNow() {
         ctx.close()
     }
 
-    private fun begin(request: HttpRequest) {
-        val cause = request.decoderResult().cause()
-        val next = ServerCall(ctx, this, request)
+    private fun begin(
+        request: HttpRequest,
+        known: Failure? = null,
+    ) {
+        headArriving = false
+        val fault = known ?: request.findFault(limits)
+        val next = ServerCall(ctx, this, limits, if (fault == null) request else UNREADABLE_REQUEST, fault == null)
         call = next
         busy = true
-        if (cause != null) {
-            scope.launch {
-                next.respondFailure(toFailure(cause))
-                ctx.close()
-            }
-            return
-        }
-        scope.launch { run(next) }
+        encoder.headRequest = next.method == "HEAD"
+        if (fault == null && next.bodiless) demand.request(ctx)
+        scope.launch { run(next, fault) }
     }
 
-    private suspend fun run(current: ServerCall) {
+    private suspend fun run(
+        current: ServerCall,
+        fault: Failure?,
+    ) {
         try {
-            handler(current)
+            if (fault == null) handler(current) else current.respondFailure(fault)
             if (!current.answered) current.respondFailure(Failure(ErrorKind.INTERNAL, "the request was not answered"))
         } catch (e: CancellationException) {
             current.abort()
@@ -120,16 +149,20 @@
     }
 
     private fun end(current: ServerCall) {
-        val reusable = current.finished && current.bodyComplete && current.keepAlive && !closing
         call = null
         busy = false
-        if (!reusable) {
-            ctx.close()
+        if (!ctx.channel().isActive) return
+        if (!current.finished) {
+            current.abort()
+            return
+        }
+        if (!current.reusable || !current.bodyComplete) {
+            discardRest()
             return
         }
         val next = pending
         pending = null
-        if (next is HttpRequest) begin(next) else awaitRequest()
+        if (next != null) begin(next) else awaitRequest()
     }
 
     private fun deliver(
@@ -138,12 +171,20 @@
     ) {
         current.deliver(content)
         // Reading on makes the loss of the connection visible while the answer is under way.
-        if (content is LastHttpContent) ctx.read()
+        if (current.bodyComplete) demand.request(ctx)
     }
 
     private fun awaitRequest() {
         startTimer(limits.keepAliveTimeout) { if (call == null) ctx.close() }
-        ctx.read()
+        demand.request(ctx)
+    }
+
+    /** Closes the sending side and takes in what is still sent, so that the answer is not lost by a reset. */
+    private fun discardRest() {
+        discarding = true
+        startTimer(DISCARD_TIMEOUT) { ctx.close() }
+        (ctx.channel() as DuplexChannel).shutdownOutput()
+        demand.request(ctx)
     }
 
     private fun startTimer(
@@ -154,16 +195,9 @@
         timer = ctx.executor().schedule(action, span.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
-    private fun toFailure(cause: Throwable): Failure =
-        when (cause) {
-            is TooLongHttpLineException, is TooLongHttpHeaderException, is TooLongFrameException -> {
-                Failure(ErrorKind.HEAD_TOO_LARGE, "the request head exceeds ${limits.maxHeadBytes} bytes")
-            }
-
-            else -> {
-                Failure(ErrorKind.MALFORMED_REQUEST, cause.message ?: "the request is no valid HTTP")
-            }
-        }
+    private companion object {
+        val DISCARD_TIMEOUT = 2.seconds
+        val INTERNAL_FAILURE = Failure(ErrorKind.INTERNAL, "the server met an unexpected error")
+        val SLOW_HEAD = Failure(ErrorKind.REQUEST_TIMEOUT, "the request head did not arrive in time")
+    }
 }
-
-private val INTERNAL_FAILURE = Failure(ErrorKind.INTERNAL, "the server met an unexpected error")
--- /dev/null
+++ b/http/src/test/kotlin/org/agatestream/http/HttpClientTest.kt
@@ -0,0 +1,253 @@
+package org.agatestream.http
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldStartWith
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
+import java.net.ServerSocket
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.concurrent.thread
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class HttpClientTest :
+    FunSpec({
+        timeout = 20_000
+        val loops = EventLoops(2)
+        afterSpec { loops.close() }
+
+        test("a connection is used again after a whole answer") {
+            RawServer { socket -> while (socket.readMessage().isNotEmpty()) socket.send(answer("ok")) }.use { server ->
+                val client = HttpClient(loops)
+                repeat(20) { client.get(server).readText() shouldBe "ok" }
+                server.accepted.get() shouldBe 1
+            }
+        }
+
+        test("a connection is not used again after an answer that was left") {
+            RawServer { socket -> while (socket.readMessage().isNotEmpty()) socket.send(answer("ok")) }.use { server ->
+                val client = HttpClient(loops)
+                client.get(server).close()
+                client.get(server).readText() shouldBe "ok"
+                server.accepted.get() shouldBe 2
+            }
+        }
+
+        test("an answer that nobody asked for reaches no request") {
+            val count = AtomicInteger()
+            val server =
+                RawServer { socket ->
+                    while (socket.readMessage().isNotEmpty()) {
+                        val own = count.incrementAndGet()
+                        socket.send(answer("answer $own") + answer("stray $own"))
+                    }
+                }
+            server.use {
+                val client = HttpClient(loops)
+                (1..20).forEach { client.get(server).readText() shouldBe "answer $it" }
+            }
+        }
+
+        test("a late answer to a request that timed out reaches no request") {
+            val count = AtomicInteger()
+            val server =
+                RawServer { socket ->
+                    while (socket.readMessage().isNotEmpty()) {
+                        val own = count.incrementAndGet()
+                        if (own == 1) Thread.sleep(300)
+                        runCatching { socket.send(answer("answer $own")) }
+                    }
+                }
+            server.use {
+                val client = HttpClient(loops)
+                withTimeoutOrNull(100.milliseconds) { client.get(server) } shouldBe null
+                client.get(server).readText() shouldBe "answer 2"
+                client.get(server).readText() shouldBe "answer 3"
+            }
+        }
+
+        test("informational answers are passed over") {
+            val early = "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"
+            RawServer { socket ->
+                while (socket.readMessage().isNotEmpty()) socket.send(early + answer("ok"))
+            }.use { server ->
+                val client = HttpClient(loops)
+                repeat(3) {
+                    val answer = client.get(server)
+                    answer.status shouldBe 200
+                    answer.readText() shouldBe "ok"
+                }
+            }
+        }
+
+        test("a body that ends with its connection is whole, one cut short is broken") {
+            val close = "HTTP/1.1 200 OK\r\n\r\nuntil the end"
+            val cut = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\ncut"
+            val cutChunk = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\ncut\r\n"
+            val badChunk = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\ncut\r\nzz\r\n"
+            val expected = mapOf(close to "until the end", cut to null, cutChunk to null, badChunk to null)
+            expected.forEach { (text, body) ->
+                RawServer { socket ->
+                    socket.readMessage()
+                    socket.send(text)
+                }.use { server ->
+                    val client = HttpClient(loops)
+                    client.get(server).readText() shouldBe body
+                    client.get(server).readText() shouldBe body
+                }
+            }
+        }
+
+        test("a refused connection is not sent, a connection closed before the answer is lost") {
+            val port = ServerSocket(0).use { it.localPort }
+            HttpClient(loops)
+                .exchange(HttpRequestSpec("127.0.0.1:$port", "GET", "/"))
+                .shouldBeInstanceOf<ExchangeResult.NotSent>()
+            listOf("", "garbage\r\n\r\n", "HTTP/1.1 200 OK\r\ncontent-le").forEach { text ->
+                RawServer { socket ->
+                    socket.readMessage()
+                    socket.send(text)
+                }.use { server ->
+                    val spec = HttpRequestSpec(server.address, "GET", "/")
+                    withTimeout(
+                        3.seconds,
+                    ) { HttpClient(loops).exchange(spec) }.shouldBeInstanceOf<ExchangeResult.Lost>()
+                }
+            }
+        }
+
+        test("an answer given before the whole request was sent does not free the connection") {
+            val server =
+                RawServer { socket ->
+                    while (socket.readHead().isNotEmpty()) {
+                        socket.send(answer("early"))
+                        Thread.sleep(200)
+                    }
+                }
+            server.use {
+                val client = HttpClient(loops)
+                val spec = HttpRequestSpec(server.address, "POST", "/", body = ByteArray(64 * 1_048_576))
+                (client.exchange(spec) as ExchangeResult.Answered).answer.readText() shouldBe "early"
+                client.get(server).readText() shouldBe "early"
+                server.accepted.get() shouldBe 2
+            }
+        }
+
+        test("a slow reader holds the server back") {
+            val sent = AtomicLong()
+            val total = 64L * 1_048_576
+            val server =
+                RawServer { socket ->
+                    socket.readMessage()
+                    socket.send("HTTP/1.1 200 OK\r\ncontent-length: $total\r\n\r\n")
+                    val piece = "x".repeat(65_536)
+                    while (sent.get() < total) {
+                        socket.send(piece)
+                        sent.addAndGet(piece.length.toLong())
+                    }
+                }
+            server.use {
+                val answer = HttpClient(loops).get(server)
+                var before = -1L
+                eventually(3.seconds) {
+                    val now = sent.get()
+                    val settled = now > 0 && now == before
+                    before = now
+                    settled shouldBe true
+                }
+                sent.get() shouldBeLessThan 32L * 1_048_576
+                answer.readText()?.length?.toLong() shouldBe total
+            }
+        }
+
+        test("a fresh request opens a connection of its own, and a closed idle one is not taken") {
+            RawServer { socket ->
+                if (socket.readMessage().isNotEmpty()) socket.send(answer("ok"))
+            }.use { server ->
+                val client = HttpClient(loops)
+                client.get(server).readText() shouldBe "ok"
+                client.get(server, fresh = true).readText() shouldBe "ok"
+                server.accepted.get() shouldBe 2
+                // A close that is still on its way is seen as a lost answer; once seen, the connection is out of use.
+                repeat(20) { eventually(3.seconds) { client.getOrNull(server)?.readText() shouldBe "ok" } }
+            }
+        }
+
+        test("the request carries method, headers and body") {
+            val seen = CopyOnWriteArrayList<String>()
+            RawServer { socket ->
+                seen += socket.readMessage()
+                socket.send(answer("ok"))
+            }.use { server ->
+                val spec =
+                    HttpRequestSpec(
+                        server.address,
+                        "PUT",
+                        "/p?q=1",
+                        listOf("x-a" to "1", "x-a" to "2"),
+                        "hi".encodeToByteArray(),
+                    )
+                (HttpClient(loops).exchange(spec) as ExchangeResult.Answered).answer.readText()
+                seen.single() shouldStartWith "PUT /p?q=1 HTTP/1.1\r\n"
+                seen.single().endsWith("\r\n\r\nhi") shouldBe true
+                seen.single().split("x-a: ").size shouldBe 3
+            }
+        }
+    })
+
+private fun answer(body: String) = "HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n$body"
+
+private suspend fun HttpClient.get(
+    server: RawServer,
+    fresh: Boolean = false,
+): HttpAnswer = checkNotNull(getOrNull(server, fresh))
+
+private suspend fun HttpClient.getOrNull(
+    server: RawServer,
+    fresh: Boolean = false,
+): HttpAnswer? {
+    val result = withTimeout(3.seconds) { exchange(HttpRequestSpec(server.address, "GET", "/", fresh = fresh)) }
+    return (result as? ExchangeResult.Answered)?.answer
+}
+
+/** Reads a body to its end, or returns null if it is broken. */
+private suspend fun HttpAnswer.readText(): String? =
+    withTimeout(5.seconds) {
+        val out = StringBuilder()
+        var broken = false
+        while (!broken) {
+            when (val part = nextChunk()) {
+                is BodyPart.Chunk -> out.append(part.bytes.decodeToString())
+                is BodyPart.End -> return@withTimeout out.toString()
+                is BodyPart.Broken -> broken = true
+            }
+        }
+        null
+    }
+
+/** A server that runs [script] on a thread of its own for each connection. */
+private class RawServer(
+    private val script: (RawSocket) -> Unit,
+) : AutoCloseable {
+    private val listener = ServerSocket(0)
+    val accepted = AtomicInteger()
+    val address = "127.0.0.1:${listener.localPort}"
+
+    init {
+        thread(isDaemon = true) {
+            while (true) {
+                val socket = runCatching { listener.accept() }.getOrNull() ?: break
+                accepted.incrementAndGet()
+                thread(isDaemon = true) { RawSocket(socket).use { runCatching { script(it) } } }
+            }
+        }
+    }
+
+    override fun close() = listener.close()
+}
