Add the request path of an entry VM: completions, services, entry addresses

Cause: the ports between the areas existed without a request path.

Change: authentication by keyed hash, routing and body checks as pure code; Forwarder acquires a slot, sends and repeats only what has not run or may run twice; StreamRelay passes whole events on, resumes at the engine and ends a stream that can't be made whole with an error event and an aborted connection; RunningCalls ends the requests of a withdrawn key; BackendItemRunner, GracefulShutdown, LeavingVms and Router. Only listed header fields reach a backend server, and a key in target or body is refused.

Calls that may not be repeated are sent once but not yet kept in a ledger.

--- a/core/src/main/kotlin/org/agatestream/core/ErrorKind.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ErrorKind.kt
@@ -38,6 +38,7 @@
     INVALID_SETTING(400, "invalid_setting", RunState.NOT_RUN, RetryAdvice.NEVER),
     DUPLICATE_ITEM(400, "duplicate_item", RunState.NOT_RUN, RetryAdvice.NEVER),
     UNKNOWN_KEY(401, "unknown_key", RunState.NOT_RUN, RetryAdvice.NEVER),
+    KEY_WITHDRAWN(401, "key_withdrawn", RunState.UNKNOWN, RetryAdvice.NEVER),
     FORBIDDEN(403, "forbidden", RunState.NOT_RUN, RetryAdvice.NEVER),
     UNKNOWN_ROUTE(404, "unknown_route", RunState.NOT_RUN, RetryAdvice.NEVER),
     UNKNOWN_MODEL(404, "unknown_model", RunState.NOT_RUN, RetryAdvice.NEVER),
--- /dev/null
+++ b/core/src/main/kotlin/org/agatestream/core/OnlineRoute.kt
@@ -0,0 +1,95 @@
+package org.agatestream.core
+
+/** What an online request asks for, as far as method and path tell. */
+public sealed interface OnlineRoute {
+    /** The addresses of entry VMs; open to all. */
+    public data object Entries : OnlineRoute
+
+    /** The models that the caller's workspace may use. */
+    public data object Models : OnlineRoute
+
+    /** A completion; [chat] tells the conversation form from the prompt form. */
+    public data class Completion(
+        val chat: Boolean,
+    ) : OnlineRoute
+
+    /** A call to a plain service. */
+    public data class Service(
+        val id: RouteId,
+        val setting: RouteSetting,
+        /** True if the call may be repeated. */
+        val idempotent: Boolean,
+    ) : OnlineRoute
+}
+
+/**
+ * Finds the online route of a request, or returns null if the path is no online route's.
+ *
+ * Fails with `UNKNOWN_ROUTE`, `METHOD_NOT_ALLOWED` or `MALFORMED_REQUEST`.
+ *
+ * @param path the percent-decoded path without the query.
+ */
+public fun FleetView.findOnlineRoute(
+    method: String,
+    path: String,
+): Outcome<OnlineRoute>? =
+    when {
+        path == ENTRIES_PATH -> OnlineRoute.Entries.onlyFor("GET", method)
+        path == MODELS_PATH -> OnlineRoute.Models.onlyFor("GET", method)
+        path == COMPLETIONS_PATH -> OnlineRoute.Completion(chat = false).onlyFor("POST", method)
+        path == CHAT_COMPLETIONS_PATH -> OnlineRoute.Completion(chat = true).onlyFor("POST", method)
+        path.startsWith(SERVICES_PREFIX) -> findService(method, path.removePrefix(SERVICES_PREFIX))
+        else -> null
+    }
+
+/** Returns the engines that serve [model], for a caller of [workspace]; fails with `UNKNOWN_MODEL`. */
+public fun FleetView.findEngines(
+    workspace: WorkspaceSetting,
+    model: ModelId,
+): Outcome<Set<BackendServerId>> {
+    val permitted = workspace.models.isEmpty() || model in workspace.models
+    if (!permitted || model !in models) return ErrorKind.UNKNOWN_MODEL.toFailed("the workspace has no such model")
+    return backendServers
+        .filterValues { it.kind == BackendKind.ENGINE && model in it.models }
+        .keys
+        .toOk()
+}
+
+/** Returns the models that a caller of [workspace] may use, in order of id. */
+public fun FleetView.listModels(workspace: WorkspaceSetting): List<ModelId> =
+    models.keys.filter { workspace.models.isEmpty() || it in workspace.models }.sortedBy { it.value }
+
+private fun OnlineRoute.onlyFor(
+    allowed: String,
+    method: String,
+): Outcome<OnlineRoute> =
+    if (method == allowed) toOk() else ErrorKind.METHOD_NOT_ALLOWED.toFailed("the route takes $allowed only")
+
+private fun FleetView.findService(
+    method: String,
+    rest: String,
+): Outcome<OnlineRoute> {
+    val id = RouteId(rest.substringBefore('/'))
+    val below = rest.removePrefix(id.value)
+    val setting = routes[id] ?: return ErrorKind.UNKNOWN_ROUTE.toFailed("there is no such route")
+    if (isAmbiguous(below)) return ErrorKind.MALFORMED_REQUEST.toFailed("the path has dot segments or encoded marks")
+    val idempotent = method in SAFE_METHODS || setting.idempotentPaths.any { below.isUnder(it) }
+    return OnlineRoute.Service(id, setting, idempotent).toOk()
+}
+
+/** Returns whether a service could read the path as another one, and so as a call that may not be repeated. */
+private fun isAmbiguous(path: String): Boolean =
+    path.split('/').any { it == "." || it == ".." } || path.any { it in AMBIGUOUS_MARKS } || "//" in path
+
+private fun String.isUnder(prefix: String): Boolean {
+    val base = "/" + prefix.trim('/')
+    return this == base || startsWith("$base/")
+}
+
+private const val ENTRIES_PATH = "/v1/entries"
+private const val MODELS_PATH = "/v1/models"
+private const val COMPLETIONS_PATH = "/v1/completions"
+private const val CHAT_COMPLETIONS_PATH = "/v1/chat/completions"
+private const val SERVICES_PREFIX = "/services/"
+private const val AMBIGUOUS_MARKS = "%\\;"
+private val SAFE_METHODS = setOf("GET", "HEAD", "OPTIONS")
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/BackendRequest.kt
@@ -0,0 +1,72 @@
+package org.agatestream.server
+
+import org.agatestream.core.BackendServerId
+import org.agatestream.core.Failure
+import org.agatestream.core.MonotonicTime
+import org.agatestream.core.RequestId
+import org.agatestream.http.HttpAnswer
+import org.agatestream.http.HttpRequestSpec
+
+/** A request for a backend server, with what the choice of the server needs. */
+internal class BackendRequest(
+    val id: RequestId,
+    val slot: SlotRequest,
+    val method: String,
+    val target: String,
+    val headers: List<Pair<String, String>>,
+    val body: ByteArray,
+    /** True if the request may run more than once. */
+    val idempotent: Boolean,
+)
+
+/** What became of one attempt to run a request on a backend server. */
+internal sealed interface Attempt<out T> {
+    /** The answer was used; [value] is the result. */
+    data class Finished<out T>(
+        val value: T,
+    ) : Attempt<T>
+
+    /** The request has not run. */
+    data class NotRun(
+        val failure: Failure,
+    ) : Attempt<Nothing>
+
+    /** The request may have run and its answer is lost. */
+    data class Lost(
+        val failure: Failure,
+        /** False once the caller has got a part of the answer. */
+        val repeatable: Boolean = true,
+    ) : Attempt<Nothing>
+
+    /** The request gave way to online requests. */
+    data object Revoked : Attempt<Nothing>
+}
+
+/** An answer that has begun, from the server of [lease]. */
+internal class BackendExchange(
+    val request: BackendRequest,
+    val lease: SlotLease,
+    val answer: HttpAnswer,
+) {
+    val server: BackendServerId
+        get() = lease.server
+}
+
+/** Builds the message that carries this request to [address]; the key of the caller is not among its headers. */
+internal fun BackendRequest.toSpec(
+    address: String,
+    now: MonotonicTime,
+): HttpRequestSpec {
+    val remaining = (slot.deadline - now).inWholeMilliseconds.coerceAtLeast(1)
+    val own = listOf(REQUEST_ID_HEADER to id.value, TIMEOUT_HEADER to remaining.toString())
+    return HttpRequestSpec(address, method, target, headers + own, body, fresh = !idempotent)
+}
+
+/** The header that carries the id of a request to a backend server and back. */
+internal const val REQUEST_ID_HEADER = "x-request-id"
+
+/** The header that carries the time left for a request, in milliseconds. */
+internal const val TIMEOUT_HEADER = "x-agatestream-timeout-ms"
+
+/** The header that names the incarnation of a backend server. */
+internal const val INCARNATION_HEADER = "x-engine-incarnation"
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/CompletionCalls.kt
@@ -0,0 +1,169 @@
+package org.agatestream.server
+
+import kotlinx.coroutines.Job
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import org.agatestream.core.BackendServerId
+import org.agatestream.core.Caller
+import org.agatestream.core.CompletionRequest
+import org.agatestream.core.ErrorKind
+import org.agatestream.core.Failure
+import org.agatestream.core.FleetView
+import org.agatestream.core.Outcome
+import org.agatestream.core.RequestClass
+import org.agatestream.core.checkLimits
+import org.agatestream.core.findEngines
+import org.agatestream.core.getOrElse
+import org.agatestream.core.parseJsonObject
+import org.agatestream.core.toChatCompletion
+import org.agatestream.core.toOk
+import org.agatestream.http.HttpCall
+import org.agatestream.http.HttpClient
+
+/** A checked completion and the engines that can run it. */
+internal class CompletionPlan(
+    val completion: CompletionRequest,
+    val engines: Set<BackendServerId>,
+)
+
+/** Parses and checks a completion call of [caller] against the settings; fails with the fault found. */
+internal fun FleetView.planCompletion(
+    caller: Caller,
+    body: String,
+    chat: Boolean,
+): Outcome<CompletionPlan> {
+    val completion = CompletionRequest.parse(body, chat).getOrElse { return Outcome.Failed(it) }
+    val engines = findEngines(caller.workspace.setting, completion.model).getOrElse { return Outcome.Failed(it) }
+    completion.checkLimits(models.getValue(completion.model)).getOrElse { return Outcome.Failed(it) }
+    return CompletionPlan(completion, engines).toOk()
+}
+
+/** Runs completions on engines and answers their callers, in one piece or as a stream. */
+internal class CompletionCalls(
+    private val forwarder: Forwarder,
+    private val client: HttpClient,
+) {
+    /** Answers [call] with the completion; returns the failure that the caller got, or null. */
+    suspend fun answer(
+        call: HttpCall,
+        context: CallContext,
+        plan: CompletionPlan,
+        withdrawn: Job,
+    ): Failure? {
+        val request = plan.toBackendRequest(context, RequestClass.ONLINE)
+        return if (plan.completion.stream) {
+            answerStream(call, request, plan.completion.chat, withdrawn)
+        } else {
+            answerWhole(call, request, plan.completion.chat, withdrawn)
+        }
+    }
+
+    /** Runs [request] and returns the engine's whole answer; a repeat is harmless. */
+    suspend fun runWhole(request: BackendRequest): Attempt<WholeAnswer> =
+        forwarder.forward(request) { exchange ->
+            val answer = exchange.readWholeAnswer()
+            if (answer == null ||
+                !answer.isWholeCompletion()
+            ) {
+                Attempt.Lost(BROKEN_FAILURE)
+            } else {
+                Attempt.Finished(answer)
+            }
+        }
+
+    private suspend fun answerWhole(
+        call: HttpCall,
+        request: BackendRequest,
+        chat: Boolean,
+        withdrawn: Job,
+    ): Failure? {
+        val attempt = runUnless(withdrawn) { runWhole(request) } ?: return WITHDRAWN_FAILURE
+        if (attempt !is Attempt.Finished) return attempt.toFailure()
+        call.respondWhole(if (chat) attempt.value.toChatAnswer() else attempt.value, request)
+        return null
+    }
+
+    private suspend fun answerStream(
+        call: HttpCall,
+        request: BackendRequest,
+        chat: Boolean,
+        withdrawn: Job,
+    ): Failure? {
+        val relay = StreamRelay(call, chat, client)
+        var refusal: WholeAnswer? = null
+        val attempt =
+            runUnless(withdrawn) {
+                forwarder.forward(request) { exchange ->
+                    if (exchange.answer.status == STATUS_OK) return@forward relay.relay(exchange)
+                    refusal = exchange.readWholeAnswer()
+                    if (refusal == null) Attempt.Lost(BROKEN_FAILURE) else Attempt.Finished(StreamEnd.WHOLE)
+                }
+            }
+        refusal?.takeIf { attempt is Attempt.Finished }?.let {
+            call.respondWhole(it, request)
+            return null
+        }
+        val failure = if (attempt == null) WITHDRAWN_FAILURE else attempt.toFailure()
+        if (failure != null) relay.fail(failure)
+        return failure
+    }
+
+    private fun WholeAnswer.isWholeCompletion(): Boolean =
+        status != STATUS_OK || parseJsonObject(body.decodeToString()) is Outcome.Ok
+
+    private fun WholeAnswer.toChatAnswer(): WholeAnswer {
+        if (status != STATUS_OK) return this
+        val json = parseJsonObject(body.decodeToString()).getOrElse { return this }
+        return WholeAnswer(status, contentType, headers, json.toChatCompletion().toString().encodeToByteArray())
+    }
+
+    private companion object {
+        const val STATUS_OK = 200
+        val BROKEN_FAILURE = Failure(ErrorKind.BACKEND_FAILED, "the backend server broke the answer off")
+        val WITHDRAWN_FAILURE = Failure(ErrorKind.KEY_WITHDRAWN, "the key was withdrawn while the request ran")
+    }
+}
+
+/** Builds the request that an engine gets for this completion. */
+internal fun CompletionPlan.toBackendRequest(
+    context: CallContext,
+    requestClass: RequestClass,
+): BackendRequest {
+    val slot =
+        SlotRequest(
+            candidates = engines,
+            requestClass = requestClass,
+            workspace = context.workspace,
+            prefixHash = completion.prefixHash,
+            deadline = context.deadline,
+        )
+    val streamed = completion.stream && requestClass == RequestClass.ONLINE
+    val engineBody = JsonObject(completion.body + ("stream" to JsonPrimitive(streamed)))
+    return BackendRequest(
+        id = context.id,
+        slot = slot,
+        method = "POST",
+        target = "/v1/completions",
+        headers = listOf("content-type" to "application/json"),
+        body = engineBody.toString().encodeToByteArray(),
+        idempotent = true,
+    )
+}
+
+/** Returns the failure that a caller sees, or null if the request finished. */
+internal fun Attempt<*>.toFailure(): Failure? =
+    when (this) {
+        is Attempt.Finished -> null
+        is Attempt.NotRun -> failure
+        is Attempt.Lost -> failure
+        is Attempt.Revoked -> Failure(ErrorKind.NO_CAPACITY, "the request gave way to other requests")
+    }
+
+/** Answers with what a backend server answered. */
+internal suspend fun HttpCall.respondWhole(
+    answer: WholeAnswer,
+    request: BackendRequest,
+) {
+    val own = mapOf(REQUEST_ID_HEADER to request.id.value)
+    respond(answer.status, answer.contentType, answer.body, answer.headers + own)
+}
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/Forwarder.kt
@@ -0,0 +1,170 @@
+package org.agatestream.server
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.agatestream.core.BackendKind
+import org.agatestream.core.BackendServerId
+import org.agatestream.core.ErrorKind
+import org.agatestream.core.Failure
+import org.agatestream.core.MonotonicTime
+import org.agatestream.core.getOrElse
+import org.agatestream.http.ExchangeResult
+import org.agatestream.http.HttpAnswer
+import org.agatestream.http.HttpClient
+import org.agatestream.http.HttpRequestSpec
+import kotlin.time.Duration.Companion.seconds
+
+/** Runs requests on backend servers and repeats those that have not run, or that may run twice. */
+internal class Forwarder(
+    private val client: HttpClient,
+    private val slots: BackendSlots,
+    private val scope: CoroutineScope,
+    private val clock: () -> MonotonicTime,
+) {
+    /** Runs [request] and hands its answer to [use]; an answer that was not used whole is cancelled at its server. */
+    suspend fun <T : Any> forward(
+        request: BackendRequest,
+        use: suspend (BackendExchange) -> Attempt<T>,
+    ): Attempt<T> {
+        val failed = mutableSetOf<BackendServerId>()
+        var last: Attempt<T>? = null
+        repeat(MAX_ATTEMPTS) {
+            val slot = request.slot.copy(excluded = request.slot.excluded + failed)
+            val lease = slots.acquire(slot).getOrElse { return last ?: Attempt.NotRun(it) }
+            val attempt = attempt(request, lease, use)
+            val again =
+                attempt is Attempt.NotRun || (attempt is Attempt.Lost && attempt.repeatable && request.idempotent)
+            if (!again || clock() >= request.slot.deadline) return attempt
+            failed += lease.server
+            // An earlier loss stays the answer: a later refusal does not prove that nothing ran.
+            last = if (last is Attempt.Lost) last else attempt
+        }
+        return checkNotNull(last)
+    }
+
+    private suspend fun <T : Any> attempt(
+        request: BackendRequest,
+        lease: SlotLease,
+        use: suspend (BackendExchange) -> Attempt<T>,
+    ): Attempt<T> {
+        val run = Run(request, lease)
+        try {
+            val attempt = runUnless(lease.revoked) { withinDeadline(request) { run.send(use) } } ?: Attempt.Revoked
+            run.settle(attempt)
+            return attempt
+        } finally {
+            run.cancelUnlessSettled()
+        }
+    }
+
+    private suspend fun <T> withinDeadline(
+        request: BackendRequest,
+        block: suspend () -> Attempt<T>,
+    ): Attempt<T> {
+        val left = request.slot.deadline - clock()
+        return withTimeoutOrNull(left) { block() } ?: Attempt.Lost(DEADLINE_FAILURE)
+    }
+
+    /** One attempt on one server. */
+    private inner class Run(
+        private val request: BackendRequest,
+        private val lease: SlotLease,
+    ) {
+        private val sentAt = clock()
+        private var answer: HttpAnswer? = null
+        private var result: SlotResult? = null
+        private var settled = false
+
+        suspend fun <T> send(use: suspend (BackendExchange) -> Attempt<T>): Attempt<T> {
+            val spec = request.toSpec(lease.setting.address, sentAt)
+            return when (val exchange = client.exchange(spec)) {
+                is ExchangeResult.NotSent -> {
+                    result = SlotResult.NotSent
+                    Attempt.NotRun(Failure(ErrorKind.NO_CAPACITY, "the backend server refused the connection"))
+                }
+
+                is ExchangeResult.Lost -> {
+                    Attempt.Lost(Failure(ErrorKind.BACKEND_FAILED, "the backend server's answer was lost"))
+                }
+
+                is ExchangeResult.Answered -> {
+                    answer = exchange.answer
+                    useAnswer(exchange.answer, use)
+                }
+            }
+        }
+
+        private suspend fun <T> useAnswer(
+            answer: HttpAnswer,
+            use: suspend (BackendExchange) -> Attempt<T>,
+        ): Attempt<T> {
+            val echoed = answer.header(REQUEST_ID_HEADER)
+            if (echoed != null && echoed != request.id.value) {
+                answer.close()
+                return Attempt.Lost(Failure(ErrorKind.BACKEND_FAILED, "the answer belonged to another request"))
+            }
+            if (answer.status == STATUS_UNAVAILABLE) return readRefusal(answer)
+            result = SlotResult.Answered(clock() - sentAt, answer.header(INCARNATION_HEADER))
+            return use(BackendExchange(request, lease, answer))
+        }
+
+        private suspend fun readRefusal(answer: HttpAnswer): Attempt<Nothing> {
+            val body = answer.readWhole(MAX_REFUSAL_BYTES)
+            val code = body?.let { parseRefusalCode(it.decodeToString()) }
+            if (code !in REFUSAL_CODES) {
+                return Attempt.Lost(Failure(ErrorKind.BACKEND_FAILED, "the backend server failed"))
+            }
+            return Attempt.NotRun(Failure(ErrorKind.NO_CAPACITY, "the backend server refused the request", RETRY_SPAN))
+        }
+
+        fun settle(attempt: Attempt<*>) {
+            when (attempt) {
+                is Attempt.Finished -> release(result ?: SlotResult.Failed)
+                is Attempt.NotRun -> release(result ?: SlotResult.Failed)
+                is Attempt.Lost -> cancel(SlotResult.Failed)
+                is Attempt.Revoked -> cancel(SlotResult.Cancelled)
+            }
+        }
+
+        fun cancelUnlessSettled() {
+            if (!settled) cancel(SlotResult.Cancelled)
+        }
+
+        private fun release(result: SlotResult) {
+            settled = true
+            answer?.close()
+            lease.release(result)
+        }
+
+        /** Gives the slot back once the engine has stopped the request, or did not say so in time. */
+        private fun cancel(result: SlotResult) {
+            settled = true
+            answer?.close()
+            if (lease.setting.kind != BackendKind.ENGINE) {
+                lease.release(result)
+                return
+            }
+            scope.launch {
+                withTimeoutOrNull(CANCEL_TIMEOUT) { cancelAtEngine() }
+                lease.release(result)
+            }
+        }
+
+        private suspend fun cancelAtEngine() {
+            val target = "/v1/streams/${request.id}/cancel"
+            val exchange = client.exchange(HttpRequestSpec(lease.setting.address, "POST", target))
+            if (exchange is ExchangeResult.Answered) exchange.answer.readWhole(MAX_REFUSAL_BYTES)
+        }
+    }
+
+    private companion object {
+        const val MAX_ATTEMPTS = 3
+        const val STATUS_UNAVAILABLE = 503
+        const val MAX_REFUSAL_BYTES = 65_536
+        val REFUSAL_CODES = setOf("reloading", "refused")
+        val CANCEL_TIMEOUT = 1.seconds
+        val RETRY_SPAN = 1.seconds
+        val DEADLINE_FAILURE = Failure(ErrorKind.DEADLINE_EXCEEDED, "the request's time is over")
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/GracefulShutdown.kt
@@ -0,0 +1,55 @@
+package org.agatestream.server
+
+import kotlinx.coroutines.delay
+import org.agatestream.core.MonotonicTime
+import org.agatestream.core.ShutdownState
+import org.agatestream.core.advance
+import org.agatestream.core.begin
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Takes a VM out of service without cutting a request. */
+public class GracefulShutdown(
+    private val entryTtl: Duration,
+    private val grace: Duration,
+    private val clock: () -> MonotonicTime = MonotonicTime::now,
+) {
+    private val hooks = mutableListOf<suspend () -> Unit>()
+
+    /** How far the shutdown has come. */
+    @Volatile
+    public var state: ShutdownState = ShutdownState.Running
+        private set
+
+    /** Adds what must happen before callers are refused, such as handing on batch chunks; hooks run in order. */
+    public fun onDrain(hook: suspend () -> Unit) {
+        hooks.add(hook)
+    }
+
+    /** Returns whether new requests are refused. */
+    public fun refusesRequests(): Boolean = state is ShutdownState.Closing || state is ShutdownState.Closed
+
+    /** Runs the shutdown to its end; [runningCalls] counts requests that have not been answered in full. */
+    public suspend fun run(runningCalls: () -> Int) {
+        state = state.begin(clock(), entryTtl, grace)
+        EventLog.info("shutdown_draining", "open_for" to entryTtl)
+        hooks.forEach { runHook(it) }
+        while (state != ShutdownState.Closed) {
+            state = state.advance(clock(), runningCalls())
+            if (state != ShutdownState.Closed) delay(POLL_SPAN)
+        }
+        EventLog.info("shutdown_closed", "running" to runningCalls())
+    }
+
+    private suspend fun runHook(hook: suspend () -> Unit) {
+        try {
+            hook()
+        } catch (e: Exception) {
+            EventLog.error("shutdown_hook_failed", e)
+        }
+    }
+
+    private companion object {
+        val POLL_SPAN = 50.milliseconds
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/KeyGuard.kt
@@ -0,0 +1,41 @@
+package org.agatestream.server
+
+import io.netty.handler.codec.http.QueryStringDecoder
+import org.agatestream.core.ErrorKind
+import org.agatestream.core.Outcome
+import org.agatestream.core.parseBearerKey
+import org.agatestream.core.toFailed
+import org.agatestream.core.toOk
+import org.agatestream.http.HttpCall
+
+/** Returns the header fields of a call that a backend server may see; none that holds the caller's key is among them. */
+internal fun HttpCall.passedHeaders(): List<Pair<String, String>> {
+    val key = parseBearerKey(header("authorization"))
+    return headers().filter { (name, value) -> name in PASSED_REQUEST_HEADERS && (key == null || key !in value) }
+}
+
+/** Fails with `MALFORMED_REQUEST` if the caller's key is in the target or the body, where a backend server would see it. */
+internal fun HttpCall.checkHoldsNoKey(body: ByteArray): Outcome<Unit> {
+    val key = parseBearerKey(header("authorization")) ?: return Unit.toOk()
+    val decoded = runCatching { QueryStringDecoder.decodeComponent(target) }.getOrDefault(target)
+    val found = key in target || key in decoded || key in body.decodeToString()
+    return if (found) {
+        ErrorKind.MALFORMED_REQUEST.toFailed(
+            "the key belongs in the authorization header only",
+        )
+    } else {
+        Unit.toOk()
+    }
+}
+
+private val PASSED_REQUEST_HEADERS =
+    setOf(
+        "content-type",
+        "accept",
+        "accept-language",
+        "content-language",
+        "if-none-match",
+        "if-modified-since",
+        "traceparent",
+        "idempotency-key",
+    )
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/OnlineRoutes.kt
@@ -0,0 +1,192 @@
+package org.agatestream.server
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import org.agatestream.core.Caller
+import org.agatestream.core.EntryAddresses
+import org.agatestream.core.ErrorKind
+import org.agatestream.core.Failure
+import org.agatestream.core.FleetView
+import org.agatestream.core.KeyHasher
+import org.agatestream.core.MonotonicTime
+import org.agatestream.core.OnlineRoute
+import org.agatestream.core.Outcome
+import org.agatestream.core.RequestClass
+import org.agatestream.core.RequestId
+import org.agatestream.core.authenticate
+import org.agatestream.core.findEntryAddresses
+import org.agatestream.core.findOnlineRoute
+import org.agatestream.core.getOrElse
+import org.agatestream.core.listModels
+import org.agatestream.core.toFailed
+import org.agatestream.core.toOk
+import org.agatestream.http.HttpCall
+import org.agatestream.http.HttpClient
+import org.agatestream.http.readBody
+import org.agatestream.http.respondFailure
+import java.util.UUID
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Answers the online routes: completions, models, plain services and the entry addresses. */
+public class OnlineRoutes(
+    private val coordination: Coordination,
+    private val limits: WorkspaceLimits,
+    slots: BackendSlots,
+    client: HttpClient,
+    private val keyHasher: KeyHasher,
+    private val leavingVms: LeavingVms,
+    private val entryTtlSeconds: Int,
+    scope: CoroutineScope,
+    private val clock: () -> MonotonicTime = MonotonicTime::now,
+) : HttpRoutes {
+    private val running = RunningCalls(coordination)
+    private val forwarder = Forwarder(client, slots, scope, clock)
+    private val completions = CompletionCalls(forwarder, client)
+    private val services = ServiceCalls(forwarder)
+
+    override suspend fun handle(call: HttpCall): Boolean {
+        val fleet = coordination.fleet
+        val found = fleet.findOnlineRoute(call.method, call.path) ?: return false
+        val failure = runUnless(call.callerGone) { Answer(serve(call, fleet, found)) }?.failure
+        if (failure != null && !call.answered) call.respondFailure(failure)
+        return true
+    }
+
+    private suspend fun serve(
+        call: HttpCall,
+        fleet: FleetView,
+        found: Outcome<OnlineRoute>,
+    ): Failure? {
+        val route = found.getOrElse { return it }
+        if (route is OnlineRoute.Entries) return answerEntries(call, fleet)
+        if (!coordination.isCurrent(clock())) return NOT_CURRENT_FAILURE
+        val open = route is OnlineRoute.Service && route.setting.open
+        val caller = if (open) null else authenticate(call, fleet).getOrElse { return it }
+        val timeout = call.findTimeout().getOrElse { return it }
+        val context = CallContext(RequestId(UUID.randomUUID().toString()), caller, clock() + timeout)
+        return running.track(caller) { withdrawn ->
+            when (route) {
+                is OnlineRoute.Entries -> null
+                is OnlineRoute.Models -> answerModels(call, fleet, checkNotNull(caller))
+                is OnlineRoute.Completion -> answerCompletion(call, fleet, route, context, withdrawn)
+                is OnlineRoute.Service -> answerService(call, route, context)
+            }
+        }
+    }
+
+    private fun authenticate(
+        call: HttpCall,
+        fleet: FleetView,
+    ): Outcome<Caller> = fleet.authenticate(call.header("authorization"), keyHasher)
+
+    private suspend fun answerEntries(
+        call: HttpCall,
+        fleet: FleetView,
+    ): Failure? {
+        val entries = fleet.findEntryAddresses(coordination.vms, leavingVms.current(), entryTtlSeconds)
+        call.respondJson(Json.encodeToString(EntryAddresses.serializer(), entries))
+        return null
+    }
+
+    private suspend fun answerModels(
+        call: HttpCall,
+        fleet: FleetView,
+        caller: Caller,
+    ): Failure? {
+        val models = fleet.listModels(caller.workspace.setting)
+        val body =
+            buildJsonObject {
+                put("object", "list")
+                putJsonArray("data") {
+                    models.forEach {
+                        addJsonObject {
+                            put("id", it.value)
+                            put("object", "model")
+                        }
+                    }
+                }
+            }
+        call.respondJson(body.toString())
+        return null
+    }
+
+    private suspend fun answerCompletion(
+        call: HttpCall,
+        fleet: FleetView,
+        route: OnlineRoute.Completion,
+        context: CallContext,
+        withdrawn: kotlinx.coroutines.Job,
+    ): Failure? {
+        val body = readBody(call, context).getOrElse { return it }
+        val caller = checkNotNull(context.caller)
+        val plan = fleet.planCompletion(caller, body.decodeToString(), route.chat).getOrElse { return it }
+        limits.admit(caller.workspace.id, context.deadline).getOrElse { return it }
+        return completions.answer(call, context, plan, withdrawn)
+    }
+
+    private suspend fun answerService(
+        call: HttpCall,
+        route: OnlineRoute.Service,
+        context: CallContext,
+    ): Failure? {
+        val body = readBody(call, context).getOrElse { return it }
+        val key = call.header("idempotency-key")
+        val service = ServiceCall(route, call.method, call.targetBelow(route), call.passedHeaders(), body, key)
+        context.workspace?.let { limits.admit(it, context.deadline).getOrElse { failure -> return failure } }
+        val attempt = services.run(service, context, RequestClass.ONLINE)
+        if (attempt !is Attempt.Finished) return attempt.toFailure()
+        call.respondWhole(attempt.value, service.toBackendRequest(context, RequestClass.ONLINE))
+        return null
+    }
+
+    private suspend fun readBody(
+        call: HttpCall,
+        context: CallContext,
+    ): Outcome<ByteArray> {
+        val left = context.deadline - clock()
+        val body = withTimeoutOrNull(left) { call.readBody(MAX_BODY_BYTES) } ?: return SLOW_BODY
+        val bytes = body.getOrElse { return Outcome.Failed(it) }
+        call.checkHoldsNoKey(bytes).getOrElse { return Outcome.Failed(it) }
+        return bytes.toOk()
+    }
+
+    private fun HttpCall.findTimeout(): Outcome<Duration> {
+        val text = header(TIMEOUT_HEADER) ?: return DEFAULT_TIMEOUT.toOk()
+        val millis = text.toLongOrNull()
+        if (millis == null || millis !in 1..MAX_TIMEOUT.inWholeMilliseconds) {
+            val limit = MAX_TIMEOUT.inWholeMilliseconds
+            return ErrorKind.MALFORMED_REQUEST.toFailed("$TIMEOUT_HEADER must be a whole number from 1 to $limit")
+        }
+        return millis.milliseconds.toOk()
+    }
+
+    private class Answer(
+        val failure: Failure?,
+    )
+
+    private companion object {
+        const val MAX_BODY_BYTES = 1_048_576
+        val DEFAULT_TIMEOUT = 60.seconds
+        val MAX_TIMEOUT = 600.seconds
+        val SLOW_BODY = ErrorKind.REQUEST_TIMEOUT.toFailed("the body did not arrive in time")
+        val NOT_CURRENT_FAILURE = Failure(ErrorKind.NOT_CURRENT, "this VM has lost touch with the fleet")
+    }
+}
+
+/** Answers with status 200 and a JSON body. */
+internal suspend fun HttpCall.respondJson(body: String): Unit =
+    respond(200, "application/json", body.encodeToByteArray())
+
+/** Returns the path and query of this call below its service route, as the caller sent them. */
+private fun HttpCall.targetBelow(route: OnlineRoute.Service): String {
+    val below = target.substringAfter("/services/").removePrefix(route.id.value)
+    return if (below.startsWith("/")) below else "/$below"
+}
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/WholeAnswer.kt
@@ -0,0 +1,64 @@
+package org.agatestream.server
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.agatestream.http.BodyPart
+import org.agatestream.http.HttpAnswer
+import java.io.ByteArrayOutputStream
+
+/** An answer of a backend server that was read to its end. */
+internal class WholeAnswer(
+    val status: Int,
+    val contentType: String,
+    val headers: Map<String, String>,
+    val body: ByteArray,
+)
+
+/** Reads the body to its end, or closes the answer and returns null if it breaks off or exceeds [limit] bytes. */
+internal suspend fun HttpAnswer.readWhole(limit: Int): ByteArray? {
+    val buffer = ByteArrayOutputStream()
+    while (true) {
+        when (val part = nextChunk()) {
+            is BodyPart.Chunk -> buffer.write(part.bytes)
+            is BodyPart.End -> return buffer.toByteArray()
+            is BodyPart.Broken -> return null
+        }
+        if (buffer.size() > limit) {
+            close()
+            return null
+        }
+    }
+}
+
+/** Reads the whole answer of a backend server, or returns null if it breaks off or is too large. */
+internal suspend fun BackendExchange.readWholeAnswer(): WholeAnswer? {
+    val body = answer.readWhole(MAX_ANSWER_BYTES) ?: return null
+    val headers = PASSED_ANSWER_HEADERS.mapNotNull { name -> answer.header(name)?.let { name to it } }.toMap()
+    return WholeAnswer(answer.status, answer.header("content-type") ?: DEFAULT_CONTENT_TYPE, headers, body)
+}
+
+/** Returns the `code` in the error body of a backend server, or null. */
+internal fun parseRefusalCode(text: String): String? =
+    runCatching { lenientJson.decodeFromString(BackendErrorBody.serializer(), text).error.code }.getOrNull()
+
+/** Returns the `message` in the error body of a backend server, or null. */
+internal fun parseRefusalMessage(text: String): String? =
+    runCatching { lenientJson.decodeFromString(BackendErrorBody.serializer(), text).error.message }.getOrNull()
+
+@Serializable
+private data class BackendErrorBody(
+    val error: BackendErrorDetail,
+)
+
+@Serializable
+private data class BackendErrorDetail(
+    val code: String? = null,
+    val message: String? = null,
+)
+
+private val lenientJson = Json { ignoreUnknownKeys = true }
+
+private const val MAX_ANSWER_BYTES = 8_388_608
+private const val DEFAULT_CONTENT_TYPE = "application/octet-stream"
+private val PASSED_ANSWER_HEADERS =
+    listOf("location", "retry-after", "etag", "cache-control", "last-modified", "content-language", "allow")
--- /dev/null
+++ b/server/src/test/kotlin/org/agatestream/server/FakeBackend.kt
@@ -0,0 +1,172 @@
+package org.agatestream.server
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.boolean
+import kotlinx.serialization.json.int
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import org.agatestream.core.Outcome
+import org.agatestream.http.BodyWriter
+import org.agatestream.http.EventLoops
+import org.agatestream.http.HttpCall
+import org.agatestream.http.HttpLimits
+import org.agatestream.http.HttpServer
+import org.agatestream.http.readBody
+import java.net.InetSocketAddress
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
+
+/** A request as a fake backend server saw it. */
+class Recorded(
+    val method: String,
+    val target: String,
+    val headers: List<Pair<String, String>>,
+    val body: String,
+)
+
+/** What a fake backend server does with the next request; each script is used once. */
+sealed interface Script {
+    data object Refuse : Script
+
+    data object DropBeforeHead : Script
+
+    /** Answers under another request's id. */
+    data object Cross : Script
+
+    /** Breaks the stream off after [tokens]. */
+    data class Break(
+        val tokens: Int,
+        val resumable: Boolean,
+    ) : Script
+
+    /** Streams [tokens], then waits for [go]. */
+    data class Hold(
+        val tokens: Int,
+        val go: CompletableDeferred<Unit>,
+    ) : Script
+
+    /** Waits for [go] before the answer. */
+    data class Late(
+        val go: CompletableDeferred<Unit>,
+    ) : Script
+}
+
+/** A model engine and plain service whose behaviour is scripted. */
+class FakeBackend(
+    loops: EventLoops,
+    scope: CoroutineScope,
+) {
+    val recorded = CopyOnWriteArrayList<Recorded>()
+    val scripts = CopyOnWriteArrayList<Script>()
+    val bookings = AtomicInteger()
+    private val resumable = CopyOnWriteArrayList<String>()
+    private val server = HttpServer.start(loops, InetSocketAddress("127.0.0.1", 0), HttpLimits(), scope, ::handle)
+    val address: String = "127.0.0.1:${server.port}"
+
+    fun close() = server.closeNow()
+
+    fun requests(target: String): List<Recorded> = recorded.filter { it.target == target }
+
+    private suspend fun handle(call: HttpCall) {
+        val body = (call.readBody(1_000_000) as Outcome.Ok).value.decodeToString()
+        recorded += Recorded(call.method, call.target, call.headers(), body)
+        val id = call.header("x-request-id").orEmpty()
+        when {
+            call.path.endsWith("/cancel") -> call.respond(200, "application/json", ByteArray(0))
+            call.path.endsWith("/resume") -> resume(call, body)
+            call.path == "/v1/completions" -> complete(call, id, body)
+            else -> serve(call, id)
+        }
+    }
+
+    private suspend fun serve(
+        call: HttpCall,
+        id: String,
+    ) {
+        val script = scripts.removeFirstOrNull()
+        if (script is Script.Refuse) return refuse(call)
+        if (call.path == "/bookings") bookings.incrementAndGet()
+        if (script is Script.DropBeforeHead) return call.startStream(200, "text/plain").abort()
+        if (script is Script.Late) script.go.await()
+        val answer = """{"path":"${call.path}","run":${bookings.get()}}"""
+        call.respond(200, "application/json", answer.encodeToByteArray(), mapOf("x-request-id" to id))
+    }
+
+    private suspend fun refuse(call: HttpCall) =
+        call.respond(503, "application/json", """{"error":{"code":"reloading"}}""".encodeToByteArray())
+
+    private suspend fun complete(
+        call: HttpCall,
+        id: String,
+        body: String,
+    ) {
+        val fields = Json.parseToJsonElement(body).jsonObject
+        val tokens = fields.getValue("max_tokens").jsonPrimitive.int
+        val script = scripts.removeFirstOrNull()
+        if (script is Script.Refuse) return refuse(call)
+        if (script is Script.DropBeforeHead) return call.startStream(200, "text/plain").abort()
+        if (script is Script.Late) script.go.await()
+        val echoed = if (script is Script.Cross) "another" else id
+        if (fields["stream"]?.jsonPrimitive?.boolean == true) {
+            stream(call.startStream(200, "text/event-stream", mapOf("x-request-id" to echoed)), id, 0, tokens, script)
+        } else {
+            val text = (0 until tokens).joinToString("") { "t$it " }
+            val choice = """{"index":0,"text":"$text","finish_reason":"stop"}"""
+            val whole = """{"id":"$id","object":"text_completion","choices":[$choice]}"""
+            call.respond(200, "application/json", whole.encodeToByteArray(), mapOf("x-request-id" to echoed))
+        }
+    }
+
+    private suspend fun resume(
+        call: HttpCall,
+        body: String,
+    ) {
+        val id = call.path.removePrefix("/v1/streams/").removeSuffix("/resume")
+        if (!resumable.remove(id)) return call.respond(404, "application/json", "{}".encodeToByteArray())
+        val from =
+            Json
+                .parseToJsonElement(body)
+                .jsonObject
+                .getValue("from")
+                .jsonPrimitive.int
+        val script = scripts.removeFirstOrNull()
+        stream(call.startStream(200, "text/event-stream", mapOf("x-request-id" to id)), id, from, TOKENS, script)
+    }
+
+    private suspend fun stream(
+        writer: BodyWriter,
+        id: String,
+        from: Int,
+        tokens: Int,
+        script: Script?,
+    ) {
+        for (i in from until tokens) {
+            if (script is Script.Break && i == script.tokens) {
+                if (script.resumable) resumable += id
+                return writer.abort()
+            }
+            if (script is Script.Hold && i == script.tokens) script.go.await()
+            if (!writer.write(event(id, "t$i ", null))) return
+        }
+        writer.write(event(id, "", "stop"))
+        writer.write("data: [DONE]\n\n".encodeToByteArray())
+        writer.finish()
+    }
+
+    private fun event(
+        id: String,
+        text: String,
+        finish: String?,
+    ): ByteArray {
+        val reason = finish?.let { "\"$it\"" }
+        val choice = """{"index":0,"text":"$text","finish_reason":$reason}"""
+        return "data: {\"id\":\"$id\",\"object\":\"text_completion\",\"choices\":[$choice]}\n\n".encodeToByteArray()
+    }
+
+    companion object {
+        /** The length of the answers that tests ask for. */
+        const val TOKENS = 5
+    }
+}
--- /dev/null
+++ b/server/src/test/kotlin/org/agatestream/server/OnlineFixture.kt
@@ -0,0 +1,199 @@
+package org.agatestream.server
+
+import kotlinx.coroutines.CompletableJob
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import org.agatestream.core.BackendKind
+import org.agatestream.core.BackendServerId
+import org.agatestream.core.BackendServerSetting
+import org.agatestream.core.CallerKey
+import org.agatestream.core.ErrorKind
+import org.agatestream.core.FailureDomainId
+import org.agatestream.core.FleetView
+import org.agatestream.core.KeyHasher
+import org.agatestream.core.KeyId
+import org.agatestream.core.ListedVm
+import org.agatestream.core.ModelId
+import org.agatestream.core.ModelSetting
+import org.agatestream.core.MonotonicTime
+import org.agatestream.core.Outcome
+import org.agatestream.core.Plan
+import org.agatestream.core.RouteId
+import org.agatestream.core.RouteSetting
+import org.agatestream.core.VmId
+import org.agatestream.core.Workspace
+import org.agatestream.core.WorkspaceId
+import org.agatestream.core.WorkspaceSetting
+import org.agatestream.core.toFailed
+import org.agatestream.core.toOk
+import org.agatestream.http.BodyPart
+import org.agatestream.http.EventLoops
+import org.agatestream.http.ExchangeResult
+import org.agatestream.http.HttpAnswer
+import org.agatestream.http.HttpClient
+import org.agatestream.http.HttpLimits
+import org.agatestream.http.HttpRequestSpec
+import org.agatestream.http.HttpServer
+import java.io.ByteArrayOutputStream
+import java.net.InetSocketAddress
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration.Companion.seconds
+
+const val KEY = "agk_secret"
+private val hasher = KeyHasher("fleet secret".encodeToByteArray())
+
+class FakeCoordination(
+    override var fleet: FleetView,
+) : Coordination {
+    private val listeners = CopyOnWriteArrayList<(Coordination) -> Unit>()
+    override var plan = Plan()
+    override var vms: List<ListedVm> = emptyList()
+
+    @Volatile
+    var current = true
+
+    override fun isCurrent(now: MonotonicTime): Boolean = current
+
+    override fun onChange(listener: (Coordination) -> Unit) {
+        listeners += listener
+    }
+
+    fun change(next: FleetView) {
+        fleet = next
+        listeners.forEach { it(this) }
+    }
+}
+
+class FakeSlots(
+    private val coordination: Coordination,
+) : BackendSlots {
+    val released = CopyOnWriteArrayList<Pair<BackendServerId, SlotResult>>()
+
+    @Volatile
+    var lastRevoked: CompletableJob = Job()
+
+    override suspend fun acquire(request: SlotRequest): Outcome<SlotLease> {
+        val server = (request.candidates - request.excluded).minByOrNull { it.value }
+        if (server == null) return ErrorKind.NO_CAPACITY.toFailed("no server")
+        return Lease(server).toOk()
+    }
+
+    private inner class Lease(
+        override val server: BackendServerId,
+    ) : SlotLease {
+        override val setting = coordination.fleet.backendServers.getValue(server)
+        override val revoked: CompletableJob = Job().also { lastRevoked = it }
+
+        override fun release(result: SlotResult) {
+            released += server to result
+        }
+    }
+}
+
+/** An entry VM's request path with two fake backend servers behind it. */
+class OnlineFixture : AutoCloseable {
+    val loops = EventLoops(2)
+    val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    val first = FakeBackend(loops, scope)
+    val second = FakeBackend(loops, scope)
+    val coordination = FakeCoordination(fleet())
+    val slots = FakeSlots(coordination)
+    val client = HttpClient(loops)
+    val leavingVms = LeavingVms(coordination)
+    val shutdown = GracefulShutdown(1.seconds, 5.seconds)
+    var admission: Outcome<Unit> = Unit.toOk()
+    private val limits =
+        object : WorkspaceLimits {
+            override suspend fun admit(
+                workspace: WorkspaceId,
+                deadline: MonotonicTime,
+            ) = admission
+        }
+    val online = OnlineRoutes(coordination, limits, slots, client, hasher, leavingVms, 10, scope)
+    val items = BackendItemRunner(coordination, slots, client, scope)
+    private val router = Router(listOf(online), shutdown)
+    val server = HttpServer.start(loops, InetSocketAddress("127.0.0.1", 0), HttpLimits(), scope, router::handle)
+    val address = "127.0.0.1:${server.port}"
+
+    private fun fleet(): FleetView {
+        val domain = FailureDomainId("rennes")
+        val model = ModelId("m")
+        val engine = BackendServerSetting(first.address, domain, BackendKind.ENGINE, listOf(model))
+        val service = BackendServerSetting(first.address, domain, BackendKind.SERVICE)
+        val workspace = Workspace(WorkspaceId("w"), "team", WorkspaceSetting(100.0, 100, listOf(model)))
+        return FleetView(
+            backendServers =
+                mapOf(
+                    BackendServerId("e1") to engine,
+                    BackendServerId("e2") to engine.copy(address = second.address),
+                    BackendServerId("s1") to service,
+                    BackendServerId("s2") to service.copy(address = second.address),
+                ),
+            models = mapOf(model to ModelSetting(1000), ModelId("other") to ModelSetting()),
+            routes =
+                mapOf(
+                    RouteId("wheels") to services(open = false),
+                    RouteId("public") to services(open = true),
+                ),
+            workspaces = mapOf(workspace.id to workspace),
+            callerKeys = mapOf(hasher.hash(KEY) to CallerKey(KeyId("k"), workspace.id)),
+        )
+    }
+
+    private fun services(open: Boolean) =
+        RouteSetting(listOf(BackendServerId("s1"), BackendServerId("s2")), open, listOf("/length"))
+
+    suspend fun send(
+        method: String,
+        target: String,
+        body: String = "",
+        vararg headers: Pair<String, String>,
+        key: String? = KEY,
+    ): Reply {
+        val authorization = listOfNotNull(key?.let { "authorization" to "Bearer $it" })
+        val spec = HttpRequestSpec(address, method, target, authorization + headers, body.encodeToByteArray())
+        val answer = (client.exchange(spec) as ExchangeResult.Answered).answer
+        return answer.readReply()
+    }
+
+    suspend fun complete(
+        stream: Boolean,
+        path: String = "/v1/completions",
+        vararg headers: Pair<String, String>,
+    ): Reply = send("POST", path, completionBody(stream, chat = "chat" in path), *headers)
+
+    override fun close() {
+        server.closeNow()
+        first.close()
+        second.close()
+        loops.close()
+    }
+}
+
+fun completionBody(
+    stream: Boolean,
+    chat: Boolean = false,
+): String {
+    val prompt = if (chat) """"messages":[{"role":"user","content":"hi"}]""" else """"prompt":"hi""""
+    return """{"model":"m",$prompt,"max_tokens":${FakeBackend.TOKENS},"stream":$stream}"""
+}
+
+class Reply(
+    val status: Int,
+    val head: HttpAnswer,
+    val text: String,
+    val whole: Boolean,
+)
+
+suspend fun HttpAnswer.readReply(): Reply {
+    val out = ByteArrayOutputStream()
+    while (true) {
+        when (val part = nextChunk()) {
+            is BodyPart.Chunk -> out.write(part.bytes)
+            is BodyPart.End -> return Reply(status, this, out.toString(), true)
+            is BodyPart.Broken -> return Reply(status, this, out.toString(), false)
+        }
+    }
+}
