Add the pure decisions of coordination

Cause: VMs have to agree on settings and owners through the platform's table alone. Settings and plan share one head row, so that their changes are totally ordered; separate rows were ruled out because an accepted change could then pass a plan.

--- a/core/src/main/kotlin/org/agatestream/core/Plan.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Plan.kt
@@ -9,6 +9,9 @@
 public value class PlanEpoch(
     public val number: Long,
 ) : Comparable<PlanEpoch> {
+    /** Returns the epoch of the plan that replaces this one. */
+    public fun next(): PlanEpoch = PlanEpoch(number + 1)
+
     override fun compareTo(other: PlanEpoch): Int = number.compareTo(other.number)
 
     override fun toString(): String = number.toString()
@@ -26,4 +29,11 @@
 public data class Plan(
     val epoch: PlanEpoch = PlanEpoch(0),
     val vms: List<PlannedVm> = emptyList(),
-)
+    /** The VMs of the plan that this one replaced; empty for the first plan. */
+    val previous: List<PlannedVm> = emptyList(),
+    /** The revision of the configuration when the plan was made; a VM applies the plan only at or after it. */
+    val revision: Revision = Revision.NONE,
+) {
+    /** Returns whether [vm] may own limits under this plan. */
+    public operator fun contains(vm: VmId): Boolean = vms.any { it.id == vm }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/agatestream/core/PlanChange.kt
@@ -0,0 +1,111 @@
+package org.agatestream.core
+
+import kotlinx.serialization.json.Json
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What a VM goes by when it weighs a change of the plan. */
+public data class PlanInput(
+    val self: VmId,
+    val standing: PlanStanding,
+    val membership: Membership,
+    /** VMs that this one and several others can't reach. */
+    val unreachable: Set<VmId>,
+    val isCurrent: Boolean,
+)
+
+/**
+ * Decides when this VM proposes a new plan.
+ *
+ * All VMs see the same need at about the same time. Each waits by its rank for the next epoch before it proposes,
+ * so that one writes and the others learn of its plan first; the table refuses all but one in any case.
+ */
+public data class PlanChange(
+    val neededSince: MonotonicTime? = null,
+) {
+    /** Notes at [now] whether a change is needed. */
+    public fun onInput(
+        input: PlanInput,
+        now: MonotonicTime,
+    ): PlanChange =
+        when {
+            input.toNeeded() == null -> PlanChange()
+            neededSince == null -> PlanChange(now)
+            else -> this
+        }
+
+    /** Returns the plan to propose at [now], or null if it is not this VM's turn or no change is needed. */
+    public fun toProposal(
+        input: PlanInput,
+        now: MonotonicTime,
+        policy: FreshnessPolicy,
+    ): Plan? {
+        val plan = input.standing.plan
+        val since = neededSince ?: return null
+        val needed = input.toNeeded() ?: return null
+        val isSettled = plan.epoch.number == 0L || input.standing.isSettledForChange(now, policy)
+        val isTurn = now - since >= FIRST_DELAY + DELAY_PER_RANK * input.toRank()
+        if (!input.isCurrent || !isSettled || !isTurn) return null
+        return Plan(plan.epoch.next(), needed, plan.vms)
+    }
+
+    private companion object {
+        val FIRST_DELAY: Duration = 500.milliseconds
+        val DELAY_PER_RANK: Duration = 200.milliseconds
+    }
+}
+
+/** The longest span between a need for a new plan and a proposal by any one VM that sees it. */
+public val MAX_PLAN_DELAY: Duration = 5.seconds
+
+private const val MAX_RANK = 20
+
+private fun PlanStanding.isSettledForChange(
+    now: MonotonicTime,
+    policy: FreshnessPolicy,
+): Boolean = effectiveSince != null && now - effectiveSince >= policy.takeoverWait
+
+private fun PlanInput.toRank(): Int {
+    val round = "plan#${standing.plan.epoch.next()}"
+    val own = rendezvousRank(round, self.value)
+    return membership.peers.count { rendezvousRank(round, it.value) > own }.coerceAtMost(MAX_RANK)
+}
+
+/** Returns the VMs that should be planned, or null if they are. */
+private fun PlanInput.toNeeded(): List<PlannedVm>? {
+    val planned = standing.plan.vms.mapTo(HashSet()) { it.id }
+    val needed =
+        membership.listed
+            .filter { !it.leaving && it.id !in unreachable }
+            .filter { it.id == self || it.id in planned || it.id in membership.answered }
+            .filter { it.id !in membership.silentSince || it.id in planned }
+            .map { PlannedVm(it.id, it.failureDomain) }
+    val isSame = needed.size == planned.size && needed.all { it.id in planned }
+    return needed.takeUnless { isSame || it.isEmpty() }
+}
+
+/**
+ * Returns the transaction that makes this plan, if nothing changed since [headRow] and [planRow] were read.
+ *
+ * The stored plan names the revision of the head, because a VM may apply the plan only along with it.
+ */
+public fun Plan.toTransaction(
+    headRow: Row?,
+    planRow: Row?,
+): Transaction {
+    val head = headRow.toFleetHead().copy(epoch = epoch)
+    val plan = copy(revision = head.revision)
+    return Transaction(
+        conditions =
+            listOf(
+                RowCondition(HEAD_KEY, headRow?.version ?: RowVersion.ABSENT),
+                RowCondition(PLAN_KEY, planRow?.version ?: RowVersion.ABSENT),
+            ),
+        writes =
+            listOf(
+                RowWrite(PLAN_KEY, Json.encodeToString(plan)),
+                RowWrite(HEAD_KEY, Json.encodeToString(head)),
+            ),
+    )
+}
