--- a/http/src/main/kotlin/org/agatestream/http/HttpCall.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpCall.kt
@@ -8,8 +8,14 @@
 import org.agatestream.core.toOk
 import java.io.ByteArrayOutputStream
 
+/** A body that is read piece by piece. */
+public interface BodySource {
+    /** Returns the next piece of the body; reads from the socket only on demand. */
+    public suspend fun nextChunk(): BodyPart
+}
+
 /** One request of a caller and the means to answer it; each call is answered once. */
-public interface HttpCall {
+public interface HttpCall : BodySource {
     public val method: String
 
     /** The path without the query, percent-decoded. */
@@ -30,9 +36,6 @@
     /** Returns all header fields in order; names are in lower case. */
     public fun headers(): List<Pair<String, String>>
 
-    /** Returns the next piece of the body, or null at its end; reads from the socket only on demand. */
-    public suspend fun nextChunk(): BodyPart
-
     /** Answers with a whole body. */
     public suspend fun respond(
         status: Int,
@@ -81,7 +84,7 @@
 public fun HttpCall.query(name: String): String? = QueryStringDecoder(target).parameters()[name]?.firstOrNull()
 
 /** Reads a whole body of up to [limit] bytes. */
-public suspend fun HttpCall.readBody(limit: Int): Outcome<ByteArray> {
+public suspend fun BodySource.readBody(limit: Int): Outcome<ByteArray> {
     val buffer = ByteArrayOutputStream()
     while (true) {
         when (val part = nextChunk()) {
--- a/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
@@ -43,15 +43,12 @@
 }
 
 /** The answer to one request; close it unless its body was read to the end. */
-public interface HttpAnswer {
+public interface HttpAnswer : BodySource {
     public val status: Int
 
     /** Returns the first value of the header [name], or null. */
     public fun header(name: String): String?
 
-    /** Returns the next piece of the body; reads from the socket only on demand. */
-    public suspend fun nextChunk(): BodyPart
-
     /** Closes the connection if the body was not read to its end. */
     public fun close()
 }
