Add the command line and the burn ledger

Cause: operators and callers need one binary with settings, job, report and version commands; a report on service-level burn needs counts by workspace, class and window. Ruled out: letting the argument parser choose exit statuses; bad use must exit with 2.

--- /dev/null
+++ b/cli/src/main/kotlin/org/agatestream/cli/Main.kt
@@ -0,0 +1,44 @@
+package org.agatestream.cli
+
+import kotlinx.cli.ArgParser
+import kotlinx.coroutines.runBlocking
+import kotlin.concurrent.thread
+import kotlin.system.exitProcess
+
+/** Runs the command that [args] name and exits with its [ExitStatus]. */
+public fun main(args: Array<String>) {
+    val action = parseArguments(args)
+    val status = runBlocking { action() }
+    exitProcess(status.code)
+}
+
+/** Parses [args]; on bad use prints the usage and exits with [ExitStatus.BAD_USE]. */
+private fun parseArguments(args: Array<String>): suspend () -> ExitStatus {
+    val selected = SelectedAction()
+    val parser = ArgParser("agatestream")
+    parser.subcommands(
+        ServeCommand(selected),
+        SettingsCommand(selected),
+        JobCommand(selected),
+        ReportCommand(selected),
+        LoadCommand(selected),
+        VersionCommand(selected),
+    )
+    val arguments = if (args.isEmpty()) arrayOf("--help") else args
+    val helpAsked = arguments.any { it == "--help" || it == "-h" }
+    val status = if (helpAsked) ExitStatus.DONE else ExitStatus.BAD_USE
+    // The argument parser exits by itself with a status of its own.
+    val hook = thread(start = false) { Runtime.getRuntime().halt(status.code) }
+    Runtime.getRuntime().addShutdownHook(hook)
+    parser.parse(arguments)
+    Runtime.getRuntime().removeShutdownHook(hook)
+    return selected.action ?: suspend {
+        System.err.println("a subcommand is missing; see --help")
+        ExitStatus.BAD_USE
+    }
+}
+
+/** The action of the subcommand that the arguments name. */
+internal class SelectedAction {
+    var action: (suspend () -> ExitStatus)? = null
+}
--- /dev/null
+++ b/cli/src/main/kotlin/org/agatestream/cli/ReportCommand.kt
@@ -0,0 +1,93 @@
+package org.agatestream.cli
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.json.Json
+import org.agatestream.core.BurnLedger
+import org.agatestream.core.BurnLine
+import org.agatestream.core.RequestClass
+import org.agatestream.core.mergeBurnLines
+
+/** Prints reports on the fleet. */
+@OptIn(ExperimentalCli::class)
+internal class ReportCommand(
+    selected: SelectedAction,
+) : Subcommand("report", "Print reports on the fleet") {
+    init {
+        subcommands(BurnReportCommand(selected))
+    }
+
+    override fun execute() = Unit
+}
+
+@OptIn(ExperimentalCli::class)
+private class BurnReportCommand(
+    private val selected: SelectedAction,
+) : Subcommand("burn", "Print how fast each workspace burns its error budget, added up over all VMs") {
+    private val entry by option(ArgType.String, description = "Entry addresses, separated by commas")
+
+    override fun execute() {
+        selected.action = { withApi(entry) { report(it) } }
+    }
+
+    private suspend fun report(api: ApiClient): ExitStatus {
+        val entries = api.call("GET", "/v1/entries")
+        if (entries !is ApiReply.Answer || entries.status != 200) return entries.print()
+        val addresses = lenientJson.decodeFromString(EntryList.serializer(), entries.text).addresses
+        val reports = mutableListOf<List<BurnLine>>()
+        for (address in addresses.map { it.address }) {
+            val reply = api.callAddress(address, "GET", "/admin/v1/burn")
+            if (reply is ApiReply.Answer && reply.status == 200) {
+                reports += lenientJson.decodeFromString(ListSerializer(BurnLine.serializer()), reply.text)
+            } else {
+                System.err.println("address=$address answered=false")
+            }
+        }
+        printTable(mergeBurnLines(reports))
+        return if (reports.size == addresses.size) ExitStatus.DONE else ExitStatus.FAILED
+    }
+
+    private fun printTable(lines: List<BurnLine>) {
+        println("%-24s %-7s %8s %10s %8s %9s".format("workspace", "class", "minutes", "good", "bad", "burn"))
+        for (line in lines) println(format(line))
+    }
+
+    private fun format(line: BurnLine): String {
+        val objective = BurnLedger.OBJECTIVES.first { it.requestClass == line.requestClass }
+        val counts = line.counts
+        return "%-24s %-7s %8d %10d %8d %9.2f".format(
+            line.workspace,
+            label(line.requestClass),
+            line.windowMinutes,
+            counts.good,
+            counts.bad,
+            counts.burnRate(objective.goodShare),
+        )
+    }
+
+    private fun label(requestClass: RequestClass): String =
+        when (requestClass) {
+            RequestClass.ONLINE -> "online"
+            RequestClass.BATCH -> "batch"
+        }
+}
+
+/** The answer of the entry addresses. */
+@Serializable
+internal data class EntryList(
+    val addresses: List<EntryAddress>,
+    val ttlSeconds: Int,
+)
+
+/** One address on which callers may connect. */
+@Serializable
+internal data class EntryAddress(
+    val address: String,
+    val failureDomain: String,
+)
+
+/** Reads answers that may have fields this version doesn't know. */
+internal val lenientJson: Json = Json { ignoreUnknownKeys = true }
--- /dev/null
+++ b/cli/src/main/kotlin/org/agatestream/cli/SettingsCommand.kt
@@ -0,0 +1,122 @@
+package org.agatestream.cli
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import kotlinx.serialization.builtins.MapSerializer
+import kotlinx.serialization.builtins.serializer
+import kotlinx.serialization.json.JsonElement
+import org.agatestream.core.FleetView
+import org.agatestream.core.ParsedSettings
+import org.agatestream.core.Revision
+import org.agatestream.core.parseFleet
+import org.agatestream.core.parseSettings
+import java.io.File
+import java.util.UUID
+
+/** Reads, checks and changes the settings of a fleet. */
+@OptIn(ExperimentalCli::class)
+internal class SettingsCommand(
+    selected: SelectedAction,
+) : Subcommand("settings", "Read, check and change settings") {
+    init {
+        subcommands(
+            SettingsGetCommand(selected),
+            SettingsPutCommand(selected),
+            SettingsCheckCommand(selected),
+            SettingsHistoryCommand(selected),
+        )
+    }
+
+    override fun execute() = Unit
+}
+
+@OptIn(ExperimentalCli::class)
+private class SettingsGetCommand(
+    private val selected: SelectedAction,
+) : Subcommand("get", "Print a setting, or all settings below a path") {
+    private val entry by option(ArgType.String, description = "Entry addresses, separated by commas")
+    private val path by argument(ArgType.String, description = "Path of the setting")
+
+    override fun execute() {
+        selected.action = { withApi(entry) { it.call("GET", "/admin/v1/settings$path").print() } }
+    }
+}
+
+@OptIn(ExperimentalCli::class)
+private class SettingsPutCommand(
+    private val selected: SelectedAction,
+) : Subcommand("put", "Change a setting, or delete it") {
+    private val entry by option(ArgType.String, description = "Entry addresses, separated by commas")
+    private val revision by option(ArgType.Int, description = "Revision that the setting must be at")
+    private val change by option(ArgType.String, description = "Id of this change; repeat it to resolve a lost answer")
+    private val delete by option(ArgType.Boolean, description = "Delete the setting").default(false)
+    private val path by argument(ArgType.String, description = "Path of the setting")
+    private val file by argument(ArgType.String, description = "File with the new value, - for standard input")
+
+    override fun execute() {
+        selected.action = { withApi(entry) { put(it) } }
+    }
+
+    private suspend fun put(api: ApiClient): ExitStatus {
+        val body = if (delete) ByteArray(0) else readInput(file)
+        val id = change ?: UUID.randomUUID().toString()
+        val headers =
+            buildList {
+                add("x-change-id" to id)
+                revision?.let { add("x-expected-revision" to it.toString()) }
+            }
+        val reply = api.call(if (delete) "DELETE" else "PUT", "/admin/v1/settings$path", body, headers)
+        val status = reply.print()
+        if (status == ExitStatus.FAILED) System.err.println("change=$id")
+        return status
+    }
+}
+
+@OptIn(ExperimentalCli::class)
+private class SettingsCheckCommand(
+    private val selected: SelectedAction,
+) : Subcommand("check", "Check a file of settings by path without changing anything") {
+    private val file by argument(ArgType.String, description = "File with an object from path to setting")
+
+    override fun execute() {
+        selected.action = { check(file) }
+    }
+
+    private fun check(file: String): ExitStatus {
+        val faults =
+            when (val parsed = parseSettingsFile(file)) {
+                is ParsedSettings.Invalid -> parsed.faults
+                is ParsedSettings.Valid -> emptyList()
+            }
+        faults.forEach { System.err.println("$file: $it") }
+        if (faults.isEmpty()) println("valid")
+        return if (faults.isEmpty()) ExitStatus.DONE else ExitStatus.BAD_USE
+    }
+}
+
+@OptIn(ExperimentalCli::class)
+private class SettingsHistoryCommand(
+    private val selected: SelectedAction,
+) : Subcommand("history", "Print the changes of a setting, newest first") {
+    private val entry by option(ArgType.String, description = "Entry addresses, separated by commas")
+    private val path by argument(ArgType.String, description = "Path of the setting")
+
+    override fun execute() {
+        selected.action = { withApi(entry) { it.call("GET", "/admin/v1/history$path").print() } }
+    }
+}
+
+/** Parses a file that holds an object from path to setting. */
+internal fun parseSettingsFile(file: String): ParsedSettings<FleetView> {
+    val serializer = MapSerializer(String.serializer(), JsonElement.serializer())
+    val text = readInput(file).decodeToString()
+    return when (val parsed = parseSettings(serializer, file, text)) {
+        is ParsedSettings.Invalid -> parsed
+        is ParsedSettings.Valid -> parseFleet(parsed.value.mapValues { it.value.toString() }, Revision.NONE)
+    }
+}
+
+/** Reads a file, or standard input for `-`. */
+internal fun readInput(file: String): ByteArray = if (file == "-") System.`in`.readBytes() else File(file).readBytes()
--- /dev/null
+++ b/core/src/main/kotlin/org/agatestream/core/BurnLedger.kt
@@ -0,0 +1,125 @@
+package org.agatestream.core
+
+import kotlinx.serialization.Serializable
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.minutes
+
+/** The service level that requests of one class should meet. */
+@Serializable
+public data class ServiceLevelObjective(
+    val requestClass: RequestClass,
+    /** The share of requests that should be good, as in 0.99. */
+    val goodShare: Double,
+    /** An online request is good if its first byte comes within this many milliseconds. */
+    val firstByteMillis: Long,
+)
+
+/** Counts of good and bad requests. */
+@Serializable
+public data class LevelCounts(
+    val good: Long = 0,
+    val bad: Long = 0,
+) {
+    public operator fun plus(other: LevelCounts): LevelCounts = LevelCounts(good + other.good, bad + other.bad)
+
+    /**
+     * Returns how fast the error budget burns: 1 uses it up exactly, more than 1 too fast.
+     *
+     * Without requests nothing burns.
+     */
+    public fun burnRate(goodShare: Double): Double {
+        val total = good + bad
+        if (total == 0L) return 0.0
+        return bad.toDouble() / total / (1 - goodShare)
+    }
+}
+
+/** One line of the burn report: a workspace and class over one window. */
+@Serializable
+public data class BurnLine(
+    val workspace: String,
+    val requestClass: RequestClass,
+    val windowMinutes: Long,
+    val counts: LevelCounts,
+)
+
+/**
+ * Counts good and bad requests of each workspace and class in windows that end now.
+ *
+ * Counts are kept in slots of one minute, so a window may hold up to a minute more than its length.
+ */
+public class BurnLedger {
+    private val slots = mutableMapOf<BurnKey, ArrayDeque<BurnSlot>>()
+
+    /** Counts one request. */
+    @Synchronized
+    public fun record(
+        workspace: WorkspaceId,
+        requestClass: RequestClass,
+        good: Boolean,
+        now: MonotonicTime,
+    ) {
+        val queue = slots.getOrPut(BurnKey(workspace, requestClass)) { ArrayDeque() }
+        val minute = minuteOf(now)
+        if (queue.lastOrNull()?.minute != minute) queue.addLast(BurnSlot(minute))
+        queue.last().add(good)
+        while (queue.first().minute < minute - LONGEST_MINUTES) queue.removeFirst()
+    }
+
+    /** Returns a line for each workspace, class and window, in this order. */
+    @Synchronized
+    public fun report(now: MonotonicTime): List<BurnLine> =
+        slots.keys.sortedBy { "${it.workspace} ${it.requestClass}" }.flatMap { key ->
+            WINDOWS.map { window -> lineOf(key, window, minuteOf(now)) }
+        }
+
+    private fun lineOf(
+        key: BurnKey,
+        window: Duration,
+        minute: Long,
+    ): BurnLine {
+        val first = minute - window.inWholeMinutes
+        val counts = slots.getValue(key).filter { it.minute > first }.fold(LevelCounts()) { sum, slot -> sum + slot.counts }
+        return BurnLine(key.workspace.value, key.requestClass, window.inWholeMinutes, counts)
+    }
+
+    private fun minuteOf(now: MonotonicTime): Long = (now - MonotonicTime.ZERO).inWholeMinutes
+
+    private data class BurnKey(
+        val workspace: WorkspaceId,
+        val requestClass: RequestClass,
+    )
+
+    private class BurnSlot(
+        val minute: Long,
+    ) {
+        var counts = LevelCounts()
+            private set
+
+        fun add(good: Boolean) {
+            counts += if (good) LevelCounts(good = 1) else LevelCounts(bad = 1)
+        }
+    }
+
+    public companion object {
+        /** The windows of the report. */
+        public val WINDOWS: List<Duration> = listOf(5.minutes, 1.hours, 6.hours)
+        private val LONGEST_MINUTES = WINDOWS.max().inWholeMinutes
+
+        /** The objectives for online requests and batch items. */
+        public val OBJECTIVES: List<ServiceLevelObjective> =
+            listOf(
+                ServiceLevelObjective(RequestClass.ONLINE, goodShare = 0.99, firstByteMillis = 390),
+                ServiceLevelObjective(RequestClass.BATCH, goodShare = 0.999, firstByteMillis = Long.MAX_VALUE),
+            )
+    }
+}
+
+/** Adds up the lines of several VMs. */
+public fun mergeBurnLines(reports: List<List<BurnLine>>): List<BurnLine> =
+    reports
+        .flatten()
+        .groupBy { it.copy(counts = LevelCounts()) }
+        .map { (_, lines) -> lines.reduce { sum, line -> sum.copy(counts = sum.counts + line.counts) } }
+        .sortedWith(compareBy({ it.workspace }, { it.requestClass }, { it.windowMinutes }))
