Add state charts that are read from files

Cause: job, chunk and VM need states whose answers to every event can be read and checked in one place. Change: StateChart reads JSON with comments and refuses a file with an unreachable state, an event without an answer or with two, an unknown name, or a transition out of a final state; TypedChart ties a chart to two enum classes. One class per chart was ruled out, since an event without an answer would then show only at run time.

--- /dev/null
+++ b/core/src/test/kotlin/org/agatestream/core/StateChartTest.kt
@@ -0,0 +1,84 @@
+package org.agatestream.core
+
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.element
+import io.kotest.property.checkAll
+
+class StateChartTest :
+    FunSpec({
+        test("a chart answers each event by a move, by ignoring it or by a refusal") {
+            val chart = parsed(DOOR)
+            chart.next("open", "close") shouldBe Step.Moved("closed")
+            chart.next("open", "open") shouldBe Step.Ignored
+            chart.next("gone", "close") shouldBe Step.Refused
+            chart.isFinal("gone") shouldBe true
+        }
+
+        test("each fault is named") {
+            fault(DOOR.replace("\"to\": \"gone\"", "\"to\": \"open\"")) shouldContain "state gone can't be reached"
+            fault(DOOR.replace("\"closed\": [\"close\"]", "\"closed\": []")) shouldContain
+                "event close has no answer in state closed"
+            fault(DOOR.replace("\"to\": \"closed\"", "\"to\": \"ajar\"")) shouldContain "unknown state ajar"
+            fault(DOOR.replace("\"event\": \"break\"", "\"event\": \"smash\"")) shouldContain "unknown event smash"
+            fault(DOOR.replace("\"open\": [\"open\"]", "\"open\": [\"open\", \"close\"]")) shouldContain
+                "event close has two answers in state open"
+            fault(DOOR.replace("\"final\": [\"gone\"]", "\"final\": [\"gone\", \"open\"]")) shouldContain
+                "event close leaves the final state open"
+            fault("{") shouldContain "no valid JSON"
+        }
+
+        test("the charts of the product load and answer every event in every state") {
+            listOf("job", "chunk", "vm").forEach { name ->
+                val chart = StateChart.load(name)
+                checkAll(Arb.element(chart.states), Arb.element(chart.events)) { state, event ->
+                    val step = chart.next(state, event)
+                    if (chart.isFinal(state)) (step is Step.Moved && step.state != state) shouldBe false
+                }
+            }
+        }
+
+        test("an unknown chart, state or event is a programming error") {
+            shouldThrow<IllegalStateException> { StateChart.load("nothing") }
+            shouldThrow<IllegalArgumentException> { parsed(DOOR).next("open", "smash") }
+        }
+
+        test("a typed chart is refused if its names are not those of the code") {
+            TypedChart.load<VmState, VmEvent>("vm").next(VmState.SERVING, VmEvent.TERMINATE) shouldBe
+                Step.Moved(VmState.DRAINING)
+            shouldThrow<IllegalStateException> { TypedChart.load<VmEvent, VmEvent>("vm") }
+        }
+    })
+
+private enum class VmState { STARTING, SERVING, DRAINING, CLOSED }
+
+private enum class VmEvent { READY, TERMINATE, DRAINED }
+
+private fun parsed(text: String): StateChart = StateChart.parse(text).shouldBeInstanceOf<Outcome.Ok<StateChart>>().value
+
+private fun fault(text: String): String =
+    StateChart
+        .parse(text)
+        .shouldBeInstanceOf<Outcome.Failed>()
+        .failure.message
+
+private const val DOOR = """
+{
+  // A door.
+  "initial": "open",
+  "states": ["open", "closed", "gone"],
+  "final": ["gone"],
+  "events": ["open", "close", "break"],
+  "transitions": [
+    {"from": "open", "event": "close", "to": "closed"},
+    {"from": "closed", "event": "open", "to": "open"},
+    {"from": "closed", "event": "break", "to": "gone"}
+  ],
+  "ignored": {"open": ["open"], "closed": ["close"]},
+  "refused": {"open": ["break"], "gone": ["open", "close", "break"]}
+}
+"""
