Add the platform stand-in

Cause: the server's clients of the table service, object store and VM list have nothing to run against. Change: a program of its own with the calls of docs/STAND-INS.md: transactions with conditions on row versions, objects, a VM list with a lag, weights under a rate limit, faults (down, slow, refused VMs, lost answers) and records of the requests. A lost answer closes the connection by cancelling the handler, since a status line must not go out first.

--- /dev/null
+++ b/standins/src/main/kotlin/org/agatestream/standin/PlatformStandIn.kt
@@ -0,0 +1,244 @@
+package org.agatestream.standin
+
+import kotlinx.coroutines.delay
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.builtins.ListSerializer
+import org.agatestream.core.CommitResult
+import org.agatestream.core.ListedVm
+import org.agatestream.core.MonotonicTime
+import org.agatestream.core.Row
+import org.agatestream.core.Transaction
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration.Companion.milliseconds
+
+/** How the platform stand-in misbehaves. */
+@Serializable
+public data class Faults(
+    /** Answers 503 to everyone. */
+    val down: Boolean = false,
+    /** Time that each answer takes, half of it before the call takes effect. */
+    val delayMillis: Long = 0,
+    /** The next commits that take effect and whose connection is then closed without an answer. */
+    val loseCommitAnswers: Int = 0,
+    /** The next reads whose connection is closed without an answer. */
+    val loseReadAnswers: Int = 0,
+    /** How old the VM list is. */
+    val lagMillis: Long = 0,
+    /** VMs that get 503. */
+    val refusedVms: List<String> = emptyList(),
+)
+
+/** The rates that the platform stand-in keeps to. */
+internal data class PlatformRates(
+    val readsPerSecond: Int = 2_000,
+    val writesPerSecond: Int = 500,
+    val weightsPerSecond: Int = 2,
+)
+
+/** The platform of tests: table service, object store, VM list and weight store in memory. */
+internal class PlatformStandIn(
+    rates: PlatformRates = PlatformRates(),
+) : AutoCloseable {
+    private val server = StandInServer(::handle)
+    private val table = StandInTable()
+    private val objects = ConcurrentHashMap<String, ByteArray>()
+    private val vms = LaggedValue(emptyList<ListedVm>(), MonotonicTime.now())
+    private val reads = RateLimit(rates.readsPerSecond, MonotonicTime.now())
+    private val writes = RateLimit(rates.writesPerSecond, MonotonicTime.now())
+    private val weights = RateLimit(rates.weightsPerSecond, MonotonicTime.now())
+    private val lostCommits = AtomicInteger()
+    private val lostReads = AtomicInteger()
+    private val readCount = AtomicLong()
+    private val writeCount = AtomicLong()
+    private val refusedCount = AtomicLong()
+
+    @Volatile
+    private var faults = Faults()
+
+    fun listen(port: Int): Int = server.listen(port)
+
+    override fun close() {
+        server.close()
+    }
+
+    private suspend fun handle(call: StandInCall) {
+        if (call.path.startsWith("/standin/")) return control(call)
+        val active = faults
+        if (active.down || call.header(VM_HEADER) in active.refusedVms) return refuse(call, "the platform is down")
+        delay((active.delayMillis / 2).milliseconds)
+        serve(call)
+    }
+
+    private suspend fun control(call: StandInCall) {
+        when (call.route) {
+            "POST /standin/vms" -> {
+                vms.set(call.parse(ListSerializer(ListedVm.serializer())), MonotonicTime.now())
+                call.respondEmpty()
+            }
+
+            "POST /standin/faults" -> {
+                val next = call.parse(Faults.serializer())
+                lostCommits.set(next.loseCommitAnswers)
+                lostReads.set(next.loseReadAnswers)
+                faults = next
+                call.respondEmpty()
+            }
+
+            "GET /standin/counts" -> {
+                val counts = PlatformCounts(readCount.get(), writeCount.get(), refusedCount.get())
+                call.respondJson(STATUS_OK, PlatformCounts.serializer(), counts)
+            }
+
+            else -> {
+                call.respondError(STATUS_NOT_FOUND, "unknown", "no such call")
+            }
+        }
+    }
+
+    private suspend fun serve(call: StandInCall) {
+        val path = call.path
+        when {
+            call.route == "POST /table/read" -> readRow(call)
+            call.route == "POST /table/scan" -> scanRows(call)
+            call.route == "POST /table/commit" -> commit(call)
+            path.startsWith("/objects/") && call.call.method == "PUT" -> putObject(call)
+            path.startsWith("/objects/") && call.call.method == "GET" -> getObject(call)
+            call.route == "GET /vms" -> listVms(call)
+            path.startsWith("/weights/") && call.call.method == "GET" -> getWeights(call)
+            else -> call.respondError(STATUS_NOT_FOUND, "unknown", "no such call")
+        }
+    }
+
+    private suspend fun readRow(call: StandInCall) {
+        if (!admitRead(call)) return
+        val row = table.read(call.parse(ReadQuery.serializer()).key)
+        finishRead()
+        if (row == null) return call.respondError(STATUS_NOT_FOUND, "absent", "no such row")
+        call.respondJson(STATUS_OK, Row.serializer(), row)
+    }
+
+    private suspend fun scanRows(call: StandInCall) {
+        if (!admitRead(call)) return
+        val query = call.parse(ScanQuery.serializer())
+        val rows = table.scan(query.prefix, query.after, query.limit)
+        finishRead()
+        call.respondJson(STATUS_OK, ListSerializer(Row.serializer()), rows)
+    }
+
+    private suspend fun commit(call: StandInCall) {
+        val transaction = call.parse(Transaction.serializer())
+        if (!admitWrite(call)) return
+        val result = table.commit(transaction)
+        delay((faults.delayMillis / 2).milliseconds)
+        if (lostCommits.takeOne()) call.dropAnswer()
+        when (result) {
+            is CommitResult.Conflict -> {
+                call.respondJson(STATUS_CONFLICT, ListSerializer(Row.serializer()), result.current)
+            }
+
+            else -> {
+                call.respondJson(STATUS_OK, CommitAnswer.serializer(), CommitAnswer(true))
+            }
+        }
+    }
+
+    private suspend fun putObject(call: StandInCall) {
+        if (!admitWrite(call)) return
+        objects[call.path.removePrefix("/objects/")] = call.body
+        delay((faults.delayMillis / 2).milliseconds)
+        if (lostCommits.takeOne()) call.dropAnswer()
+        call.respondEmpty()
+    }
+
+    private suspend fun getObject(call: StandInCall) {
+        if (!admitRead(call)) return
+        val bytes = objects[call.path.removePrefix("/objects/")]
+        finishRead()
+        if (bytes == null) return call.respondError(STATUS_NOT_FOUND, "absent", "no such object")
+        call.call.respond(STATUS_OK, "application/octet-stream", bytes)
+    }
+
+    private suspend fun listVms(call: StandInCall) {
+        if (!admitRead(call)) return
+        val listed = vms.get(MonotonicTime.now(), faults.lagMillis.milliseconds)
+        finishRead()
+        call.respondJson(STATUS_OK, ListSerializer(ListedVm.serializer()), listed)
+    }
+
+    private suspend fun getWeights(call: StandInCall) {
+        if (!weights.tryTake(MonotonicTime.now())) {
+            return call.respondError(STATUS_TOO_MANY, "rate", "over the rate of the weight store")
+        }
+        val model = call.path.removePrefix("/weights/")
+        call.respondJson(STATUS_OK, WeightsAnswer.serializer(), WeightsAnswer(model, "1"))
+    }
+
+    private suspend fun admitRead(call: StandInCall): Boolean {
+        if (!reads.tryTake(MonotonicTime.now())) {
+            refuse(call, "over the read rate")
+            return false
+        }
+        readCount.incrementAndGet()
+        return true
+    }
+
+    private suspend fun admitWrite(call: StandInCall): Boolean {
+        if (!writes.tryTake(MonotonicTime.now())) {
+            refuse(call, "over the write rate")
+            return false
+        }
+        writeCount.incrementAndGet()
+        return true
+    }
+
+    private suspend fun finishRead() {
+        delay((faults.delayMillis / 2).milliseconds)
+        if (lostReads.takeOne()) throw kotlinx.coroutines.CancellationException("the answer is dropped")
+    }
+
+    private suspend fun refuse(
+        call: StandInCall,
+        message: String,
+    ) {
+        refusedCount.incrementAndGet()
+        call.respondError(STATUS_UNAVAILABLE, "unavailable", message)
+    }
+}
+
+/** Counts of calls since the start of the platform stand-in. */
+@Serializable
+internal data class PlatformCounts(
+    val reads: Long,
+    val writes: Long,
+    val refused: Long,
+)
+
+@Serializable
+private data class ReadQuery(
+    val key: String,
+)
+
+@Serializable
+private data class ScanQuery(
+    val prefix: String,
+    val after: String = "",
+    val limit: Int = 1_000,
+)
+
+@Serializable
+private data class CommitAnswer(
+    val committed: Boolean,
+)
+
+@Serializable
+private data class WeightsAnswer(
+    val model: String,
+    val version: String,
+)
+
+/** Takes one off a positive count; returns false if none was left. */
+internal fun AtomicInteger.takeOne(): Boolean = getAndUpdate { if (it > 0) it - 1 else 0 } > 0
+
+private const val VM_HEADER = "x-agatestream-vm"
