Add peer transport and the coordination service

Cause: VMs need to prove the fleet secret to each other, carry typed asks, and keep settings, plan and VM list up to date without a consensus group.

--- a/core/src/main/kotlin/org/agatestream/core/ConfigWrite.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ConfigWrite.kt
@@ -17,7 +17,6 @@
     val head: FleetHead,
     val transaction: Transaction,
     val entry: ConfigLogEntry,
-    val view: FleetView,
 )
 
 /** What follows from the table's answer to the transaction of a [PreparedWrite]. */
@@ -49,7 +48,7 @@
     write: ConfigWrite,
     headRow: Row?,
     at: Instant,
-    validate: (Map<String, String>) -> Outcome<FleetView>,
+    validate: (Map<String, String>, Revision) -> Outcome<FleetView>,
 ): Outcome<PreparedWrite> {
     val head = headRow.toFleetHead()
     if (head.revision != revision) return ErrorKind.CHANGE_PENDING.toFailed("settings not read up to ${head.revision}")
@@ -60,8 +59,8 @@
     }
     val next = head.copy(revision = revision.next())
     val entry = ConfigLogEntry(next.revision, write.change, write.operator, at.toEpochMilli(), write.changes)
-    return validate(apply(entry.toDelta()).values).map {
-        PreparedWrite(next, entry.toTransaction(headRow, next), entry, it.copy(revision = next.revision))
+    return validate(apply(entry.toDelta()).values, next.revision).map {
+        PreparedWrite(next, entry.toTransaction(headRow, next), entry)
     }
 }
 
@@ -83,7 +82,7 @@
     when (changeRow) {
         is ReadResult.Found -> onChangeFound(changeRow.value.toChangeRevision(), logRow, epoch)
         ReadResult.Absent -> CommitStep.PrepareAgain
-        ReadResult.Unavailable -> CommitStep.Refused(Failure(ErrorKind.CHANGE_PENDING, "the change may be committed"))
+        ReadResult.Unavailable -> CommitStep.Refused(tableUnavailable())
     }
 
 private fun ConfigWrite.onChangeFound(
--- a/core/src/main/kotlin/org/agatestream/core/Freshness.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Freshness.kt
@@ -43,11 +43,15 @@
         policy: FreshnessPolicy,
     ): Boolean = knownSince != null && now - knownSince < policy.bound
 
-    /** Applies a read of the table's head that was sent at [sentAt]. */
+    /**
+     * Applies a read of the table's head that was sent at [sentAt].
+     *
+     * A head before the applied one proves nothing: the read was overtaken, or the table answered with an old row.
+     */
     public fun onTableHead(
         head: FleetHead,
         sentAt: MonotonicTime,
-    ): Freshness = onClaim(FreshnessClaim(head, sentAt))
+    ): Freshness = if (head.covers(applied)) onClaim(FreshnessClaim(head, sentAt)) else this
 
     /** Applies a peer's answer; [plan] is the plan of [applied]. */
     public fun onPeer(
--- a/core/src/main/kotlin/org/agatestream/core/OwnerLease.kt
+++ b/core/src/main/kotlin/org/agatestream/core/OwnerLease.kt
@@ -1,12 +1,24 @@
 package org.agatestream.core
 
+import kotlinx.serialization.Serializable
+
 /** Identifies one share of an owned limit; [count] is how many shares the limit has. */
+@Serializable
 public data class ShareKey(
     val key: String,
     val share: Int,
     val count: Int,
 )
 
+/** The owner of a share under a plan, and its owner under the plan before; null where a plan has no VM. */
+public data class ShareOwners(
+    val owner: VmId?,
+    val before: VmId?,
+)
+
+/** Returns who owns [share] under this plan and who did under the plan before. */
+public fun Plan.toShareOwners(share: ShareKey): ShareOwners = ShareOwners(vms.ownerOf(share), previous.ownerOf(share))
+
 /** Whether this VM may act as the owner of a share. */
 public sealed interface OwnerStanding {
     /** It may; [origin] says what it may know of the share's state. */
@@ -84,11 +96,11 @@
         isCurrent: Boolean,
         now: MonotonicTime,
         policy: FreshnessPolicy,
+        owners: ShareOwners = plan.toShareOwners(share),
     ): OwnerStanding {
         if (!isCurrent) return OwnerStanding.NotCurrent
-        val owner = plan.vms.ownerOf(share)
-        if (owner != self) return OwnerStanding.OtherOwner(owner)
-        val before = plan.previous.ownerOf(share)
+        if (owners.owner != self) return OwnerStanding.OtherOwner(owners.owner)
+        val before = owners.before
         return when {
             before == null || before == self -> OwnerStanding.Owner(OwnerOrigin.KEPT)
             share in conceded -> OwnerStanding.Owner(OwnerOrigin.HANDED_OVER)
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinationService.kt
@@ -0,0 +1,197 @@
+package org.agatestream.server
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.agatestream.core.ConfigLogEntry
+import org.agatestream.core.ConfigWrite
+import org.agatestream.core.CoordinationState
+import org.agatestream.core.ErrorKind
+import org.agatestream.core.FleetHead
+import org.agatestream.core.FleetView
+import org.agatestream.core.FreshnessPolicy
+import org.agatestream.core.ListedVm
+import org.agatestream.core.MonotonicTime
+import org.agatestream.core.Outcome
+import org.agatestream.core.OwnerStanding
+import org.agatestream.core.Plan
+import org.agatestream.core.ReadResult
+import org.agatestream.core.Revision
+import org.agatestream.core.ShareKey
+import org.agatestream.core.ShareOwners
+import org.agatestream.core.TableService
+import org.agatestream.core.VmId
+import org.agatestream.core.VmList
+import org.agatestream.core.toFailed
+import org.agatestream.core.toOk
+import org.agatestream.core.toShareOwners
+import java.time.Instant
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private const val HEAD_READS_PER_SECOND = 100
+private const val LIST_READS_PER_SECOND = 50
+private val MIN_READ_INTERVAL: Duration = 1.seconds
+private val URGENT_READ_INTERVAL: Duration = 500.milliseconds
+private val SEED_TIMEOUT: Duration = 2.seconds
+
+/** Keeps this VM's knowledge of settings, plan and VMs up to date, through the platform's table and the other VMs. */
+public class CoordinationService(
+    private val network: KtorPeerNetwork,
+    table: TableService,
+    private val vmList: VmList,
+    parse: (Map<String, String>, Revision) -> Outcome<FleetView>,
+    private val seedPeers: List<String> = emptyList(),
+    policy: FreshnessPolicy = FreshnessPolicy(),
+    private val random: Random = Random.Default,
+    private val clock: () -> MonotonicTime = MonotonicTime::now,
+) : Coordination,
+    AutoCloseable {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val store = FleetStore(CoordinationState.start(network.self, clock(), policy), parse)
+    private val sync = TableSync(table, store, clock)
+    private val gossip = PeerGossip(network, store, clock, random)
+    private val spreader = ChangeSpreader(network, store, clock)
+    private val writer = ConfigWriter(table, store, sync, spreader, clock)
+    private val concession = ShareConcession(network, store, clock)
+    private val planKeeper = PlanKeeper(table, store, sync, spreader, gossip, clock, random)
+    private val listeners = CopyOnWriteArrayList<(Coordination) -> Unit>()
+    private val shareOwners = ConcurrentHashMap<Pair<Long, ShareKey>, ShareOwners>()
+
+    override val fleet: FleetView get() = store.view
+
+    override val plan: Plan get() = store.state.plan
+
+    override val vms: List<ListedVm> get() = store.state.membership.listed
+
+    /** How far this VM has come. */
+    public val head: FleetHead get() = store.state.head
+
+    init {
+        network.addHandler(CoordinationHandler(store, gossip, concession, clock, scope))
+        store.onChange(::onStoreChange)
+    }
+
+    /** Starts to read the platform and to exchange heartbeats. */
+    public fun start() {
+        scope.launch { listLoop() }
+        scope.launch { headLoop() }
+        scope.launch { gossip.heartbeatLoop(scope) }
+        scope.launch { gossip.probeLoop(scope) }
+        scope.launch { planKeeper.loop(scope) }
+    }
+
+    override fun close() {
+        scope.cancel()
+    }
+
+    override fun isCurrent(now: MonotonicTime): Boolean = store.state.isCurrent(now)
+
+    override fun onChange(listener: (Coordination) -> Unit) {
+        listeners += listener
+    }
+
+    /** Adds an area that owns shares and hands them over when the plan moves them. */
+    public fun addShareOwner(owner: ShareOwner) {
+        concession.addOwner(owner)
+    }
+
+    /** Returns whether this VM may act as owner of [share] at [now]; ask again for each decision. */
+    public fun mayOwn(
+        share: ShareKey,
+        now: MonotonicTime,
+    ): OwnerStanding {
+        val state = store.state
+        return state.standing(share, now, state.plan.cachedOwners(share))
+    }
+
+    /** Returns the owner of [share] under this VM's plan, or null if the plan has no VM. */
+    public fun ownerOf(share: ShareKey): VmId? = plan.cachedOwners(share).owner
+
+    /** Makes a change of the settings and returns its revision once it is in force; [at] is the time in history. */
+    public suspend fun put(
+        write: ConfigWrite,
+        at: Instant,
+    ): Outcome<Revision> = writer.put(write, at)
+
+    /** Reads up to [limit] accepted changes after [after], oldest first. */
+    public suspend fun history(
+        after: Revision,
+        limit: Int,
+    ): Outcome<List<ConfigLogEntry>> =
+        sync.history(after, limit)?.toOk()
+            ?: ErrorKind.PLATFORM_UNAVAILABLE.toFailed("the table service did not answer")
+
+    /** Asks every listed VM how far it has come; a VM that doesn't answer has null. */
+    public suspend fun inForce(): Map<VmId, FleetHead?> {
+        val others = vms.filter { it.id != network.self }.associate { it.id to gossip.beat(it.id)?.head }
+        return others + (network.self to head)
+    }
+
+    /** The settings in force on this VM as JSON text, by path. */
+    public val settings: Map<String, String> get() = store.state.config.values
+
+    /** Returns the revision at which the setting at [path] last changed, or [Revision.NONE] if it doesn't exist. */
+    public fun revisionOf(path: String): Revision = store.state.config.revisionOf(path)
+
+    private fun onStoreChange() {
+        val state = store.state
+        shareOwners.keys.removeIf { it.first < state.plan.epoch.number }
+        concession.onPlan(state.plan, scope)
+        gossip.announce(scope)
+        listeners.forEach { it(this) }
+    }
+
+    private fun Plan.cachedOwners(share: ShareKey): ShareOwners =
+        shareOwners.computeIfAbsent(epoch.number to share) { toShareOwners(share) }
+
+    private suspend fun headLoop() {
+        while (scope.isActive) {
+            sync.readHead()
+            delay(headInterval().jittered(random))
+        }
+    }
+
+    private fun headInterval(): Duration {
+        val state = store.state
+        val age = state.freshness.knownSince?.let { clock() - it }
+        val isAgeing = age == null || age > state.policy.bound / 2
+        if (isAgeing) return URGENT_READ_INTERVAL
+        return maxOf(MIN_READ_INTERVAL, 1.seconds * vms.size / HEAD_READS_PER_SECOND)
+    }
+
+    private suspend fun listLoop() {
+        while (scope.isActive) {
+            val isFirst = vms.isEmpty()
+            val read = vmList.list()
+            if (read is ReadResult.Found) {
+                onList(read.value)
+            } else if (isFirst) {
+                fetchVms()
+            }
+            if (isFirst && vms.isNotEmpty()) gossip.beatAll(scope)
+            val interval = maxOf(MIN_READ_INTERVAL, 1.seconds * vms.size / LIST_READS_PER_SECOND)
+            delay(interval.jittered(random))
+        }
+    }
+
+    private suspend fun fetchVms() {
+        for (seed in seedPeers) {
+            val answer = network.askAddress(seed, CoordinationAsk.FetchVms, SEED_TIMEOUT)
+            if (answer is CoordinationAnswer.FetchedVms && answer.vms.isNotEmpty()) return onList(answer.vms)
+        }
+    }
+
+    private fun onList(list: List<ListedVm>) {
+        network.updateAddresses(list)
+        store.update { it.onList(list) }
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/KtorPeerNetwork.kt
@@ -0,0 +1,236 @@
+package org.agatestream.server
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.IOException
+import org.agatestream.core.ListedVm
+import org.agatestream.core.MonotonicTime
+import org.agatestream.core.VmId
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private const val MAX_UNPROVED_CONNECTIONS = 64
+private val HANDSHAKE_TIMEOUT: Duration = 2.seconds
+private val IDLE_LIMIT: Duration = 60.seconds
+private val REAP_INTERVAL: Duration = 10.seconds
+private val MIN_BACKOFF: Duration = 50.milliseconds
+private val MAX_BACKOFF: Duration = 2.seconds
+
+/**
+ * Carries asks between VMs over TCP by Ktor sockets, as length-prefixed frames of CBOR.
+ *
+ * Two VMs share one connection, whichever dialled it, and both prove the fleet secret before any message counts.
+ * An ask that finds no connection dials one; after a failed attempt, asks fail at once until a backoff has passed.
+ */
+public class KtorPeerNetwork(
+    override val self: VmId,
+    secret: ByteArray,
+    registry: MeterRegistry = SimpleMeterRegistry(),
+    private val random: Random = Random.Default,
+    /** True to send messages that wait at the same time in one frame. */
+    private val gathers: Boolean = true,
+) : PeerNetwork,
+    AutoCloseable {
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val handshake = PeerHandshake(self, secret)
+    private val handlers = CopyOnWriteArrayList<PeerHandler>()
+    private val addresses = ConcurrentHashMap<VmId, String>()
+    private val connections = ConcurrentHashMap<VmId, PeerConnection>()
+    private val open = ConcurrentHashMap.newKeySet<PeerConnection>()
+    private val dials = ConcurrentHashMap<String, Deferred<PeerConnection?>>()
+    private val backoffs = ConcurrentHashMap<String, DialBackoff>()
+    private val unproved = Semaphore(MAX_UNPROVED_CONNECTIONS)
+    private var server: ServerSocket? = null
+
+    internal val traffic = PeerTraffic(registry)
+
+    /** The number of open connections to other VMs. */
+    internal val connectionCount: Int get() = connections.size
+
+    /** Adds a handler; an ask gets the first answer that is not null, in the order of adding. */
+    public fun addHandler(handler: PeerHandler) {
+        handlers += handler
+    }
+
+    /** Replaces the addresses of other VMs; connections to VMs that are no more listed stay until they are idle. */
+    public fun updateAddresses(vms: List<ListedVm>) {
+        for (vm in vms) addresses[vm.id] = vm.peerAddress
+        addresses.keys.retainAll(vms.mapTo(HashSet()) { it.id })
+    }
+
+    /** Listens on [host] and [port], where 0 takes a free port; returns the port. */
+    public suspend fun listen(
+        host: String,
+        port: Int,
+    ): Int {
+        val bound = aSocket(selector).tcp().bind(host, port) { reuseAddress = true }
+        server = bound
+        scope.launch { acceptLoop(bound) }
+        scope.launch { reapLoop() }
+        return (bound.localAddress as io.ktor.network.sockets.InetSocketAddress).port
+    }
+
+    override suspend fun ask(
+        peer: VmId,
+        ask: PeerAsk,
+        timeout: Duration,
+    ): PeerAnswer? {
+        if (peer == self) return withTimeoutOrNull(timeout) { answer(self, ask) }
+        connections[peer]?.takeIf { it.isOpen }?.let { return it.ask(ask, timeout) }
+        val address = addresses[peer] ?: return null
+        return askAddress(address, ask, timeout, peer)
+    }
+
+    /** Sends [ask] to whichever VM listens at [address]; fails if it is not [expected], where that is given. */
+    public suspend fun askAddress(
+        address: String,
+        ask: PeerAsk,
+        timeout: Duration,
+        expected: VmId? = null,
+    ): PeerAnswer? {
+        val startedAt = MonotonicTime.now()
+        val connection = withTimeoutOrNull(timeout) { dial(address).await() } ?: return null
+        if (expected != null && connection.peer != expected) return null
+        val left = timeout - (MonotonicTime.now() - startedAt)
+        return if (left.isPositive()) connection.ask(ask, left) else null
+    }
+
+    override fun close() {
+        scope.cancel()
+        server?.close()
+        open.forEach { it.close() }
+        selector.close()
+    }
+
+    private suspend fun answer(
+        from: VmId,
+        ask: PeerAsk,
+    ): PeerAnswer? {
+        for (handler in handlers) {
+            try {
+                handler.answer(from, ask)?.let { return it }
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: Exception) {
+                EventLog.error("peer_ask_failed", e, "peer" to from, "ask" to ask::class.simpleName)
+                return null
+            }
+        }
+        return null
+    }
+
+    private fun dial(address: String): Deferred<PeerConnection?> =
+        dials.computeIfAbsent(address) {
+            scope.async {
+                try {
+                    open(address)
+                } finally {
+                    dials.remove(address)
+                }
+            }
+        }
+
+    private suspend fun open(address: String): PeerConnection? {
+        val backoff = backoffs.computeIfAbsent(address) { DialBackoff(MIN_BACKOFF, MAX_BACKOFF) }
+        if (!backoff.mayDial(MonotonicTime.now())) return null
+        val connection = tryOpen(address)
+        backoff.onDialled(connection != null, MonotonicTime.now(), random)
+        return connection
+    }
+
+    private suspend fun tryOpen(address: String): PeerConnection? {
+        var socket: Socket? = null
+        return try {
+            withTimeout(HANDSHAKE_TIMEOUT) {
+                val host = address.substringBeforeLast(':')
+                val port = address.substringAfterLast(':').toInt()
+                val opened = aSocket(selector).tcp().connect(host, port) { noDelay = true }
+                socket = opened
+                prove(opened, isDialler = true)
+            }
+        } catch (e: Exception) {
+            socket?.close()
+            if (!scope.isActive) throw e
+            EventLog.info("peer_dial_failed", "address" to address, "cause" to e.message)
+            null
+        }
+    }
+
+    private suspend fun acceptLoop(server: ServerSocket) {
+        while (scope.isActive) {
+            val socket = acceptOrNull(server) ?: return
+            if (unproved.tryAcquire()) scope.launch { accept(socket) } else socket.close()
+        }
+    }
+
+    private suspend fun acceptOrNull(server: ServerSocket): Socket? =
+        try {
+            server.accept()
+        } catch (e: IOException) {
+            if (scope.isActive) EventLog.error("peer_accept_failed", e)
+            null
+        }
+
+    private suspend fun accept(socket: Socket) {
+        try {
+            withTimeout(HANDSHAKE_TIMEOUT) { prove(socket, isDialler = false) }
+        } catch (e: Exception) {
+            socket.close()
+            EventLog.warn("peer_refused", "cause" to e.message)
+        } finally {
+            unproved.release()
+        }
+    }
+
+    private suspend fun prove(
+        socket: Socket,
+        isDialler: Boolean,
+    ): PeerConnection {
+        val input = socket.openReadChannel()
+        val output = socket.openWriteChannel(autoFlush = false)
+        val peer = handshake.run(input, output, isDialler)
+        val connection =
+            PeerConnection(peer, isDialler, socket, input, output, scope, traffic, gathers, PeerHandler(::answer))
+        // A connection that lost the race stays open for the asks of the VM that dialled it, until it is idle.
+        connections.merge(peer, connection) { old, new -> if (old.isOpen) old else new }
+        open += connection
+        connection.start {
+            connections.remove(peer, it)
+            open -= it
+        }
+        return connection
+    }
+
+    private suspend fun reapLoop() {
+        while (scope.isActive) {
+            delay(REAP_INTERVAL)
+            val now = MonotonicTime.now()
+            open.filter { now - it.usedAt > IDLE_LIMIT }.forEach { it.close() }
+            backoffs.keys.retainAll(addresses.values.toSet())
+        }
+    }
+}
