--- a/core/src/main/kotlin/org/agatestream/core/BurnLedger.kt
+++ b/core/src/main/kotlin/org/agatestream/core/BurnLedger.kt
@@ -80,7 +80,11 @@
         minute: Long,
     ): BurnLine {
         val first = minute - window.inWholeMinutes
-        val counts = slots.getValue(key).filter { it.minute > first }.fold(LevelCounts()) { sum, slot -> sum + slot.counts }
+        val counts =
+            slots.getValue(key).filter { it.minute > first }.fold(LevelCounts()) { sum, slot ->
+                sum +
+                    slot.counts
+            }
         return BurnLine(key.workspace.value, key.requestClass, window.inWholeMinutes, counts)
     }
 
