--- a/cli/src/main/kotlin/org/agatestream/cli/ReportCommand.kt
+++ b/cli/src/main/kotlin/org/agatestream/cli/ReportCommand.kt
@@ -17,7 +17,7 @@
     selected: SelectedAction,
 ) : Subcommand("report", "Print reports on the fleet") {
     init {
-        subcommands(BurnReportCommand(selected))
+        subcommands(BurnReportCommand(selected), CapacityReportCommand(selected))
     }
 
     override fun execute() = Unit
