--- /dev/null
+++ b/core/src/main/kotlin/org/agatestream/core/QuotaLedger.kt
@@ -0,0 +1,146 @@
+package org.agatestream.core
+
+import kotlinx.serialization.Serializable
+import kotlin.math.max
+import kotlin.math.min
+import kotlin.time.Duration
+
+/** Numbers of requests by class. */
+@Serializable
+public data class ClassCounts(
+    val online: Int = 0,
+    val batch: Int = 0,
+) {
+    val total: Int get() = online + batch
+
+    public operator fun plus(other: ClassCounts): ClassCounts = ClassCounts(online + other.online, batch + other.batch)
+
+    public companion object {
+        public val NONE: ClassCounts = ClassCounts()
+    }
+}
+
+/** How many requests may run at once. */
+public data class QuotaCap(
+    val total: Int,
+    /** How many of [total] may be batch items. */
+    val batch: Int = total,
+)
+
+/** What one VM holds of a quota. */
+public data class QuotaLease(
+    val counts: ClassCounts,
+    /** The holder starts no request after this time unless it renews. */
+    val expiresAt: MonotonicTime,
+    /** The number of the holder's ask that set [counts]; older asks that come late are ignored. */
+    val sequence: Long,
+)
+
+/** What a VM tells and asks the owner of a quota; the newest ask replaces all that older ones said. */
+public data class QuotaAsk(
+    val holder: VmId,
+    val sequence: Long,
+    /** What the holder uses or keeps; the owner takes the rest back. */
+    val keeps: ClassCounts,
+    val wants: ClassCounts = ClassCounts.NONE,
+)
+
+/** The owner's answer to a [QuotaAsk]. */
+public data class QuotaAnswer(
+    val granted: ClassCounts,
+    /** Batch items that the holder must cancel for online requests or a lowered cap. */
+    val giveWay: Int = 0,
+)
+
+/**
+ * An owner's exact account of a number of requests that may run at once over all VMs.
+ *
+ * A lease that isn't renewed stays counted, since its holder may be paused with requests running; it is dropped when the
+ * VM list no longer shows the holder or when the longest request must have ended. Until [opensAt] a new owner only
+ * takes down what holders report.
+ */
+public data class QuotaLedger(
+    val opensAt: MonotonicTime,
+    val leases: Map<VmId, QuotaLease> = emptyMap(),
+    /** Until when online requests that found no room are waited for. */
+    val onlineWaitsUntil: MonotonicTime? = null,
+) {
+    val held: ClassCounts get() = leases.values.fold(ClassCounts.NONE) { sum, lease -> sum + lease.counts }
+
+    /**
+     * Applies [ask] and grants what [cap] leaves; [floor] is the least number known to run by other reports.
+     *
+     * Batch items get nothing while online requests wait.
+     */
+    public fun ask(
+        ask: QuotaAsk,
+        cap: QuotaCap,
+        times: QuotaTimes,
+        now: MonotonicTime,
+        floor: Int = 0,
+    ): Pair<QuotaLedger, QuotaAnswer> {
+        val before = leases[ask.holder]
+        if (before != null && before.sequence >= ask.sequence) return this to QuotaAnswer(ClassCounts.NONE)
+        val kept = expire(times, now).withLease(ask, ask.keeps, now + times.lease)
+        val granted = kept.room(ask.wants, cap, floor, now)
+        val missed = ask.wants.online > granted.online
+        val waitsUntil = if (missed) now + times.onlineWait else onlineWaitsUntil
+        val after = kept.withLease(ask, ask.keeps + granted, now + times.lease).copy(onlineWaitsUntil = waitsUntil)
+        return after to QuotaAnswer(granted, min(ask.keeps.batch, after.excessBatch(cap, now)))
+    }
+
+    /** Returns how many batch items must give way at [now] for online requests that wait or for a lowered cap. */
+    public fun excessBatch(
+        cap: QuotaCap,
+        now: MonotonicTime,
+    ): Int {
+        val sum = held
+        val waiting = if (onlineWaits(now)) 1 else 0
+        val excess = max(sum.total + waiting - cap.total, sum.batch - cap.batch)
+        return excess.coerceIn(0, sum.batch)
+    }
+
+    /** Drops what [vm] held, because the VM list no longer shows it. */
+    public fun gone(vm: VmId): QuotaLedger = copy(leases = leases - vm)
+
+    /** Drops leases whose holders can't have a request running any more. */
+    public fun expire(
+        times: QuotaTimes,
+        now: MonotonicTime,
+    ): QuotaLedger {
+        if (leases.values.none { now > it.expiresAt + times.longestRequest }) return this
+        return copy(leases = leases.filterValues { now <= it.expiresAt + times.longestRequest })
+    }
+
+    private fun room(
+        wants: ClassCounts,
+        cap: QuotaCap,
+        floor: Int,
+        now: MonotonicTime,
+    ): ClassCounts {
+        if (now < opensAt) return ClassCounts.NONE
+        val sum = held
+        val free = (cap.total - max(sum.total, floor)).coerceAtLeast(0)
+        val online = min(wants.online, free)
+        val batchFree = if (onlineWaits(now) || wants.online > online) 0 else min(free - online, cap.batch - sum.batch)
+        return ClassCounts(online, min(wants.batch, batchFree).coerceAtLeast(0))
+    }
+
+    private fun onlineWaits(now: MonotonicTime): Boolean = onlineWaitsUntil != null && now < onlineWaitsUntil
+
+    private fun withLease(
+        ask: QuotaAsk,
+        counts: ClassCounts,
+        expiresAt: MonotonicTime,
+    ): QuotaLedger = copy(leases = leases + (ask.holder to QuotaLease(counts, expiresAt, ask.sequence)))
+}
+
+/** The spans by which quotas are leased. */
+public data class QuotaTimes(
+    /** How long a holder may start requests after its last renewal. */
+    val lease: Duration,
+    /** The longest time that a request runs. */
+    val longestRequest: Duration,
+    /** How long room is kept for online requests that found none. */
+    val onlineWait: Duration,
+)
