--- a/core/src/main/kotlin/org/agatestream/core/AdmissionPlan.kt
+++ b/core/src/main/kotlin/org/agatestream/core/AdmissionPlan.kt
@@ -22,6 +22,12 @@
     val hold: Duration = 500.milliseconds,
 )
 
+/** The VM that owns one share of a workspace's rate. */
+public data class ShareOwner(
+    val share: Int,
+    val vm: VmId,
+)
+
 /** What an entry VM remembers of one owner of a workspace's shares. */
 public data class OwnerMemory(
     /** When the owner's next token counts, as of its last answer. */
@@ -31,7 +37,7 @@
 
 /** What an entry VM keeps of a workspace between requests. */
 public data class AdmissionMemory(
-    val owners: Map<VmId, OwnerMemory> = emptyMap(),
+    val owners: Map<ShareOwner, OwnerMemory> = emptyMap(),
     val held: HeldTokens? = null,
     val demand: DemandRate = DemandRate(),
 ) {
@@ -50,7 +56,7 @@
 
     /** Takes down the answer of [owner] to an ask sent at [sentAt]. */
     public fun answered(
-        owner: VmId,
+        owner: ShareOwner,
         grant: TokenGrant,
         sentAt: MonotonicTime,
         times: AdmissionTimes,
@@ -72,14 +78,14 @@
 
     /** Takes down that [owner] did not answer or does not own a share. */
     public fun silent(
-        owner: VmId,
+        owner: ShareOwner,
         times: AdmissionTimes,
         now: MonotonicTime,
     ): AdmissionMemory = copy(owners = owners + (owner to OwnerMemory(silentUntil = now + times.silence)))
 
-    internal fun silentUntil(owner: VmId): MonotonicTime? = owners[owner]?.silentUntil
+    internal fun silentUntil(owner: ShareOwner): MonotonicTime? = owners[owner]?.silentUntil
 
-    internal fun emptyUntil(owner: VmId): MonotonicTime? = owners[owner]?.emptyUntil
+    internal fun emptyUntil(owner: ShareOwner): MonotonicTime? = owners[owner]?.emptyUntil
 }
 
 /** A rate of arrivals that decays with time. */
@@ -105,7 +111,7 @@
 public sealed interface AdmissionStep {
     /** Ask [owner] for a token that counts within [maxWait]. */
     public data class Ask(
-        val owner: VmId,
+        val owner: ShareOwner,
         val maxWait: Duration,
     ) : AdmissionStep
 
@@ -127,13 +133,13 @@
     val salt: Int,
     val giveUpAt: MonotonicTime,
     /** Owners that had no token at once. */
-    val empty: Set<VmId> = emptySet(),
+    val empty: Set<ShareOwner> = emptySet(),
     /** Owners that were asked for a token to wait for. */
-    val waited: Set<VmId> = emptySet(),
+    val waited: Set<ShareOwner> = emptySet(),
 ) {
     /** Takes down that an ask with [maxWait] of [owner] brought no token. */
     public fun refused(
-        owner: VmId,
+        owner: ShareOwner,
         maxWait: Duration,
     ): AdmissionAttempt = if (maxWait > Duration.ZERO) copy(waited = waited + owner) else copy(empty = empty + owner)
 }
@@ -144,7 +150,7 @@
  * A workspace is over its rate only if every owner that answers has no token within the longest wait.
  */
 public fun nextAdmissionStep(
-    owners: List<VmId>,
+    owners: List<ShareOwner>,
     memory: AdmissionMemory,
     attempt: AdmissionAttempt,
     times: AdmissionTimes,
@@ -178,7 +184,7 @@
 }
 
 private fun retrySilent(
-    owners: List<VmId>,
+    owners: List<ShareOwner>,
     memory: AdmissionMemory,
     attempt: AdmissionAttempt,
     times: AdmissionTimes,
@@ -189,16 +195,16 @@
 }
 
 private fun AdmissionMemory.mayHaveToken(
-    owner: VmId,
+    owner: ShareOwner,
     now: MonotonicTime,
 ): Boolean = (emptyUntil(owner) ?: now) <= now
 
 private fun AdmissionMemory.waitOf(
-    owner: VmId,
+    owner: ShareOwner,
     now: MonotonicTime,
 ): Duration = (emptyUntil(owner) ?: now).minus(now).coerceAtLeast(Duration.ZERO)
 
-private fun List<VmId>.rotate(salt: Int): List<VmId> {
+private fun List<ShareOwner>.rotate(salt: Int): List<ShareOwner> {
     if (size < 2) return this
     val start = salt.mod(size)
     return drop(start) + take(start)
--- a/core/src/main/kotlin/org/agatestream/core/BackendWarmth.kt
+++ b/core/src/main/kotlin/org/agatestream/core/BackendWarmth.kt
@@ -17,11 +17,18 @@
 public data class ServerResults(
     val succeeded: Int = 0,
     val failed: Int = 0,
-    /** True on any sign of a restart: a new incarnation, a reload error or a sudden latency. */
+    /** True on a sign of a restart other than a new incarnation: a reload error or a sudden latency. */
     val restarted: Boolean = false,
+    /** The identity that the server gave with its newest answer. */
+    val incarnation: String? = null,
 ) {
     public operator fun plus(other: ServerResults): ServerResults =
-        ServerResults(succeeded + other.succeeded, failed + other.failed, restarted || other.restarted)
+        ServerResults(
+            succeeded + other.succeeded,
+            failed + other.failed,
+            restarted || other.restarted,
+            other.incarnation ?: incarnation,
+        )
 
     public companion object {
         public val NONE: ServerResults = ServerResults()
@@ -38,6 +45,9 @@
     val state: WarmthState = WarmthState.COLD,
     private val level: Double = 0.0,
     private val relapses: Int = 0,
+    private val failuresInRow: Int = 0,
+    /** Identities that the server has given, the present one last. */
+    private val incarnations: List<String> = emptyList(),
 ) {
     /** Returns the number of requests that the server bears at once. */
     public fun slots(setting: BackendServerSetting): Int =
@@ -47,31 +57,28 @@
             WarmthState.WARM -> setting.warmSlots
         }
 
-    /** Takes [results] into account; failures and restarts count before successes. */
+    /** Takes [results] into account; signs of a restart count before successes. */
     public fun record(
         results: ServerResults,
         setting: BackendServerSetting,
         chart: BackendChart,
-    ): BackendWarmth =
-        when {
-            results.restarted -> {
-                relapse(chart.next(state, BackendEvent.RESTARTED))
-            }
-
-            results.failed > MOST_FAILED && results.failed > results.succeeded -> {
-                relapse(
-                    chart.next(state, BackendEvent.FAILED),
-                )
-            }
+    ): BackendWarmth {
+        val restarted = results.restarted || isNew(results.incarnation)
+        val seen = see(results.incarnation)
+        val failures = if (results.succeeded > 0) results.failed else failuresInRow + results.failed
+        return when {
+            restarted -> seen.relapse(chart.next(state, BackendEvent.RESTARTED))
+            results.failed > 0 && failures >= MOST_FAILURES_IN_ROW -> seen.relapse(chart.next(state, BackendEvent.FAILED))
+            results.succeeded > 0 -> seen.copy(failuresInRow = failures).grow(results.succeeded, setting, chart)
+            else -> seen.copy(failuresInRow = failures)
+        }
+    }
 
-            results.succeeded > 0 -> {
-                grow(results.succeeded, setting, chart)
-            }
+    private fun isNew(incarnation: String?): Boolean =
+        incarnation != null && incarnations.isNotEmpty() && incarnation !in incarnations
 
-            else -> {
-                this
-            }
-        }
+    private fun see(incarnation: String?): BackendWarmth =
+        if (incarnation == null || incarnation in incarnations) this else copy(incarnations = (incarnations + incarnation).takeLast(MOST_INCARNATIONS))
 
     private fun grow(
         succeeded: Int,
@@ -80,19 +87,20 @@
     ): BackendWarmth {
         val grown = copy(state = chart.next(state, BackendEvent.SUCCEEDED), level = level + succeeded * growth())
         if (grown.slots(setting) < setting.warmSlots) return grown
-        return BackendWarmth(chart.next(grown.state, BackendEvent.FILLED))
+        return grown.copy(state = chart.next(grown.state, BackendEvent.FILLED), level = 0.0, relapses = 0)
     }
 
     private fun relapse(next: WarmthState): BackendWarmth {
         val more = if (state == WarmthState.WARMING) min(relapses + 1, MOST_RELAPSES) else relapses
-        return BackendWarmth(next, relapses = more)
+        return copy(state = next, level = 0.0, relapses = more, failuresInRow = 0)
     }
 
     private fun growth(): Double = 1.0 / (1 shl relapses)
 
     private companion object {
-        const val MOST_FAILED = 2
+        const val MOST_FAILURES_IN_ROW = 2
         const val MOST_RELAPSES = 4
+        const val MOST_INCARNATIONS = 4
     }
 }
 
--- a/core/src/main/kotlin/org/agatestream/core/QuotaLedger.kt
+++ b/core/src/main/kotlin/org/agatestream/core/QuotaLedger.kt
@@ -48,8 +48,16 @@
 /** The owner's answer to a [QuotaAsk]. */
 public data class QuotaAnswer(
     val granted: ClassCounts,
-    /** Batch items that the holder must cancel for online requests or a lowered cap. */
-    val giveWay: Int = 0,
+    /** Batch items that the holder may keep; it cancels the others for online requests or a lowered cap. */
+    val mayKeepBatch: Int = 0,
+    /** True if little is left, so that holders should give back at once what they don't use. */
+    val scarce: Boolean = false,
+)
+
+/** Online requests that found no room and are waited for until [until]. */
+public data class WaitingOnline(
+    val count: Int,
+    val until: MonotonicTime,
 )
 
 /**
@@ -62,8 +70,7 @@
 public data class QuotaLedger(
     val opensAt: MonotonicTime,
     val leases: Map<VmId, QuotaLease> = emptyMap(),
-    /** Until when online requests that found no room are waited for. */
-    val onlineWaitsUntil: MonotonicTime? = null,
+    val waiting: WaitingOnline? = null,
 ) {
     val held: ClassCounts get() = leases.values.fold(ClassCounts.NONE) { sum, lease -> sum + lease.counts }
 
@@ -83,10 +90,18 @@
         if (before != null && before.sequence >= ask.sequence) return this to QuotaAnswer(ClassCounts.NONE)
         val kept = expire(times, now).withLease(ask, ask.keeps, now + times.lease)
         val granted = kept.room(ask.wants, cap, floor, now)
-        val missed = ask.wants.online > granted.online
-        val waitsUntil = if (missed) now + times.onlineWait else onlineWaitsUntil
-        val after = kept.withLease(ask, ask.keeps + granted, now + times.lease).copy(onlineWaitsUntil = waitsUntil)
-        return after to QuotaAnswer(granted, min(ask.keeps.batch, after.excessBatch(cap, now)))
+        val missed = ask.wants.online - granted.online
+        val after =
+            kept
+                .withLease(ask, ask.keeps + granted, now + times.lease)
+                .waitFor(missed, now + times.onlineWait, now)
+        val answer =
+            QuotaAnswer(
+                granted = granted,
+                mayKeepBatch = ask.keeps.batch - min(ask.keeps.batch, after.excessBatch(cap, now)),
+                scarce = cap.total - after.held.total <= cap.total * SCARCE_PART,
+            )
+        return after to answer
     }
 
     /** Returns how many batch items must give way at [now] for online requests that wait or for a lowered cap. */
@@ -95,11 +110,25 @@
         now: MonotonicTime,
     ): Int {
         val sum = held
-        val waiting = if (onlineWaits(now)) 1 else 0
-        val excess = max(sum.total + waiting - cap.total, sum.batch - cap.batch)
+        val excess = max(sum.total + waitingAt(now) - cap.total, sum.batch - cap.batch)
         return excess.coerceIn(0, sum.batch)
     }
 
+    /** Returns for each holder that must cancel batch items at [now] how many it may keep; large holders go first. */
+    public fun giveWay(
+        cap: QuotaCap,
+        now: MonotonicTime,
+    ): Map<VmId, Int> {
+        var left = excessBatch(cap, now)
+        val keeps = LinkedHashMap<VmId, Int>()
+        for ((vm, lease) in leases.entries.sortedByDescending { it.value.counts.batch }) {
+            val cut = min(left, lease.counts.batch)
+            if (cut > 0) keeps[vm] = lease.counts.batch - cut
+            left -= cut
+        }
+        return keeps
+    }
+
     /** Drops what [vm] held, because the VM list no longer shows it. */
     public fun gone(vm: VmId): QuotaLedger = copy(leases = leases - vm)
 
@@ -122,17 +151,33 @@
         val sum = held
         val free = (cap.total - max(sum.total, floor)).coerceAtLeast(0)
         val online = min(wants.online, free)
-        val batchFree = if (onlineWaits(now) || wants.online > online) 0 else min(free - online, cap.batch - sum.batch)
+        val batchFree = if (waitingAt(now) > 0 || wants.online > online) 0 else min(free - online, cap.batch - sum.batch)
         return ClassCounts(online, min(wants.batch, batchFree).coerceAtLeast(0))
     }
 
-    private fun onlineWaits(now: MonotonicTime): Boolean = onlineWaitsUntil != null && now < onlineWaitsUntil
+    private fun waitingAt(now: MonotonicTime): Int = waiting?.takeIf { now < it.until }?.count ?: 0
+
+    private fun waitFor(
+        missed: Int,
+        until: MonotonicTime,
+        now: MonotonicTime,
+    ): QuotaLedger =
+        when {
+            missed > 0 -> copy(waiting = WaitingOnline(missed, until))
+            waitingAt(now) == 0 -> copy(waiting = null)
+            else -> this
+        }
 
     private fun withLease(
         ask: QuotaAsk,
         counts: ClassCounts,
         expiresAt: MonotonicTime,
     ): QuotaLedger = copy(leases = leases + (ask.holder to QuotaLease(counts, expiresAt, ask.sequence)))
+
+    private companion object {
+        // Free room up to this part of the cap counts as little.
+        const val SCARCE_PART = 0.25
+    }
 }
 
 /** The spans by which quotas are leased. */
--- a/core/src/main/kotlin/org/agatestream/core/TokenShare.kt
+++ b/core/src/main/kotlin/org/agatestream/core/TokenShare.kt
@@ -2,7 +2,6 @@
 
 import kotlin.math.ceil
 import kotlin.math.floor
-import kotlin.math.max
 import kotlin.math.min
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -22,22 +21,19 @@
 public data class ShareSplit(
     /** Shares of a workspace with a low rate. */
     val fewest: Int = 3,
+    val most: Int = 64,
     /** The rate above which a workspace gets one more share, so that no owner's work grows with the fleet. */
     val mostRatePerShare: Double = 100.0,
 )
 
 /**
- * Returns how many shares the workspace's rate and burst are split into among [vms] VMs.
+ * Returns how many shares the workspace's rate and burst are split into.
  *
  * A share bears a burst of at least one request, so a small burst makes fewer shares.
  */
-public fun WorkspaceSetting.shareCount(
-    vms: Int,
-    split: ShareSplit = ShareSplit(),
-): Int {
-    val byRate = ceil(ratePerSecond / split.mostRatePerShare).coerceAtMost(vms.toDouble()).toInt()
-    val most = max(split.fewest, byRate).coerceAtMost(max(vms, 1))
-    return burst.coerceIn(1, most)
+public fun WorkspaceSetting.shareCount(split: ShareSplit = ShareSplit()): Int {
+    val byRate = ceil(ratePerSecond / split.mostRatePerShare).toInt()
+    return byRate.coerceIn(split.fewest, split.most).coerceAtMost(burst.coerceAtLeast(1))
 }
 
 /** Returns one of [count] equal shares of the workspace's rate and burst. */
