Add the entry side of slots and caps and the load poller

Cause: requests need a slot and room under caps before they run. Change: quota clients, choice of server, load poller; the warmth chart is read by the shared interpreter.

--- a/core/src/main/kotlin/org/agatestream/core/BackendWarmth.kt
+++ b/core/src/main/kotlin/org/agatestream/core/BackendWarmth.kt
@@ -67,10 +67,23 @@
         val seen = see(results.incarnation)
         val failures = if (results.succeeded > 0) results.failed else failuresInRow + results.failed
         return when {
-            restarted -> seen.relapse(chart.next(state, BackendEvent.RESTARTED))
-            results.failed > 0 && failures >= MOST_FAILURES_IN_ROW -> seen.relapse(chart.next(state, BackendEvent.FAILED))
-            results.succeeded > 0 -> seen.copy(failuresInRow = failures).grow(results.succeeded, setting, chart)
-            else -> seen.copy(failuresInRow = failures)
+            restarted -> {
+                seen.relapse(chart.after(state, BackendEvent.RESTARTED))
+            }
+
+            results.failed > 0 && failures >= MOST_FAILURES_IN_ROW -> {
+                seen.relapse(
+                    chart.after(state, BackendEvent.FAILED),
+                )
+            }
+
+            results.succeeded > 0 -> {
+                seen.copy(failuresInRow = failures).grow(results.succeeded, setting, chart)
+            }
+
+            else -> {
+                seen.copy(failuresInRow = failures)
+            }
         }
     }
 
@@ -78,16 +91,22 @@
         incarnation != null && incarnations.isNotEmpty() && incarnation !in incarnations
 
     private fun see(incarnation: String?): BackendWarmth =
-        if (incarnation == null || incarnation in incarnations) this else copy(incarnations = (incarnations + incarnation).takeLast(MOST_INCARNATIONS))
+        if (incarnation == null ||
+            incarnation in incarnations
+        ) {
+            this
+        } else {
+            copy(incarnations = (incarnations + incarnation).takeLast(MOST_INCARNATIONS))
+        }
 
     private fun grow(
         succeeded: Int,
         setting: BackendServerSetting,
         chart: BackendChart,
     ): BackendWarmth {
-        val grown = copy(state = chart.next(state, BackendEvent.SUCCEEDED), level = level + succeeded * growth())
+        val grown = copy(state = chart.after(state, BackendEvent.SUCCEEDED), level = level + succeeded * growth())
         if (grown.slots(setting) < setting.warmSlots) return grown
-        return grown.copy(state = chart.next(grown.state, BackendEvent.FILLED), level = 0.0, relapses = 0)
+        return grown.copy(state = chart.after(grown.state, BackendEvent.FILLED), level = 0.0, relapses = 0)
     }
 
     private fun relapse(next: WarmthState): BackendWarmth {
@@ -112,11 +131,17 @@
     RESTARTED,
 }
 
-/** The state chart of a backend server. */
-public fun interface BackendChart {
-    /** Returns the state after [event] in [state]. */
-    public fun next(
-        state: WarmthState,
-        event: BackendEvent,
-    ): WarmthState
-}
+/** The state chart of a backend server's warmth. */
+public typealias BackendChart = TypedChart<WarmthState, BackendEvent>
+
+/** Loads the chart that comes with the program. */
+public fun loadBackendChart(): BackendChart = TypedChart.load("backend-server")
+
+private fun BackendChart.after(
+    state: WarmthState,
+    event: BackendEvent,
+): WarmthState =
+    when (val step = next(state, event)) {
+        is Step.Moved -> step.state
+        Step.Ignored, Step.Refused -> state
+    }
--- a/core/src/main/kotlin/org/agatestream/core/QuotaLedger.kt
+++ b/core/src/main/kotlin/org/agatestream/core/QuotaLedger.kt
@@ -151,7 +151,14 @@
         val sum = held
         val free = (cap.total - max(sum.total, floor)).coerceAtLeast(0)
         val online = min(wants.online, free)
-        val batchFree = if (waitingAt(now) > 0 || wants.online > online) 0 else min(free - online, cap.batch - sum.batch)
+        val batchFree =
+            if (waitingAt(now) > 0 ||
+                wants.online > online
+            ) {
+                0
+            } else {
+                min(free - online, cap.batch - sum.batch)
+            }
         return ClassCounts(online, min(wants.batch, batchFree).coerceAtLeast(0))
     }
 
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/OwnedBackendSlots.kt
@@ -0,0 +1,263 @@
+package org.agatestream.server
+
+import kotlinx.coroutines.CompletableJob
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.agatestream.core.BackendServerId
+import org.agatestream.core.BackendServerSetting
+import org.agatestream.core.ChoicePolicy
+import org.agatestream.core.ErrorKind
+import org.agatestream.core.FailureDomainId
+import org.agatestream.core.LatencyWatch
+import org.agatestream.core.MonotonicTime
+import org.agatestream.core.Outcome
+import org.agatestream.core.RequestClass
+import org.agatestream.core.ServerResults
+import org.agatestream.core.ServerView
+import org.agatestream.core.homesOf
+import org.agatestream.core.subsetFor
+import org.agatestream.core.toFailed
+import org.agatestream.core.toOk
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Chooses backend servers by expected delay and takes slots and caps from the VMs that own them. */
+public class OwnedBackendSlots(
+    private val context: LimitContext,
+    private val failureDomain: FailureDomainId,
+    private val random: Random,
+    private val policy: ChoicePolicy = ChoicePolicy.LeastDelay(),
+) : BackendSlots {
+    private val clients = ConcurrentHashMap<QuotaKey, QuotaClient>()
+    private val servers = ConcurrentHashMap<BackendServerId, SeenServer>()
+
+    override suspend fun acquire(request: SlotRequest): Outcome<SlotLease> {
+        var full = emptySet<BackendServerId>()
+        var pause = context.times.quotaRetry
+        while (true) {
+            val open = openServers(request)
+            if (open.isEmpty()) return ErrorKind.NO_CAPACITY.toFailed("no backend server is in service for the request")
+            val chosen = choose(open - full, request)
+            if (chosen != null) {
+                tryStart(chosen, request.requestClass)?.let { return it.toOk() }
+                full = full + chosen
+                continue
+            }
+            if (context.now() + pause >= request.deadline) break
+            delay(pause)
+            pause = (pause * 2).coerceAtMost(MOST_PAUSE)
+            full = emptySet()
+        }
+        return ErrorKind.NO_CAPACITY.toFailed("no backend server had room before the deadline", MOST_PAUSE)
+    }
+
+    /** Has the batch items that an owner wants back cancelled. */
+    public fun giveWay(ask: GiveWayAsk) {
+        clients[ask.key]?.giveWay(ask.keepBatch)
+    }
+
+    /** Takes down a load report; a new incarnation is told to the owner of the server's slots at once. */
+    public fun onLoad(
+        server: BackendServerId,
+        report: LoadReport,
+    ) {
+        val client = client(QuotaKey.Server(server))
+        val seen = servers.computeIfAbsent(server) { SeenServer() }
+        if (seen.report(report, client.running, context.now())) {
+            client.note(ServerResults(incarnation = report.incarnation))
+        }
+    }
+
+    /** Returns the engines whose load this VM reads. */
+    public fun watchedServers(): Map<BackendServerId, BackendServerSetting> {
+        val engines = context.fleet().backendServers.filterValues { it.kind == org.agatestream.core.BackendKind.ENGINE }
+        return engines.filterKeys(engines.keys.subsetFor(context.self, SUBSET)::contains)
+    }
+
+    /** Renews all that is held, until cancelled. */
+    public suspend fun renewForever() {
+        while (context.scope.isActive) {
+            delay(context.times.renewal)
+            val fleet = context.fleet()
+            clients.forEach { (key, client) -> if (context.isCounted(key, fleet)) client.renew() }
+        }
+    }
+
+    private fun openServers(request: SlotRequest): Set<BackendServerId> {
+        val fleet = context.fleet()
+        val open = request.candidates.filterTo(HashSet()) { fleet.isInService(it) }.subsetFor(context.self, SUBSET)
+        return (open - request.excluded).ifEmpty { open }
+    }
+
+    private fun choose(
+        open: Set<BackendServerId>,
+        request: SlotRequest,
+    ): BackendServerId? {
+        val homes = request.prefixHash?.let { open.homesOf(it, HOMES) }.orEmpty()
+        val now = context.now()
+        return policy.choose(open.mapNotNull { view(it, it in homes, now) }, random)
+    }
+
+    private fun view(
+        id: BackendServerId,
+        cached: Boolean,
+        now: MonotonicTime,
+    ): ServerView? {
+        val setting = context.fleet().backendServers[id] ?: return null
+        val client = client(QuotaKey.Server(id))
+        val seen = servers[id]
+        val base =
+            ServerView(
+                id = id,
+                own = client.running,
+                slots = client.news?.cap ?: setting.coldSlots,
+                near = setting.failureDomain == failureDomain,
+                cached = cached,
+                latency = seen?.latency?.typical,
+                sinceFailure = seen?.failedAt?.let { now - it },
+            )
+        return base.withNewest(client.news, seen)
+    }
+
+    private fun ServerView.withNewest(
+        news: QuotaNews?,
+        seen: SeenServer?,
+    ): ServerView {
+        val load = seen?.load
+        return when {
+            load != null && (news == null || load.at > news.at) -> copy(reported = load.running, ownThen = load.own)
+            news != null -> copy(reported = news.inUse, ownThen = news.own)
+            else -> this
+        }
+    }
+
+    private suspend fun tryStart(
+        server: BackendServerId,
+        requestClass: RequestClass,
+    ): SlotLease? {
+        val setting = context.fleet().backendServers[server] ?: return null
+        val lease = Lease(server, setting, requestClass)
+        for (key in listOf(QuotaKey.Fleet, QuotaKey.Domain(setting.failureDomain), QuotaKey.Server(server))) {
+            val started =
+                try {
+                    lease.start(key)
+                } catch (e: kotlinx.coroutines.CancellationException) {
+                    lease.release(SlotResult.NotSent)
+                    throw e
+                }
+            if (!started) {
+                lease.release(SlotResult.NotSent)
+                return null
+            }
+        }
+        return lease
+    }
+
+    private fun client(key: QuotaKey): QuotaClient = clients.computeIfAbsent(key) { QuotaClient(key, context) }
+
+    private inner class Lease(
+        override val server: BackendServerId,
+        override val setting: BackendServerSetting,
+        private val requestClass: RequestClass,
+    ) : SlotLease {
+        override val revoked: CompletableJob = Job()
+        private val held = ArrayList<QuotaKey>()
+        private val released = AtomicBoolean()
+
+        suspend fun start(key: QuotaKey): Boolean {
+            if (!context.isCounted(key, context.fleet())) {
+                client(key).startUncounted(requestClass, revoked)
+            } else if (!client(key).start(requestClass, revoked)) {
+                return false
+            }
+            held += key
+            return true
+        }
+
+        override fun release(result: SlotResult) {
+            if (!released.compareAndSet(false, true)) return
+            val seen = servers.computeIfAbsent(server) { SeenServer() }.ended(result, context.now())
+            held.forEach { key ->
+                client(key).end(requestClass, revoked, if (key is QuotaKey.Server) seen else ServerResults.NONE)
+            }
+        }
+    }
+
+    private companion object {
+        /** Backend servers that one VM uses of those that can run a request. */
+        const val SUBSET = 24
+
+        /** Servers that prompts with one prefix go to first. */
+        const val HOMES = 2
+        val MOST_PAUSE: Duration = 200.milliseconds
+    }
+}
+
+/** What this VM saw of one backend server. */
+internal class SeenServer {
+    @Volatile
+    var latency: LatencyWatch = LatencyWatch()
+        private set
+
+    @Volatile
+    var failedAt: MonotonicTime? = null
+        private set
+
+    @Volatile
+    var load: SeenLoad? = null
+        private set
+
+    private var incarnation: String? = null
+
+    /** Takes down a load report; returns true if the server has a new identity. */
+    @Synchronized
+    fun report(
+        report: LoadReport,
+        own: Int,
+        now: MonotonicTime,
+    ): Boolean {
+        load = SeenLoad(report.running + report.waiting, own, now)
+        val changed = incarnation != null && incarnation != report.incarnation
+        incarnation = report.incarnation
+        if (changed) failedAt = now
+        return changed
+    }
+
+    /** Takes down how a request ended and returns what its owner should know. */
+    @Synchronized
+    fun ended(
+        result: SlotResult,
+        now: MonotonicTime,
+    ): ServerResults =
+        when (result) {
+            is SlotResult.Answered -> {
+                answered(result)
+            }
+
+            SlotResult.Failed -> {
+                failedAt = now
+                ServerResults(failed = 1)
+            }
+
+            SlotResult.Cancelled, SlotResult.NotSent -> {
+                ServerResults.NONE
+            }
+        }
+
+    private fun answered(result: SlotResult.Answered): ServerResults {
+        latency = latency.answered(result.firstByteAfter)
+        return ServerResults(succeeded = 1, restarted = latency.isSudden, incarnation = result.incarnation)
+    }
+}
+
+/** A load report with this VM's own requests at the time. */
+internal class SeenLoad(
+    val running: Int,
+    val own: Int,
+    val at: MonotonicTime,
+)
--- a/server/src/main/kotlin/org/agatestream/server/OwnedWorkspaceLimits.kt
+++ b/server/src/main/kotlin/org/agatestream/server/OwnedWorkspaceLimits.kt
@@ -55,8 +55,14 @@
         while (true) {
             val now = context.now()
             when (val step = nextAdmissionStep(ownersOf(workspace, setting), entry.memory, attempt, times, now)) {
-                is AdmissionStep.Refuse -> return step.toOutcome()
-                is AdmissionStep.Wait -> delay((step.at - now).coerceAtLeast(LEAST_PAUSE))
+                is AdmissionStep.Refuse -> {
+                    return step.toOutcome()
+                }
+
+                is AdmissionStep.Wait -> {
+                    delay((step.at - now).coerceAtLeast(LEAST_PAUSE))
+                }
+
                 is AdmissionStep.Ask -> {
                     val wait = ask(workspace, entry, step)
                     if (wait != null) return awaitToken(wait)
@@ -80,7 +86,14 @@
     }
 
     private fun AdmissionStep.Refuse.toOutcome(): Outcome<Unit> {
-        val text = if (kind == ErrorKind.RATE_EXCEEDED) "the workspace is over its rate" else "no owner of the rate answered"
+        val text =
+            if (kind ==
+                ErrorKind.RATE_EXCEEDED
+            ) {
+                "the workspace is over its rate"
+            } else {
+                "no owner of the rate answered"
+            }
         return kind.toFailed(text, retryAfter)
     }
 
@@ -164,7 +177,13 @@
 
         private fun List<QueuedTake>.toMessage(now: MonotonicTime): WorkspaceTake {
             val first = first()
-            return first.entry.memory.toTake(size, first.step.maxWait, times, now).toMessage(first.workspace, first.step.owner.share)
+            return first.entry.memory
+                .toTake(
+                    size,
+                    first.step.maxWait,
+                    times,
+                    now,
+                ).toMessage(first.workspace, first.step.owner.share)
         }
 
         private fun List<QueuedTake>.deliver(
--- a/server/src/main/kotlin/org/agatestream/server/QuotaOwner.kt
+++ b/server/src/main/kotlin/org/agatestream/server/QuotaOwner.kt
@@ -76,7 +76,12 @@
         val setting = setting(ask.key) ?: return this
         val next = warmth.record(ask.results, setting, chart)
         if (next.state != warmth.state) {
-            EventLog.info("backend_warmth", "server" to ask.key.toLimitKey(), "state" to next.state, "was" to warmth.state)
+            EventLog.info(
+                "backend_warmth",
+                "server" to ask.key.toLimitKey(),
+                "state" to next.state,
+                "was" to warmth.state,
+            )
         }
         return copy(warmth = next)
     }
@@ -93,7 +98,10 @@
         return setting(key)?.let { QuotaCap(warmth.slots(it)) }
     }
 
-    private fun setting(key: QuotaKey): BackendServerSetting? = (key as? QuotaKey.Server)?.let { context.fleet().backendServers[it.id] }
+    private fun setting(key: QuotaKey): BackendServerSetting? =
+        (key as? QuotaKey.Server)?.let {
+            context.fleet().backendServers[it.id]
+        }
 
     private fun Account.giveWay(
         from: VmId,
