Hold rates, slots and caps by their owners over several VMs

Cause: a request must be admitted, and get a slot and room under caps, that hold over all VMs together.

--- a/core/src/main/kotlin/org/agatestream/core/QuotaLedger.kt
+++ b/core/src/main/kotlin/org/agatestream/core/QuotaLedger.kt
@@ -25,7 +25,18 @@
     val total: Int,
     /** How many of [total] may be batch items. */
     val batch: Int = total,
-)
+) {
+    /** Returns the part of [share] out of [shares]; the parts of all shares add up to the whole. */
+    public fun split(
+        share: Int,
+        shares: Int,
+    ): QuotaCap = QuotaCap(total.part(share, shares), batch.part(share, shares))
+
+    private fun Int.part(
+        share: Int,
+        shares: Int,
+    ): Int = this / shares + if (share < this % shares) 1 else 0
+}
 
 /** What one VM holds of a quota. */
 public data class QuotaLease(
--- a/server/src/main/kotlin/org/agatestream/server/LimitAsk.kt
+++ b/server/src/main/kotlin/org/agatestream/server/LimitAsk.kt
@@ -73,17 +73,20 @@
         @CborLabel(1) val id: BackendServerId,
     ) : QuotaKey
 
-    /** The cap of one failure domain. */
+    /** One share of the cap of a failure domain. */
     @Serializable
     @SerialName("d")
     public data class Domain(
         @CborLabel(1) val id: FailureDomainId,
+        @CborLabel(2) val share: Int,
     ) : QuotaKey
 
-    /** The cap of the whole fleet. */
+    /** One share of the cap of the whole fleet. */
     @Serializable
     @SerialName("f")
-    public data object Fleet : QuotaKey
+    public data class Fleet(
+        @CborLabel(1) val share: Int,
+    ) : QuotaKey
 }
 
 /** Tells the owner what the sender keeps of a quota and asks for more. */
--- a/server/src/main/kotlin/org/agatestream/server/OwnedBackendSlots.kt
+++ b/server/src/main/kotlin/org/agatestream/server/OwnedBackendSlots.kt
@@ -1,16 +1,16 @@
 package org.agatestream.server
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableJob
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
-import kotlinx.coroutines.launch
+import org.agatestream.core.BackendKind
 import org.agatestream.core.BackendServerId
 import org.agatestream.core.BackendServerSetting
 import org.agatestream.core.ChoicePolicy
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.FailureDomainId
-import org.agatestream.core.LatencyWatch
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.Outcome
 import org.agatestream.core.RequestClass
@@ -75,7 +75,7 @@
 
     /** Returns the engines whose load this VM reads. */
     public fun watchedServers(): Map<BackendServerId, BackendServerSetting> {
-        val engines = context.fleet().backendServers.filterValues { it.kind == org.agatestream.core.BackendKind.ENGINE }
+        val engines = context.fleet().backendServers.filterValues { it.kind == BackendKind.ENGINE }
         return engines.filterKeys(engines.keys.subsetFor(context.self, SUBSET)::contains)
     }
 
@@ -142,15 +142,8 @@
     ): SlotLease? {
         val setting = context.fleet().backendServers[server] ?: return null
         val lease = Lease(server, setting, requestClass)
-        for (key in listOf(QuotaKey.Fleet, QuotaKey.Domain(setting.failureDomain), QuotaKey.Server(server))) {
-            val started =
-                try {
-                    lease.start(key)
-                } catch (e: kotlinx.coroutines.CancellationException) {
-                    lease.release(SlotResult.NotSent)
-                    throw e
-                }
-            if (!started) {
+        for (keys in setting.capKeys() + listOf(listOf(QuotaKey.Server(server)))) {
+            if (!lease.startAny(keys.shuffled(random))) {
                 lease.release(SlotResult.NotSent)
                 return null
             }
@@ -169,7 +162,16 @@
         private val held = ArrayList<QuotaKey>()
         private val released = AtomicBoolean()
 
-        suspend fun start(key: QuotaKey): Boolean {
+        /** Starts the request on the first of [keys] that has room. */
+        suspend fun startAny(keys: List<QuotaKey>): Boolean =
+            try {
+                keys.any { start(it) }
+            } catch (e: CancellationException) {
+                release(SlotResult.NotSent)
+                throw e
+            }
+
+        private suspend fun start(key: QuotaKey): Boolean {
             if (!context.isCounted(key, context.fleet())) {
                 client(key).startUncounted(requestClass, revoked)
             } else if (!client(key).start(requestClass, revoked)) {
@@ -182,8 +184,18 @@
         override fun release(result: SlotResult) {
             if (!released.compareAndSet(false, true)) return
             val seen = servers.computeIfAbsent(server) { SeenServer() }.ended(result, context.now())
-            held.forEach { key ->
-                client(key).end(requestClass, revoked, if (key is QuotaKey.Server) seen else ServerResults.NONE)
+            held.forEach { end(it, seen) }
+        }
+
+        private fun end(
+            key: QuotaKey,
+            seen: ServerResults,
+        ) {
+            val client = client(key)
+            when {
+                key is QuotaKey.Server -> client.end(requestClass, revoked, seen)
+                context.isCounted(key, context.fleet()) -> client.end(requestClass, revoked)
+                else -> client.endUncounted(requestClass, revoked)
             }
         }
     }
@@ -197,67 +209,3 @@
         val MOST_PAUSE: Duration = 200.milliseconds
     }
 }
-
-/** What this VM saw of one backend server. */
-internal class SeenServer {
-    @Volatile
-    var latency: LatencyWatch = LatencyWatch()
-        private set
-
-    @Volatile
-    var failedAt: MonotonicTime? = null
-        private set
-
-    @Volatile
-    var load: SeenLoad? = null
-        private set
-
-    private var incarnation: String? = null
-
-    /** Takes down a load report; returns true if the server has a new identity. */
-    @Synchronized
-    fun report(
-        report: LoadReport,
-        own: Int,
-        now: MonotonicTime,
-    ): Boolean {
-        load = SeenLoad(report.running + report.waiting, own, now)
-        val changed = incarnation != null && incarnation != report.incarnation
-        incarnation = report.incarnation
-        if (changed) failedAt = now
-        return changed
-    }
-
-    /** Takes down how a request ended and returns what its owner should know. */
-    @Synchronized
-    fun ended(
-        result: SlotResult,
-        now: MonotonicTime,
-    ): ServerResults =
-        when (result) {
-            is SlotResult.Answered -> {
-                answered(result)
-            }
-
-            SlotResult.Failed -> {
-                failedAt = now
-                ServerResults(failed = 1)
-            }
-
-            SlotResult.Cancelled, SlotResult.NotSent -> {
-                ServerResults.NONE
-            }
-        }
-
-    private fun answered(result: SlotResult.Answered): ServerResults {
-        latency = latency.answered(result.firstByteAfter)
-        return ServerResults(succeeded = 1, restarted = latency.isSudden, incarnation = result.incarnation)
-    }
-}
-
-/** A load report with this VM's own requests at the time. */
-internal class SeenLoad(
-    val running: Int,
-    val own: Int,
-    val at: MonotonicTime,
-)
--- a/server/src/main/kotlin/org/agatestream/server/OwnedWorkspaceLimits.kt
+++ b/server/src/main/kotlin/org/agatestream/server/OwnedWorkspaceLimits.kt
@@ -21,6 +21,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Admits requests by tokens from the VMs that own the shares of a workspace's rate. */
 public class OwnedWorkspaceLimits(
@@ -204,6 +205,6 @@
     }
 
     private companion object {
-        val LEAST_PAUSE = kotlin.time.Duration.parse("5ms")
+        val LEAST_PAUSE: Duration = 5.milliseconds
     }
 }
--- a/server/src/main/kotlin/org/agatestream/server/QuotaClient.kt
+++ b/server/src/main/kotlin/org/agatestream/server/QuotaClient.kt
@@ -1,5 +1,6 @@
 package org.agatestream.server
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CompletableJob
 import kotlinx.coroutines.launch
@@ -31,6 +32,9 @@
     private val batchLeases = LinkedHashSet<CompletableJob>()
     private var inFlight = false
     private var flushWanted = false
+
+    /** What the owner has in its account for this VM. */
+    private var lastKept = ClassCounts.NONE
     private val asks = context.registry.counter("agatestream.limit.asks", "kind", "quota")
 
     @Volatile
@@ -53,7 +57,7 @@
         }
         return try {
             waiter.started.await()
-        } catch (e: kotlinx.coroutines.CancellationException) {
+        } catch (e: CancellationException) {
             abandon(waiter)
             throw e
         }
@@ -85,6 +89,17 @@
         }
     }
 
+    /** Ends a request of a cap that isn't in force. */
+    fun endUncounted(
+        requestClass: RequestClass,
+        revoked: CompletableJob,
+    ) {
+        synchronized(this) {
+            batchLeases -= revoked
+            use = use.end(requestClass, keep = false)
+        }
+    }
+
     /** Takes down what was seen of the server otherwise and tells the owner. */
     fun note(seen: ServerResults) {
         synchronized(this) {
@@ -97,7 +112,7 @@
     fun renew() {
         synchronized(this) {
             val holds = use.running + use.idle
-            if (holds.total == 0 && !owesReturn) return
+            if (holds.total == 0 && lastKept.total == 0) return
             use = use.dropIdle()
             flush()
         }
@@ -114,11 +129,6 @@
         revoked.forEach { it.complete() }
     }
 
-    private val owesReturn: Boolean
-        get() = lastKept.total > 0
-
-    private var lastKept = ClassCounts.NONE
-
     private fun excessBatch(keep: Int): List<CompletableJob> {
         val live = batchLeases.filterNot { it.isCompleted }
         return live.takeLast((live.size - keep).coerceAtLeast(0))
@@ -152,7 +162,8 @@
     private suspend fun askUntilIdle() {
         while (true) {
             val round = synchronized(this) { nextRound() } ?: return
-            val owner = context.rights.owners(key.toLimitKey(), 1).firstOrNull()
+            val share = key.toOwnedShare()
+            val owner = context.rights.owners(share.key, share.count).getOrNull(share.share)
             asks.increment()
             val answer = owner?.let { context.peers.ask(it, round.ask, context.times.quotaTimeout) }
             val revoked = synchronized(this) { apply(round, answer as? QuotaLeaseAnswer) }
--- a/server/src/main/kotlin/org/agatestream/server/QuotaOwner.kt
+++ b/server/src/main/kotlin/org/agatestream/server/QuotaOwner.kt
@@ -3,9 +3,8 @@
 import org.agatestream.core.BackendChart
 import org.agatestream.core.BackendServerSetting
 import org.agatestream.core.BackendWarmth
-import org.agatestream.core.CapScope
-import org.agatestream.core.FleetView
 import org.agatestream.core.MonotonicTime
+import org.agatestream.core.QuotaAnswer
 import org.agatestream.core.QuotaAsk
 import org.agatestream.core.QuotaCap
 import org.agatestream.core.QuotaLedger
@@ -13,22 +12,6 @@
 import org.agatestream.core.runningCap
 import java.util.concurrent.ConcurrentHashMap
 
-/** Returns the name by which the quota is owned. */
-internal fun QuotaKey.toLimitKey(): String =
-    when (this) {
-        is QuotaKey.Server -> "slots/$id"
-        is QuotaKey.Domain -> "running/$id"
-        QuotaKey.Fleet -> "running"
-    }
-
-/** Returns the scope of a cap on running requests, or null for the slots of a backend server. */
-internal fun QuotaKey.toScope(): CapScope? =
-    when (this) {
-        is QuotaKey.Server -> null
-        is QuotaKey.Domain -> CapScope.Domain(id)
-        QuotaKey.Fleet -> CapScope.Fleet
-    }
-
 /** An owner's answer and the holders that must cancel batch items, with the number that each may keep. */
 internal class QuotaDecision(
     val answer: QuotaLeaseAnswer,
@@ -47,7 +30,7 @@
         ask: QuotaLeaseAsk,
     ): QuotaDecision {
         val now = context.now()
-        val since = context.rights.ownedSince(OwnedShare(ask.key.toLimitKey()), now) ?: return NOT_OWNER
+        val since = context.rights.ownedSince(ask.key.toOwnedShare(), now) ?: return NOT_OWNER
         var decision = NOT_OWNER
         accounts.compute(ask.key) { _, old ->
             val account = (old?.takeIf { it.since == since } ?: open(ask.key, since, now)).dropGone().record(ask)
@@ -68,7 +51,7 @@
     ): Account {
         val counted = if (key is QuotaKey.Server) since else now + context.times.settingSpread
         val opensAt = counted + context.times.leaseOver()
-        EventLog.info("quota_opened", "quota" to key.toLimitKey(), "opens_in_ms" to (opensAt - now).inWholeMilliseconds)
+        EventLog.info("quota_opened", "quota" to key.toText(), "opens_in_ms" to (opensAt - now).inWholeMilliseconds)
         return Account(since, QuotaLedger(opensAt))
     }
 
@@ -78,7 +61,7 @@
         if (next.state != warmth.state) {
             EventLog.info(
                 "backend_warmth",
-                "server" to ask.key.toLimitKey(),
+                "server" to ask.key.toText(),
                 "state" to next.state,
                 "was" to warmth.state,
             )
@@ -94,7 +77,7 @@
     /** Returns the present cap; null if the backend server is unknown. */
     private fun Account.cap(key: QuotaKey): QuotaCap? {
         val scope = key.toScope()
-        if (scope != null) return context.fleet().runningCap(scope, context.wallTime()) ?: UNLIMITED
+        if (scope != null) return context.fleet().runningCap(scope, context.wallTime()) ?.shareOf(key) ?: UNLIMITED
         return setting(key)?.let { QuotaCap(warmth.slots(it)) }
     }
 
@@ -123,7 +106,7 @@
 
 private fun QuotaLeaseAsk.toQuotaAsk(from: VmId): QuotaAsk = QuotaAsk(from, sequence, keeps, wants)
 
-private fun org.agatestream.core.QuotaAnswer.toMessage(
+private fun QuotaAnswer.toMessage(
     ledger: QuotaLedger,
     cap: QuotaCap,
 ): QuotaLeaseAnswer =
@@ -134,12 +117,3 @@
         inUse = ledger.held.total,
         cap = cap.total,
     )
-
-/** Returns whether requests of the quota have to be counted now or within the lead before a window. */
-internal fun LimitContext.isCounted(
-    key: QuotaKey,
-    fleet: FleetView,
-): Boolean {
-    val scope = key.toScope() ?: return true
-    return fleet.runningCap(scope, wallTime(), times.capLead) != null
-}
