Add the decisions of batch jobs

Cause: batch work needs acceptance, claims, checkpoints and cancel that hold under lost answers and paused holders. Chunk rows are made by the first claim, so acceptance writes only the job's rows. Result: compiles; no test of these parts has run yet.

--- /dev/null
+++ b/core/src/main/kotlin/org/agatestream/core/BatchItem.kt
@@ -0,0 +1,74 @@
+package org.agatestream.core
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+
+/** One line of a batch job's input. */
+@Serializable
+public data class BatchItem(
+    val id: ItemId,
+    val body: JsonObject,
+) {
+    /** Converts this item to a line without its end. */
+    public fun toLine(): String = Json.encodeToString(serializer(), this)
+
+    public companion object {
+        /** Parses a line of a stored chunk. */
+        public fun parse(line: String): BatchItem = Json.decodeFromString(serializer(), line)
+
+        /** Parses and checks line [number] of a caller's input. */
+        public fun parseInput(
+            line: String,
+            number: Int,
+            rules: BatchRules,
+        ): Outcome<BatchItem> {
+            val item =
+                try {
+                    parse(line)
+                } catch (_: SerializationException) {
+                    return malformed(number, "is not of the form {\"id\":\"...\",\"body\":{...}}")
+                }
+            return when {
+                item.id.value.isEmpty() -> malformed(number, "has an empty id")
+                item.id.value.length > rules.itemIdLength -> malformed(number, "has an id that is too long")
+                item.body.isDeeperThan(rules.bodyDepth) -> malformed(number, "is nested too deep")
+                else -> item.toOk()
+            }
+        }
+
+        private fun malformed(
+            number: Int,
+            what: String,
+        ): Outcome.Failed = ErrorKind.MALFORMED_REQUEST.toFailed("line $number $what")
+    }
+}
+
+/** Returns whether objects and arrays are nested deeper than [limit]; recursion is avoided on purpose. */
+internal fun JsonElement.isDeeperThan(limit: Int): Boolean {
+    var level = listOf(this)
+    repeat(limit) {
+        level = level.flatMap { it.children() }
+        if (level.isEmpty()) return false
+    }
+    return level.any { it.children().isNotEmpty() }
+}
+
+private fun JsonElement.children(): Collection<JsonElement> =
+    when (this) {
+        is JsonObject -> values
+        is JsonArray -> this
+        else -> emptyList()
+    }
+
+/** Splits the content of a stored chunk into its items. */
+public fun parseStoredItems(bytes: ByteArray): List<BatchItem> =
+    bytes
+        .decodeToString()
+        .lineSequence()
+        .filter { it.isNotEmpty() }
+        .map { BatchItem.parse(it) }
+        .toList()
--- /dev/null
+++ b/core/src/main/kotlin/org/agatestream/core/BatchNames.kt
@@ -0,0 +1,72 @@
+package org.agatestream.core
+
+import java.time.Instant
+
+/** The keys of batch rows in the table service and the names of batch objects in the object store. */
+public object BatchNames {
+    /** The prefix of the rows that name workspaces with open jobs. */
+    public const val ACTIVE_PREFIX: String = "batch/active/"
+
+    private const val INDEX_DIGITS = 7
+    private const val MILLIS_DIGITS = 15
+
+    /** The prefix of the job rows of [workspace]. */
+    public fun jobPrefix(workspace: WorkspaceId): String = "batch/job/$workspace/"
+
+    /** The row that holds the [JobRecord]. */
+    public fun jobKey(
+        workspace: WorkspaceId,
+        job: JobId,
+    ): String = jobPrefix(workspace) + job
+
+    /** The row that exists once the job is cancelled. */
+    public fun cancelKey(job: JobId): String = "batch/cancel/$job"
+
+    /** The row that exists while [workspace] may have open jobs. */
+    public fun activeKey(workspace: WorkspaceId): String = ACTIVE_PREFIX + workspace
+
+    /** The prefix of the rows of the open jobs of [workspace], in the order of their deadlines. */
+    public fun openPrefix(workspace: WorkspaceId): String = "batch/open/$workspace/"
+
+    /** The row that holds the [JobSpec] while the job is open. */
+    public fun openKey(spec: JobSpec): String =
+        openPrefix(spec.workspace) + digits(spec.deadline, MILLIS_DIGITS) + "/" + spec.id
+
+    /** The prefix of the rows of the job's chunks, in order. */
+    public fun chunkPrefix(job: JobId): String = "batch/chunk/$job/"
+
+    /** The row that holds the [ChunkRecord]. */
+    public fun chunkKey(
+        job: JobId,
+        index: Int,
+    ): String = chunkPrefix(job) + digits(index, INDEX_DIGITS)
+
+    /** The object that holds the items of a chunk. */
+    public fun inputName(
+        job: JobId,
+        upload: String,
+        index: Int,
+    ): String = "batch/$job/$upload/input/${digits(index, INDEX_DIGITS)}"
+
+    /** The object that holds the results of [part]. */
+    public fun resultName(
+        spec: JobSpec,
+        index: Int,
+        part: ResultPart,
+    ): String = "batch/${spec.id}/${spec.upload}/results/${digits(index, INDEX_DIGITS)}/${part.epoch}-${part.sequence}"
+
+    private fun digits(
+        number: Int,
+        length: Int,
+    ): String = number.toString().padStart(length, '0')
+
+    private fun digits(
+        time: Instant,
+        length: Int,
+    ): String =
+        time
+            .toEpochMilli()
+            .coerceAtLeast(0)
+            .toString()
+            .padStart(length, '0')
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/agatestream/core/ChunkClaim.kt
@@ -0,0 +1,95 @@
+package org.agatestream.core
+
+/** A row of a chunk as a VM has seen it since [since], by that VM's clock, read after the answer came. */
+public data class ChunkWatch(
+    val version: RowVersion,
+    val since: MonotonicTime,
+)
+
+/** A chunk that a VM may try to claim. */
+public data class ChunkClaim(
+    val spec: JobSpec,
+    /** The record that the claim writes. */
+    val record: ChunkRecord,
+    /** The version of the row that the claim requires. */
+    val version: RowVersion,
+) {
+    /** Makes the transaction of this claim. */
+    public fun toTransaction(): Transaction {
+        val key = BatchNames.chunkKey(spec.id, record.index)
+        return Transaction(
+            conditions =
+                listOf(
+                    RowCondition(key, version),
+                    RowCondition(BatchNames.cancelKey(spec.id), RowVersion.ABSENT),
+                ),
+            writes = listOf(RowWrite(key, record.toRowValue())),
+        )
+    }
+}
+
+/** Returns the claim of a chunk that has no row. */
+public fun JobSpec.claimFresh(
+    index: Int,
+    holder: VmId,
+): ChunkClaim {
+    val record = ChunkRecord(job = id, index = index)
+    return ChunkClaim(this, checkNotNull(record.claimedBy(holder, ChunkEvent.CLAIM)), RowVersion.ABSENT)
+}
+
+/**
+ * Returns the claim of the chunk in [row], or null if it is done or held.
+ *
+ * A chunk that another VM holds may be claimed at [now] if [watch] shows that its row has not changed for longer
+ * than the holder's lease can last, by the clock of the VM that watched.
+ */
+public fun JobSpec.claimExisting(
+    row: Row,
+    watch: ChunkWatch?,
+    holder: VmId,
+    now: MonotonicTime,
+    rules: BatchRules,
+): ChunkClaim? {
+    val record = ChunkRecord.parse(row.value)
+    val claimed =
+        when (record.state) {
+            ChunkState.OPEN -> record.claimedBy(holder, ChunkEvent.CLAIM)
+            ChunkState.HELD if watch.allowsTakeOver(row.version, now, rules) -> record.takenOverBy(holder, rules)
+            else -> null
+        }
+    return claimed?.let { ChunkClaim(this, it, row.version) }
+}
+
+private fun ChunkWatch?.allowsTakeOver(
+    version: RowVersion,
+    now: MonotonicTime,
+    rules: BatchRules,
+): Boolean = this != null && this.version == version && now - since > rules.takeOverAfter
+
+private fun ChunkRecord.claimedBy(
+    holder: VmId,
+    event: ChunkEvent,
+): ChunkRecord? {
+    val next = stateAfter(event) ?: return null
+    return copy(state = next, epoch = epoch.next(), holder = holder, commits = commits + 1)
+}
+
+/** Counts the loss of the holder against the chunk, and against the item that ran alone. */
+private fun ChunkRecord.takenOverBy(
+    holder: VmId,
+    rules: BatchRules,
+): ChunkRecord? {
+    val claimed = claimedBy(holder, ChunkEvent.TAKE_OVER) ?: return null
+    val lost = alone?.let { itemLosses + (it to (itemLosses[it] ?: 0) + 1) } ?: itemLosses
+    val counted = claimed.copy(losses = losses + 1, alone = null, itemLosses = lost)
+    if (counted.losses < rules.isolateAfterLosses) return counted
+    return counted.copy(isolateBelow = maxOf(isolateBelow, windowEnd(rules)))
+}
+
+/** Returns the position after the last item that a holder may have started since the last commit. */
+internal fun ChunkRecord.windowEnd(rules: BatchRules): Int {
+    val bits = finished.toBits()
+    var position = -1
+    repeat(rules.windowItems) { position = bits.nextClearBit(position + 1) }
+    return position + 1
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/agatestream/core/ChunkHold.kt
@@ -0,0 +1,209 @@
+package org.agatestream.core
+
+import kotlin.time.Duration
+
+/**
+ * A chunk in the hands of this VM.
+ *
+ * Items start only while the lease lasts, and only within a window that moves with each checkpoint; so a lost
+ * holder's items that run again are few, and known.
+ */
+public data class ChunkHold(
+    val spec: JobSpec,
+    val rules: BatchRules,
+    /** The ids of the chunk's items, by position. */
+    val ids: List<ItemId>,
+    /** The record as it was last committed. */
+    val record: ChunkRecord,
+    val version: RowVersion,
+    /** When the last commit was sent. */
+    val committedAt: MonotonicTime,
+    /** When the last commit that carried results was sent. */
+    val flushedAt: MonotonicTime,
+    /** Results that no checkpoint holds yet, by position. */
+    val pending: Map<Int, ItemResult> = emptyMap(),
+    val pendingBytes: Long = 0,
+    val running: Set<Int> = emptySet(),
+    val tries: Map<Int, Int> = emptyMap(),
+    val retryAt: Map<Int, MonotonicTime> = emptyMap(),
+    val nextSequence: Int = 0,
+) {
+    /** When this VM must stop starting items, by its own clock. */
+    val leaseEnd: MonotonicTime
+        get() = committedAt + rules.lease
+
+    /** True once every item has a result, in a checkpoint or not. */
+    val allEnded: Boolean
+        get() = unfinished().isEmpty()
+
+    /** Returns the positions of up to [limit] items that may start at [now]; their order is that of the chunk. */
+    public fun startable(
+        limit: Int,
+        now: MonotonicTime,
+    ): List<Int> {
+        if (now >= leaseEnd) return emptyList()
+        val ready = unfinished().filter { it !in running && (retryAt[it] ?: now) <= now }
+        if (isIsolated()) return ready.filter { it == record.alone && running.isEmpty() }
+        return ready.take(maxOf(0, limit))
+    }
+
+    /** Returns when a failed item may run again, or null if none waits. */
+    public fun nextRetry(): MonotonicTime? = retryAt.filterKeys { it !in running && it !in pending }.values.minOrNull()
+
+    /** Notes that the items at [positions] run. */
+    public fun started(positions: Collection<Int>): ChunkHold = copy(running = running + positions)
+
+    /** Notes that the item at [position] ended with [result], a line of [bytes] bytes. */
+    public fun ended(
+        position: Int,
+        result: ItemResult,
+        bytes: Int,
+    ): ChunkHold =
+        copy(
+            running = running - position,
+            retryAt = retryAt - position,
+            tries = tries - position,
+            pending = pending + (position to result),
+            pendingBytes = pendingBytes + bytes,
+        )
+
+    /** Notes that a run of the item at [position] failed; after the last try the item ends as an error. */
+    public fun runFailed(
+        position: Int,
+        reason: String,
+        now: MonotonicTime,
+    ): ChunkHold {
+        val failed = (tries[position] ?: 0) + 1
+        if (failed >= rules.maxTries) {
+            return ended(position, ItemResult.failed(ids[position], "tries_exhausted", reason), reason.length)
+        }
+        return copy(
+            running = running - position,
+            tries = tries + (position to failed),
+            retryAt = retryAt + (position to now + rules.retryDelay * failed),
+        )
+    }
+
+    /** Notes that the item at [position] gave way; it may run again after [delay]. */
+    public fun yielded(
+        position: Int,
+        delay: Duration,
+        now: MonotonicTime,
+    ): ChunkHold = copy(running = running - position, retryAt = retryAt + (position to now + delay))
+
+    /** Returns whether the next checkpoint is due at [now]. */
+    public fun isCheckpointDue(now: MonotonicTime): Boolean =
+        allEnded || isFull() || now - committedAt >= rules.renewAfter || needsNextAlone()
+
+    /** Plans the checkpoint that is due at [now]; it completes the chunk if every item has ended. */
+    public fun planCheckpoint(now: MonotonicTime): Checkpoint {
+        val event = if (allEnded) ChunkEvent.COMPLETE else ChunkEvent.CHECKPOINT
+        val carries = allEnded || isFull() || needsNextAlone() || isFlushDue(now)
+        return plan(event, carries)
+    }
+
+    /** Plans the checkpoint that hands the chunk on, with all results so far. */
+    public fun planRelease(): Checkpoint = plan(if (allEnded) ChunkEvent.COMPLETE else ChunkEvent.RELEASE, true)
+
+    /** Takes over what [checkpoint] committed, which was sent at [sentAt]. */
+    public fun committed(
+        checkpoint: Checkpoint,
+        sentAt: MonotonicTime,
+    ): ChunkHold {
+        val left = pending - checkpoint.positions
+        return copy(
+            record = checkpoint.record,
+            version = RowVersion(version.value + 1),
+            committedAt = sentAt,
+            flushedAt = if (checkpoint.part == null) flushedAt else sentAt,
+            pending = left,
+            pendingBytes = if (left.isEmpty()) 0 else pendingBytes - checkpoint.bytes,
+        )
+    }
+
+    /** Moves on to the next name for results, so that no name is used for different results. */
+    public fun named(checkpoint: Checkpoint): ChunkHold =
+        checkpoint.part?.let { copy(nextSequence = it.sequence + 1) } ?: this
+
+    private fun plan(
+        event: ChunkEvent,
+        carries: Boolean,
+    ): Checkpoint {
+        val results = if (carries) pending.toSortedMap() else emptyMap()
+        val part = if (results.isEmpty()) null else toPart(results.values)
+        val finished = record.finished + results.keys
+        val next =
+            record.copy(
+                state = checkNotNull(record.stateAfter(event)) { "the chart refuses $event in ${record.state}" },
+                holder = record.holder.takeIf { event == ChunkEvent.CHECKPOINT },
+                commits = record.commits + 1,
+                parts = record.parts + listOfNotNull(part),
+                finished = finished,
+                tries = tries,
+                alone = nextAlone(finished).takeIf { event == ChunkEvent.CHECKPOINT },
+            )
+        return Checkpoint(spec, version, next, part, results, pendingBytes)
+    }
+
+    private fun toPart(results: Collection<ItemResult>): ResultPart {
+        val done = results.count { it.status == ItemStatus.DONE }
+        return ResultPart(record.epoch, nextSequence, done, results.size - done)
+    }
+
+    private fun isFull(): Boolean = pending.size >= rules.checkpointItems || pendingBytes >= rules.checkpointBytes
+
+    private fun isFlushDue(now: MonotonicTime): Boolean =
+        pending.size >= rules.renewItems || now - flushedAt >= rules.flushAfter
+
+    /** True if the next item to run is one that has to run alone. */
+    private fun isIsolated(): Boolean = (unfinished().firstOrNull() ?: Int.MAX_VALUE) < record.isolateBelow
+
+    private fun needsNextAlone(): Boolean =
+        isIsolated() && running.isEmpty() && (record.alone == null || record.alone in pending)
+
+    private fun nextAlone(finished: ItemSet): Int? =
+        finished.toBits().nextClearBit(0).takeIf { it < record.isolateBelow && it < ids.size }
+
+    /** Lists the positions within the window that have no result, in order. */
+    private fun unfinished(): List<Int> {
+        val bits = record.finished.toBits()
+        return generateSequence(bits.nextClearBit(0)) { bits.nextClearBit(it + 1) }
+            .takeWhile { it < ids.size }
+            .take(rules.windowItems)
+            .filter { it !in pending }
+            .toList()
+    }
+
+    public companion object {
+        /** Begins to hold the chunk whose [claim] was sent at [sentAt] and committed. */
+        public fun begin(
+            claim: ChunkClaim,
+            ids: List<ItemId>,
+            sentAt: MonotonicTime,
+            rules: BatchRules,
+        ): ChunkHold {
+            val hold =
+                ChunkHold(
+                    spec = claim.spec,
+                    rules = rules,
+                    ids = ids,
+                    record = claim.record,
+                    version = RowVersion(claim.version.value + 1),
+                    committedAt = sentAt,
+                    flushedAt = sentAt,
+                    tries = claim.record.tries,
+                )
+            return hold.endLostItems()
+        }
+    }
+
+    /** Ends the items that have cost too many holders. */
+    private fun endLostItems(): ChunkHold =
+        record.itemLosses
+            .filter { it.value >= rules.maxItemLosses && !record.finished.toBits().get(it.key) }
+            .keys
+            .fold(this) { hold, position -> hold.ended(position, lostResult(ids[position]), 0) }
+
+    private fun lostResult(id: ItemId): ItemResult =
+        ItemResult.failed(id, "holder_lost", "the VM that ran the item was lost ${rules.maxItemLosses} times")
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/agatestream/core/ItemResult.kt
@@ -0,0 +1,70 @@
+package org.agatestream.core
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+
+/** How an item ended. */
+@Serializable
+public enum class ItemStatus {
+    @SerialName("done")
+    DONE,
+
+    @SerialName("failed")
+    FAILED,
+
+    @SerialName("cancelled")
+    CANCELLED,
+}
+
+/** Why an item failed. */
+@Serializable
+public data class ItemError(
+    val code: String,
+    val message: String,
+)
+
+/** One line of a batch job's results. */
+@Serializable
+public data class ItemResult(
+    val id: ItemId,
+    val status: ItemStatus,
+    val body: JsonElement? = null,
+    val error: ItemError? = null,
+) {
+    /** Converts this result to a line with its end. */
+    public fun toLine(): String = Json.encodeToString(serializer(), this) + "\n"
+
+    public companion object {
+        /** Makes the result of an item that was answered with the JSON text [body]. */
+        public fun done(
+            id: ItemId,
+            body: String,
+            depth: Int,
+        ): ItemResult {
+            val element =
+                try {
+                    Json.parseToJsonElement(body)
+                } catch (_: SerializationException) {
+                    return failed(id, "invalid_answer", "the answer is no valid JSON")
+                }
+            if (element.isDeeperThan(depth)) return failed(id, "invalid_answer", "the answer is nested too deep")
+            return ItemResult(id, ItemStatus.DONE, body = element)
+        }
+
+        /** Makes the result of an item that can't be done. */
+        public fun failed(
+            id: ItemId,
+            code: String,
+            message: String,
+        ): ItemResult = ItemResult(id, ItemStatus.FAILED, error = ItemError(code, message))
+
+        /** Makes the result of an item that had not ended when its job was cancelled. */
+        public fun cancelled(id: ItemId): ItemResult = ItemResult(id, ItemStatus.CANCELLED)
+
+        /** Parses a line of results. */
+        public fun parse(line: String): ItemResult = Json.decodeFromString(serializer(), line)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/agatestream/core/JobRecord.kt
@@ -0,0 +1,86 @@
+package org.agatestream.core
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import java.time.Instant
+
+/** What a batch job is; it never changes once the job is accepted. */
+@Serializable
+public data class JobSpec(
+    val id: JobId,
+    val workspace: WorkspaceId,
+    /** A digest of everything the caller asked for, so that a resent job can be told from another one. */
+    val digest: String,
+    /** The path that an online caller would use, as in `/v1/completions` or `/services/spokes/length`. */
+    val target: String,
+    /** Milliseconds since 1970-01-01T00:00Z. */
+    val deadlineMillis: Long,
+    /** Names the upload whose objects hold the items. */
+    val upload: String,
+    val items: Int,
+    val chunks: Int,
+) {
+    /** When the caller wants the job to be done; a late job still runs to its end. */
+    val deadline: Instant
+        get() = Instant.ofEpochMilli(deadlineMillis)
+}
+
+/** The states of a job; see the chart `job`. */
+@Serializable
+public enum class JobState {
+    OPEN,
+    DONE,
+    CANCELLED,
+}
+
+/** What happens to a job; see the chart `job`. */
+public enum class JobEvent {
+    CHUNK_COMPLETED,
+    LAST_CHUNK_COMPLETED,
+    CANCEL,
+}
+
+/** A batch job as its row holds it. Chunks under way count only once they are complete. */
+@Serializable
+public data class JobRecord(
+    val spec: JobSpec,
+    val state: JobState,
+    val completedChunks: Int = 0,
+    val done: Int = 0,
+    val failed: Int = 0,
+) {
+    /** Returns the record after [chunk] completed, or null if the chart refuses that. */
+    public fun afterCompleted(chunk: ChunkRecord): JobRecord? {
+        val completed = completedChunks + 1
+        val event = if (completed == spec.chunks) JobEvent.LAST_CHUNK_COMPLETED else JobEvent.CHUNK_COMPLETED
+        val step = jobChart.next(state, event) as? Step.Moved ?: return null
+        return copy(
+            state = step.state,
+            completedChunks = completed,
+            done = done + chunk.done,
+            failed = failed + chunk.failed,
+        )
+    }
+
+    /** Returns the record after a cancel, or null if the job has ended already. */
+    public fun afterCancel(): JobRecord? {
+        val step = jobChart.next(state, JobEvent.CANCEL) as? Step.Moved ?: return null
+        return copy(state = step.state)
+    }
+
+    /** Converts this record to the value of its row. */
+    public fun toRowValue(): String = Json.encodeToString(serializer(), this)
+
+    public companion object {
+        /** Parses the value of a job's row. */
+        public fun parse(value: String): JobRecord = Json.decodeFromString(serializer(), value)
+    }
+}
+
+private val jobChart: TypedChart<JobState, JobEvent> = TypedChart.load("job")
+
+/** Converts this spec to the value of its row among the open jobs. */
+public fun JobSpec.toRowValue(): String = Json.encodeToString(JobSpec.serializer(), this)
+
+/** Parses the value of a row among the open jobs. */
+public fun parseJobSpec(value: String): JobSpec = Json.decodeFromString(JobSpec.serializer(), value)
