Add the HTTP side of batch jobs

Cause: callers submit, follow, read and cancel jobs over HTTP. Result: compiles; no test of these parts has run yet.

--- a/core/src/main/kotlin/org/agatestream/core/BatchAccept.kt
+++ b/core/src/main/kotlin/org/agatestream/core/BatchAccept.kt
@@ -53,10 +53,26 @@
                 RowWrite(key, JobRecord(this, JobState.OPEN).toRowValue()),
                 RowWrite(BatchNames.openKey(this), toRowValue()),
                 RowWrite(BatchNames.activeKey(workspace), "{}"),
+                RowWrite(BatchNames.acceptedKey(workspace), "{}"),
             ),
     )
 }
 
+/**
+ * Makes the transaction that takes [workspace] off the workspaces with open jobs.
+ *
+ * The row of [BatchNames.acceptedKey] must have been read at [accepted] before no open job was found. That row is
+ * never deleted, so its version never comes again.
+ */
+public fun toIdleTransaction(
+    workspace: WorkspaceId,
+    accepted: RowVersion,
+): Transaction =
+    Transaction(
+        conditions = listOf(RowCondition(BatchNames.acceptedKey(workspace), accepted)),
+        writes = listOf(RowWrite(BatchNames.activeKey(workspace), null)),
+    )
+
 /** What the accepting VM does next. */
 public sealed interface AcceptStep {
     /** The job is accepted; [fresh] is false if an earlier call accepted it. */
--- a/core/src/main/kotlin/org/agatestream/core/BatchNames.kt
+++ b/core/src/main/kotlin/org/agatestream/core/BatchNames.kt
@@ -25,6 +25,9 @@
     /** The row that exists while [workspace] may have open jobs. */
     public fun activeKey(workspace: WorkspaceId): String = ACTIVE_PREFIX + workspace
 
+    /** The row that each accepted job of [workspace] writes, and nothing deletes. */
+    public fun acceptedKey(workspace: WorkspaceId): String = "batch/accepted/$workspace"
+
     /** The prefix of the rows of the open jobs of [workspace], in the order of their deadlines. */
     public fun openPrefix(workspace: WorkspaceId): String = "batch/open/$workspace/"
 
--- a/core/src/main/kotlin/org/agatestream/core/ChunkClaim.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ChunkClaim.kt
@@ -93,3 +93,34 @@
     repeat(rules.windowItems) { position = bits.nextClearBit(position + 1) }
     return position + 1
 }
+
+/** What a VM does after it tried to claim a chunk. */
+public enum class ClaimStep {
+    /** The chunk is this VM's. */
+    HELD,
+
+    /** It is not known whether the claim took effect: send the same one again. */
+    REPEAT,
+
+    /** The chunk is not this VM's. */
+    MISSED,
+}
+
+/** Decides on the answer to the [attempt]th commit of this claim, counted from 1. */
+public fun ChunkClaim.afterCommit(
+    result: CommitResult,
+    attempt: Int,
+): ClaimStep =
+    when (result) {
+        is CommitResult.Committed -> ClaimStep.HELD
+        is CommitResult.Conflict -> if (result.current.any { isOwn(it) }) ClaimStep.HELD else ClaimStep.MISSED
+        is CommitResult.Unknown if attempt < MAX_CLAIM_ATTEMPTS -> ClaimStep.REPEAT
+        is CommitResult.Unknown, is CommitResult.Unavailable -> ClaimStep.MISSED
+    }
+
+private fun ChunkClaim.isOwn(row: Row): Boolean =
+    row.key == BatchNames.chunkKey(spec.id, record.index) &&
+        row.version.value == version.value + 1 &&
+        row.value == record.toRowValue()
+
+private const val MAX_CLAIM_ATTEMPTS = 4
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/BatchJobs.kt
@@ -0,0 +1,140 @@
+package org.agatestream.server
+
+import kotlinx.coroutines.delay
+import org.agatestream.core.Backoff
+import org.agatestream.core.BatchNames
+import org.agatestream.core.CancelStep
+import org.agatestream.core.ChunkRecord
+import org.agatestream.core.ChunkState
+import org.agatestream.core.CommitResult
+import org.agatestream.core.ErrorKind
+import org.agatestream.core.JobId
+import org.agatestream.core.JobList
+import org.agatestream.core.JobRecord
+import org.agatestream.core.JobStatus
+import org.agatestream.core.Outcome
+import org.agatestream.core.ReadResult
+import org.agatestream.core.Row
+import org.agatestream.core.TableService
+import org.agatestream.core.WorkspaceId
+import org.agatestream.core.getOrElse
+import org.agatestream.core.map
+import org.agatestream.core.planCancel
+import org.agatestream.core.toFailed
+import org.agatestream.core.toOk
+import org.agatestream.core.toStatus
+import java.time.Instant
+import kotlin.random.Random
+
+/** Finds, lists and cancels batch jobs; a workspace sees no other's. */
+public class BatchJobs(
+    private val table: TableService,
+    private val random: Random = Random.Default,
+    private val wallClock: () -> Instant = Instant::now,
+) {
+    private val backoff = Backoff()
+
+    /** Finds a job of [workspace]. */
+    public suspend fun find(
+        workspace: WorkspaceId,
+        job: JobId,
+    ): Outcome<JobRecord> = readRow(workspace, job).map { JobRecord.parse(it.value) }
+
+    /** Returns the state and the counts of a job, with what its running chunks have reached. */
+    public suspend fun status(
+        workspace: WorkspaceId,
+        job: JobId,
+    ): Outcome<JobStatus> {
+        val chunks = readChunks(job).getOrElse { return Outcome.Failed(it) }
+        val record = find(workspace, job).getOrElse { return Outcome.Failed(it) }
+        return statusOf(record, chunks).toOk()
+    }
+
+    /** Lists up to a page of the jobs of [workspace] that come after [after]; counts are those of complete chunks. */
+    public suspend fun list(
+        workspace: WorkspaceId,
+        after: JobId?,
+    ): Outcome<JobList> {
+        val prefix = BatchNames.jobPrefix(workspace)
+        val start = after?.let { BatchNames.jobKey(workspace, it) }.orEmpty()
+        return when (val rows = table.scan(prefix, start, PAGE_SIZE)) {
+            is ReadResult.Found -> toPage(rows.value).toOk()
+            is ReadResult.Absent -> JobList(emptyList()).toOk()
+            is ReadResult.Unavailable -> notReached()
+        }
+    }
+
+    /** Cancels a job; one that has ended stays as it is. */
+    public suspend fun cancel(
+        workspace: WorkspaceId,
+        job: JobId,
+    ): Outcome<JobStatus> {
+        var maySucceed = false
+        repeat(MAX_CANCELS) { failures ->
+            val row = readRow(workspace, job).getOrElse { return if (maySucceed) pending() else Outcome.Failed(it) }
+            val commit =
+                when (val step = JobRecord.parse(row.value).planCancel(row.version)) {
+                    is CancelStep.Ended -> return status(workspace, job)
+                    is CancelStep.Commit -> step
+                }
+            when (table.commit(commit.transaction)) {
+                is CommitResult.Committed -> return cancelled(commit.next)
+                is CommitResult.Unknown -> maySucceed = true
+                is CommitResult.Conflict, is CommitResult.Unavailable -> Unit
+            }
+            delay(backoff.delay(failures + 1, random))
+        }
+        return if (maySucceed) pending() else notReached()
+    }
+
+    private suspend fun cancelled(record: JobRecord): Outcome<JobStatus> {
+        EventLog.info("batch_cancelled", "job" to record.spec.id, "workspace" to record.spec.workspace)
+        val chunks = readChunks(record.spec.id).getOrElse { emptyList() }
+        return statusOf(record, chunks).toOk()
+    }
+
+    private suspend fun readRow(
+        workspace: WorkspaceId,
+        job: JobId,
+    ): Outcome<Row> =
+        when (val row = table.read(BatchNames.jobKey(workspace, job))) {
+            is ReadResult.Found -> row.value.toOk()
+            is ReadResult.Absent -> ErrorKind.UNKNOWN_JOB.toFailed("the workspace has no such job")
+            is ReadResult.Unavailable -> notReached()
+        }
+
+    private suspend fun readChunks(job: JobId): Outcome<List<ChunkRecord>> {
+        val records = mutableListOf<ChunkRecord>()
+        var after = ""
+        while (true) {
+            val rows =
+                when (val page = table.scan(BatchNames.chunkPrefix(job), after)) {
+                    is ReadResult.Found -> page.value
+                    is ReadResult.Absent -> emptyList()
+                    is ReadResult.Unavailable -> return notReached()
+                }
+            if (rows.isEmpty()) return records.toOk()
+            rows.mapTo(records) { ChunkRecord.parse(it.value) }
+            after = rows.last().key
+        }
+    }
+
+    /** Counts running chunks only up to the items that the complete ones leave, as the rows are read one by one. */
+    private fun statusOf(
+        record: JobRecord,
+        chunks: List<ChunkRecord>,
+    ): JobStatus = record.toStatus(chunks.filter { it.state != ChunkState.DONE }, wallClock())
+
+    private fun toPage(rows: List<Row>): JobList {
+        val records = rows.map { JobRecord.parse(it.value) }
+        val next = records.lastOrNull()?.spec?.id
+        return JobList(records.map { it.toStatus(emptyList(), wallClock()) }, next.takeIf { rows.size == PAGE_SIZE })
+    }
+
+    private fun pending(): Outcome.Failed = ErrorKind.CHANGE_PENDING.toFailed("the job may have been cancelled")
+
+    private companion object {
+        const val PAGE_SIZE = 100
+        const val MAX_CANCELS = 20
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/BatchResults.kt
@@ -0,0 +1,118 @@
+package org.agatestream.server
+
+import kotlinx.coroutines.delay
+import org.agatestream.core.Backoff
+import org.agatestream.core.BatchNames
+import org.agatestream.core.ChunkRecord
+import org.agatestream.core.ItemResult
+import org.agatestream.core.JobRecord
+import org.agatestream.core.JobSpec
+import org.agatestream.core.JobState
+import org.agatestream.core.ObjectStore
+import org.agatestream.core.ReadResult
+import org.agatestream.core.TableService
+import org.agatestream.core.parseStoredItems
+import org.agatestream.http.BodyWriter
+import org.agatestream.http.HttpCall
+import kotlin.random.Random
+
+/** Streams the readable results of a job; it holds one object at a time. */
+public class BatchResults(
+    private val table: TableService,
+    private val objects: ObjectStore,
+    private val random: Random = Random.Default,
+) {
+    private val backoff = Backoff()
+
+    /**
+     * Answers [call] with the results of [job] as JSON lines, chunk by chunk.
+     *
+     * If the platform does not answer or [isAllowed] turns false, the connection is closed before the body is
+     * complete, so that the reader sees an error.
+     */
+    public suspend fun stream(
+        job: JobRecord,
+        call: HttpCall,
+        isAllowed: () -> Boolean,
+    ) {
+        val writer = call.startStream(STATUS_OK, "application/jsonl")
+        for (index in pages(job.spec)) {
+            val rows = readPage(job.spec, index)
+            if (rows == null || !isAllowed() || !writePage(job, index, rows, writer)) {
+                writer.abort()
+                return
+            }
+        }
+        writer.finish()
+    }
+
+    private fun pages(spec: JobSpec): IntProgression = 0 until spec.chunks step PAGE_SIZE
+
+    /** Reads the records of the chunks from [first] on, by position; null if the platform does not answer. */
+    private suspend fun readPage(
+        spec: JobSpec,
+        first: Int,
+    ): Map<Int, ChunkRecord>? {
+        val after = if (first == 0) "" else BatchNames.chunkKey(spec.id, first - 1)
+        val rows = read { table.scan(BatchNames.chunkPrefix(spec.id), after, PAGE_SIZE) } ?: return null
+        val records = rows.map { ChunkRecord.parse(it.value) }
+        return records.filter { it.index < first + PAGE_SIZE }.associateBy { it.index }
+    }
+
+    private suspend fun writePage(
+        job: JobRecord,
+        first: Int,
+        records: Map<Int, ChunkRecord>,
+        writer: BodyWriter,
+    ): Boolean {
+        for (index in first until minOf(first + PAGE_SIZE, job.spec.chunks)) {
+            val record = records[index] ?: ChunkRecord(job.spec.id, index)
+            if (!writeParts(job.spec, record, writer)) return false
+            if (job.state == JobState.CANCELLED && !writeCancelled(job.spec, record, writer)) return false
+        }
+        return true
+    }
+
+    private suspend fun writeParts(
+        spec: JobSpec,
+        record: ChunkRecord,
+        writer: BodyWriter,
+    ): Boolean {
+        for (part in record.parts) {
+            val bytes = read { objects.get(BatchNames.resultName(spec, record.index, part)) } ?: return false
+            if (!writer.write(bytes)) return false
+        }
+        return true
+    }
+
+    private suspend fun writeCancelled(
+        spec: JobSpec,
+        record: ChunkRecord,
+        writer: BodyWriter,
+    ): Boolean {
+        val bytes = read { objects.get(BatchNames.inputName(spec.id, spec.upload, record.index)) } ?: return false
+        val finished = record.finished.toBits()
+        val lines =
+            parseStoredItems(bytes)
+                .filterIndexed { position, _ -> !finished.get(position) }
+                .joinToString("") { ItemResult.cancelled(it.id).toLine() }
+        return lines.isEmpty() || writer.write(lines.encodeToByteArray())
+    }
+
+    private suspend fun <T : Any> read(call: suspend () -> ReadResult<T>): T? {
+        for (failures in 1..MAX_READS) {
+            when (val result = call()) {
+                is ReadResult.Found -> return result.value
+                is ReadResult.Absent -> return null
+                is ReadResult.Unavailable -> delay(backoff.delay(failures, random))
+            }
+        }
+        return null
+    }
+
+    private companion object {
+        const val STATUS_OK = 200
+        const val PAGE_SIZE = 100
+        const val MAX_READS = 5
+    }
+}
