Add the batch worker

Cause: accepted jobs have to run on whichever VM has idle capacity. Conclusion: thin path of batch jobs is complete apart from tests.

--- a/core/src/main/kotlin/org/agatestream/core/Checkpoint.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Checkpoint.kt
@@ -19,6 +19,10 @@
     val completes: Boolean
         get() = record.state == ChunkState.DONE
 
+    /** True if the commit hands the chunk on. */
+    public val releases: Boolean
+        get() = record.state == ChunkState.OPEN
+
     /** The object that the results go to, or null if there are none. */
     val objectName: String?
         get() = part?.let { BatchNames.resultName(spec, record.index, it) }
--- a/core/src/main/kotlin/org/agatestream/core/JobStatus.kt
+++ b/core/src/main/kotlin/org/agatestream/core/JobStatus.kt
@@ -34,13 +34,17 @@
     val next: JobId? = null,
 )
 
-/** Converts this record, and the rows of the chunks that are not complete, to what the caller sees at [now]. */
+/**
+ * Converts this record to what the caller sees at [now].
+ *
+ * [chunks] are the job's chunks, read after this record; without them the counts are those of complete chunks.
+ */
 public fun JobRecord.toStatus(
-    unfinishedChunks: List<ChunkRecord>,
+    chunks: List<ChunkRecord>,
     now: Instant,
 ): JobStatus {
-    val allDone = done + unfinishedChunks.sumOf { it.done }
-    val allFailed = failed + unfinishedChunks.sumOf { it.failed }
+    val allDone = maxOf(done, chunks.sumOf { it.done })
+    val allFailed = maxOf(failed, chunks.sumOf { it.failed })
     val rest = spec.items - allDone - allFailed
     val cancelled = if (state == JobState.CANCELLED) rest else 0
     return JobStatus(
--- a/server/src/main/kotlin/org/agatestream/server/BatchAcceptor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchAcceptor.kt
@@ -88,7 +88,12 @@
         val key = call.header("idempotency-key").orEmpty()
         val target = call.query("target").orEmpty()
         val deadlineText = call.query("deadline").orEmpty()
-        val type = call.header("content-type").orEmpty().substringBefore(';').trim()
+        val type =
+            call
+                .header("content-type")
+                .orEmpty()
+                .substringBefore(';')
+                .trim()
         if (key.isEmpty()) return ErrorKind.MALFORMED_REQUEST.toFailed("the header idempotency-key is missing")
         if (type != "application/jsonl") {
             return ErrorKind.MALFORMED_REQUEST.toFailed("the content type is not application/jsonl")
--- a/server/src/main/kotlin/org/agatestream/server/BatchJobs.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchJobs.kt
@@ -5,12 +5,12 @@
 import org.agatestream.core.BatchNames
 import org.agatestream.core.CancelStep
 import org.agatestream.core.ChunkRecord
-import org.agatestream.core.ChunkState
 import org.agatestream.core.CommitResult
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.JobId
 import org.agatestream.core.JobList
 import org.agatestream.core.JobRecord
+import org.agatestream.core.JobState
 import org.agatestream.core.JobStatus
 import org.agatestream.core.Outcome
 import org.agatestream.core.ReadResult
@@ -45,9 +45,10 @@
         workspace: WorkspaceId,
         job: JobId,
     ): Outcome<JobStatus> {
-        val chunks = readChunks(job).getOrElse { return Outcome.Failed(it) }
         val record = find(workspace, job).getOrElse { return Outcome.Failed(it) }
-        return statusOf(record, chunks).toOk()
+        if (record.state == JobState.DONE) return record.toStatus(emptyList(), wallClock()).toOk()
+        val chunks = readChunks(job).getOrElse { return Outcome.Failed(it) }
+        return record.toStatus(chunks, wallClock()).toOk()
     }
 
     /** Lists up to a page of the jobs of [workspace] that come after [after]; counts are those of complete chunks. */
@@ -90,7 +91,7 @@
     private suspend fun cancelled(record: JobRecord): Outcome<JobStatus> {
         EventLog.info("batch_cancelled", "job" to record.spec.id, "workspace" to record.spec.workspace)
         val chunks = readChunks(record.spec.id).getOrElse { emptyList() }
-        return statusOf(record, chunks).toOk()
+        return record.toStatus(chunks, wallClock()).toOk()
     }
 
     private suspend fun readRow(
@@ -119,12 +120,6 @@
         }
     }
 
-    /** Counts running chunks only up to the items that the complete ones leave, as the rows are read one by one. */
-    private fun statusOf(
-        record: JobRecord,
-        chunks: List<ChunkRecord>,
-    ): JobStatus = record.toStatus(chunks.filter { it.state != ChunkState.DONE }, wallClock())
-
     private fun toPage(rows: List<Row>): JobList {
         val records = rows.map { JobRecord.parse(it.value) }
         val next = records.lastOrNull()?.spec?.id
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/BatchWorker.kt
@@ -0,0 +1,137 @@
+package org.agatestream.server
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.joinAll
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.agatestream.core.BatchNames
+import org.agatestream.core.BatchRules
+import org.agatestream.core.JobId
+import org.agatestream.core.MonotonicTime
+import org.agatestream.core.ObjectStore
+import org.agatestream.core.ReadResult
+import org.agatestream.core.TableService
+import org.agatestream.core.VmId
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** The means by which a VM works on batch jobs. */
+public class BatchPorts(
+    public val self: VmId,
+    public val table: TableService,
+    public val objects: ObjectStore,
+    public val runner: ItemRunner,
+    public val coordination: Coordination,
+    public val rules: BatchRules = BatchRules(),
+    public val random: Random = Random.Default,
+    public val clock: () -> MonotonicTime = MonotonicTime::now,
+)
+
+/** Finds chunks of batch jobs, claims them and runs their items until it is drained. */
+public class BatchWorker(
+    private val ports: BatchPorts,
+) {
+    private val search = ChunkSearch(ports)
+    private val slots = ItemSlots()
+    private val runs = ConcurrentHashMap<String, ChunkRun>()
+    private val wakeUps = Channel<Unit>(Channel.CONFLATED)
+
+    @Volatile
+    private var draining = false
+
+    @Volatile
+    private var loop: Job? = null
+
+    /** The number of chunks that this VM holds. */
+    public val heldChunks: Int
+        get() = runs.size
+
+    /** Starts the work in [scope]. */
+    public fun start(scope: CoroutineScope) {
+        val chunks = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext[Job]))
+        loop = scope.launch { findWork(chunks) }
+        scope.launch { watchCancels() }
+    }
+
+    /** Stops claiming, cancels running items and hands every chunk on with its results so far. */
+    public suspend fun drain() {
+        draining = true
+        wakeUps.trySend(Unit)
+        loop?.join()
+        val held = runs.values.toList()
+        held.forEach { it.drain() }
+        held.map { it.job }.joinAll()
+        EventLog.info("batch_drained", "chunks" to held.size)
+    }
+
+    private suspend fun findWork(chunks: CoroutineScope) {
+        var idleRounds = 0
+        while (!draining) {
+            val claimed = if (mayClaim()) search.next(runs.keys) else null
+            if (claimed != null) {
+                run(claimed, chunks)
+                idleRounds = 0
+                continue
+            }
+            idleRounds++
+            withTimeoutOrNull(idleDelay(idleRounds)) { wakeUps.receive() }
+        }
+    }
+
+    private fun mayClaim(): Boolean =
+        runs.size < MAX_CHUNKS && slots.hasFree() && ports.coordination.isCurrent(ports.clock())
+
+    /** Grows with the fleet, so that all idle VMs together read the table at a rate that does not. */
+    private fun idleDelay(rounds: Int): Duration {
+        val shortest = IDLE_READ_SPAN * ports.coordination.plan.vms.size
+        val base = maxOf(shortest, MIN_IDLE_DELAY) * minOf(rounds, MAX_IDLE_ROUNDS)
+        return base / 2 + base * ports.random.nextDouble()
+    }
+
+    private fun run(
+        claimed: ClaimedChunk,
+        chunks: CoroutineScope,
+    ) {
+        val run = ChunkRun(ports, slots, claimed)
+        runs[claimed.key] = run
+        run.job =
+            chunks.launch {
+                try {
+                    run.run()
+                } finally {
+                    runs.remove(claimed.key)
+                    wakeUps.trySend(Unit)
+                }
+            }
+    }
+
+    /** Reads the cancel row of each job that this VM works on. */
+    private suspend fun watchCancels() {
+        while (kotlin.coroutines.coroutineContext.isActive) {
+            delay(CANCEL_POLL / 2 + CANCEL_POLL * ports.random.nextDouble())
+            val jobs = runs.values.map { it.spec.id }.toSet()
+            jobs.forEach { checkCancelled(it) }
+        }
+    }
+
+    private suspend fun checkCancelled(job: JobId) {
+        if (ports.table.read(BatchNames.cancelKey(job)) !is ReadResult.Found) return
+        runs.values.filter { it.spec.id == job }.forEach { it.cancelled() }
+    }
+
+    private companion object {
+        const val MAX_CHUNKS = 16
+        const val MAX_IDLE_ROUNDS = 4
+        val IDLE_READ_SPAN = 10.milliseconds
+        val MIN_IDLE_DELAY = 200.milliseconds
+        val CANCEL_POLL = 2.seconds
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/ChunkRun.kt
@@ -0,0 +1,247 @@
+package org.agatestream.server
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
+import org.agatestream.core.Backoff
+import org.agatestream.core.BatchItem
+import org.agatestream.core.BatchNames
+import org.agatestream.core.Checkpoint
+import org.agatestream.core.CheckpointStep
+import org.agatestream.core.ChunkHold
+import org.agatestream.core.ItemResult
+import org.agatestream.core.JobSpec
+import org.agatestream.core.MonotonicTime
+import org.agatestream.core.ReadResult
+import org.agatestream.core.isBatchTarget
+import org.agatestream.core.parseStoredItems
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+
+/** Something that a [ChunkRun] reacts to. */
+private sealed interface ChunkSignal {
+    class ItemEnded(
+        val position: Int,
+        val outcome: ItemOutcome,
+    ) : ChunkSignal
+
+    class CheckpointEnded(
+        val checkpoint: Checkpoint,
+        val sentAt: MonotonicTime,
+        val step: CheckpointStep,
+    ) : ChunkSignal
+
+    data object Drain : ChunkSignal
+
+    data object Cancelled : ChunkSignal
+}
+
+/** Runs the items of one claimed chunk and commits their results; all decisions are those of [ChunkHold]. */
+internal class ChunkRun(
+    private val ports: BatchPorts,
+    private val slots: ItemSlots,
+    private val claimed: ClaimedChunk,
+) {
+    val spec: JobSpec = claimed.claim.spec
+    lateinit var job: Job
+    private val signals = Channel<ChunkSignal>(Channel.UNLIMITED)
+    private val writer = CheckpointWriter(ports)
+    private val backoff = Backoff()
+    private var itemRuns: Job = Job()
+    private var items: List<BatchItem> = emptyList()
+    private var draining = false
+    private var writing = false
+
+    /** Asks the run to hand the chunk on. */
+    fun drain() {
+        signals.trySend(ChunkSignal.Drain)
+    }
+
+    /** Tells the run that its job is cancelled. */
+    fun cancelled() {
+        signals.trySend(ChunkSignal.Cancelled)
+    }
+
+    suspend fun run() {
+        items = loadItems() ?: return
+        val ids = items.map { it.id }
+        var hold: ChunkHold? = ChunkHold.begin(claimed.claim, ids, claimed.sentAt, ports.rules)
+        coroutineScope {
+            itemRuns = Job(coroutineContext[Job])
+            while (hold != null) {
+                hold = advance(checkNotNull(hold), this)
+            }
+            coroutineContext.cancelChildren()
+        }
+    }
+
+    /** Starts what is due, waits for the next signal and returns the hold after it, or null at the end. */
+    private suspend fun advance(
+        hold: ChunkHold,
+        scope: CoroutineScope,
+    ): ChunkHold? {
+        val now = ports.clock()
+        var next = if (draining) hold else startItems(hold, now, scope)
+        if (!writing && (draining || next.isCheckpointDue(now))) {
+            val checkpoint = if (draining) next.planRelease() else next.planCheckpoint(now)
+            next = next.named(checkpoint)
+            write(checkpoint, scope)
+        }
+        val signal = nextSignal(waitSpan(next, now)) ?: return next
+        return react(next, signal)
+    }
+
+    /** Waits up to [span]; a timed-out receive could lose a signal, a select does not. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private suspend fun nextSignal(span: Duration): ChunkSignal? =
+        select {
+            signals.onReceive { it }
+            onTimeout(span) { null }
+        }
+
+    private fun startItems(
+        hold: ChunkHold,
+        now: MonotonicTime,
+        scope: CoroutineScope,
+    ): ChunkHold {
+        if (!ports.coordination.fleet.isBatchTarget(spec.target)) return hold
+        val ready = hold.startable(ports.rules.windowItems, now)
+        val positions = ready.take(slots.take(ready.size))
+        positions.forEach { position -> scope.launch(itemRuns) { runItem(position) } }
+        return hold.started(positions)
+    }
+
+    private suspend fun runItem(position: Int) {
+        var yielded = true
+        try {
+            val item = items[position]
+            val deadline = ports.clock() + ITEM_TIMEOUT
+            val call = ItemCall(spec.id, item.id, spec.workspace, spec.target, item.body.toString(), deadline)
+            val outcome = ports.runner.run(call)
+            yielded = outcome is ItemOutcome.Yielded
+            signals.trySend(ChunkSignal.ItemEnded(position, outcome))
+        } catch (e: CancellationException) {
+            yielded = false
+            throw e
+        } catch (_: Exception) {
+            yielded = false
+            signals.trySend(ChunkSignal.ItemEnded(position, ItemOutcome.Failed("the run met an unexpected error")))
+        } finally {
+            slots.giveBack(yielded)
+        }
+    }
+
+    private fun write(
+        checkpoint: Checkpoint,
+        scope: CoroutineScope,
+    ) {
+        writing = true
+        scope.launch {
+            val sentAt = ports.clock()
+            val step = writer.write(checkpoint)
+            signals.trySend(ChunkSignal.CheckpointEnded(checkpoint, sentAt, step))
+        }
+    }
+
+    private fun react(
+        hold: ChunkHold,
+        signal: ChunkSignal,
+    ): ChunkHold? =
+        when (signal) {
+            is ChunkSignal.ItemEnded -> itemEnded(hold, signal)
+            is ChunkSignal.CheckpointEnded -> checkpointEnded(hold, signal)
+            is ChunkSignal.Drain -> hold.also { beginDrain() }
+            is ChunkSignal.Cancelled -> ended("batch_chunk_cancelled")
+        }
+
+    private fun beginDrain() {
+        draining = true
+        itemRuns.cancelChildren()
+    }
+
+    private fun itemEnded(
+        hold: ChunkHold,
+        signal: ChunkSignal.ItemEnded,
+    ): ChunkHold {
+        val id = items[signal.position].id
+        val now = ports.clock()
+        return when (val outcome = signal.outcome) {
+            is ItemOutcome.Done -> {
+                hold.ended(
+                    signal.position,
+                    ItemResult.done(id, outcome.body, ports.rules.bodyDepth),
+                    outcome.body.length,
+                )
+            }
+
+            is ItemOutcome.Impossible -> {
+                hold.ended(
+                    signal.position,
+                    ItemResult.failed(id, outcome.code, outcome.message),
+                    outcome.message.length,
+                )
+            }
+
+            is ItemOutcome.Failed -> {
+                hold.runFailed(signal.position, outcome.reason, now)
+            }
+
+            is ItemOutcome.Yielded -> {
+                hold.yielded(signal.position, YIELD_DELAY * (1 + ports.random.nextDouble()), now)
+            }
+        }
+    }
+
+    private fun checkpointEnded(
+        hold: ChunkHold,
+        signal: ChunkSignal.CheckpointEnded,
+    ): ChunkHold? {
+        writing = false
+        if (signal.step is CheckpointStep.Lost) return ended("batch_chunk_lost")
+        if (signal.checkpoint.completes) return ended("batch_chunk_completed")
+        if (signal.checkpoint.releases) return ended("batch_chunk_released")
+        return hold.committed(signal.checkpoint, signal.sentAt)
+    }
+
+    private fun ended(event: String): ChunkHold? {
+        EventLog.info(event, "job" to spec.id, "chunk" to claimed.claim.record.index)
+        return null
+    }
+
+    private fun waitSpan(
+        hold: ChunkHold,
+        now: MonotonicTime,
+    ): Duration {
+        val renewal = hold.committedAt + ports.rules.renewAfter - now
+        val retry = hold.nextRetry()?.let { it - now } ?: MAX_WAIT
+        return minOf(renewal, retry, MAX_WAIT).coerceAtLeast(MIN_WAIT)
+    }
+
+    /** Loads the chunk's items; gives up once the lease has run out, so that another VM takes over. */
+    private suspend fun loadItems(): List<BatchItem>? {
+        val name = BatchNames.inputName(spec.id, spec.upload, claimed.claim.record.index)
+        var failures = 0
+        while (ports.clock() < claimed.sentAt + ports.rules.lease) {
+            val result = ports.objects.get(name)
+            if (result is ReadResult.Found) return parseStoredItems(result.value)
+            delay(backoff.delay(++failures, ports.random))
+        }
+        return null
+    }
+
+    private companion object {
+        val ITEM_TIMEOUT = 10.minutes
+        val YIELD_DELAY = 200.milliseconds
+        val MAX_WAIT = 200.milliseconds
+        val MIN_WAIT = 5.milliseconds
+    }
+}
