Add the engine and service stand-ins

Change: an engine whose step slows with its batch, with a prefix cache, lagged load, cold start, silent restart, resume and cancel of streams and fencing of orders; a service with spoke lengths and counted bookings.

--- /dev/null
+++ b/standins/src/main/kotlin/org/agatestream/standin/EngineTokens.kt
@@ -0,0 +1,24 @@
+package org.agatestream.standin
+
+import java.security.MessageDigest
+
+/** The tokens that an engine answers a prompt with: `t<index>.<start of the prompt's hash>` and a space. */
+internal class EngineTokens(
+    prompt: String,
+) {
+    private val hash =
+        MessageDigest
+            .getInstance("SHA-256")
+            .digest(prompt.encodeToByteArray())
+            .take(HASH_BYTES)
+            .joinToString("") { "%02x".format(it) }
+
+    fun token(index: Int): String = "t$index.$hash "
+
+    /** Returns the whole answer of [count] tokens. */
+    fun text(count: Int): String = (0 until count).joinToString("") { token(it) }
+
+    private companion object {
+        const val HASH_BYTES = 4
+    }
+}
--- a/standins/src/main/kotlin/org/agatestream/standin/Main.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/Main.kt
@@ -8,11 +8,13 @@
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
+import kotlin.time.Duration.Companion.microseconds
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Runs the stand-in that the first argument names. */
 public fun main(args: Array<String>) {
     val parser = ArgParser("agatestream-standins")
-    parser.subcommands(PlatformCommand())
+    parser.subcommands(PlatformCommand(), EngineCommand(), ServiceCommand())
     parser.parse(args.ifEmpty { arrayOf("--help") })
 }
 
@@ -43,3 +45,43 @@
         ready(PlatformStandIn(rates).listen(port))
     }
 }
+
+private class EngineCommand : ListenCommand("engine", "Model engine with continuous batching") {
+    private val cold by option(ArgType.Boolean, description = "start cold").default(false)
+    private val checksFencing by
+        option(ArgType.Boolean, "checks-fencing", description = "refuse orders with an old number").default(false)
+    private val stepMicros by
+        option(ArgType.Int, "step-micros", description = "duration of an empty step").default(10_000)
+    private val requestMicros by
+        option(ArgType.Int, "request-micros", description = "what a running request adds to a step").default(1_000)
+    private val prefillMillis by
+        option(ArgType.Int, "prefill-millis", description = "time to read an uncached prompt").default(40)
+    private val maxRunning by option(ArgType.Int, "max-running", description = "size of the batch").default(32)
+    private val coldSlots by option(ArgType.Int, "cold-slots", description = "requests borne when cold").default(2)
+    private val cachedPrefixes by
+        option(ArgType.Int, "cached-prefixes", description = "size of the prefix cache").default(64)
+    private val loadLagMillis by
+        option(ArgType.Int, "load-lag-millis", description = "age of the reported load").default(500)
+    private val reloadMillis by
+        option(ArgType.Int, "reload-millis", description = "refusals after falling over").default(2_000)
+
+    override fun execute() {
+        val limits =
+            EngineLimits(
+                stepBase = stepMicros.microseconds,
+                stepPerRequest = requestMicros.microseconds,
+                prefill = prefillMillis.milliseconds,
+                maxRunning = maxRunning,
+                coldSlots = coldSlots,
+                cachedPrefixes = cachedPrefixes,
+            )
+        val lag = loadLagMillis.milliseconds
+        ready(EngineStandIn(EngineOptions(limits, cold, checksFencing, lag, reloadMillis.milliseconds)).listen(port))
+    }
+}
+
+private class ServiceCommand : ListenCommand("service", "Spoke lengths and bookings") {
+    override fun execute() {
+        ready(ServiceStandIn().listen(port))
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/agatestream/standin/ServiceStandIn.kt
@@ -0,0 +1,101 @@
+package org.agatestream.standin
+
+import kotlinx.coroutines.delay
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.builtins.MapSerializer
+import kotlinx.serialization.builtins.serializer
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.math.round
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Sets how the service stand-in behaves; a field that is left out stays as it is. */
+@Serializable
+public data class ServiceControl(
+    /** Time between a run and its answer. */
+    val delayMillis: Long? = null,
+    /** The next calls that get 500 without being run. */
+    val failNext: Int? = null,
+    /** The next calls that are run and whose connection is then closed without an answer. */
+    val dropAnswers: Int? = null,
+)
+
+/** A plain service of tests: spoke lengths, which may be asked again, and bookings, which may not. */
+internal class ServiceStandIn : AutoCloseable {
+    private val server = StandInServer(::handle)
+    private val runs = ConcurrentHashMap<String, Int>()
+    private val bookings = AtomicInteger()
+    private val failures = AtomicInteger()
+    private val drops = AtomicInteger()
+
+    @Volatile
+    private var delayMillis = 0L
+
+    fun listen(port: Int): Int = server.listen(port)
+
+    override fun close() {
+        server.close()
+    }
+
+    private suspend fun handle(call: StandInCall) {
+        when (call.route) {
+            "POST /length" -> length(call)
+            "POST /bookings" -> book(call)
+            "POST /standin/service" -> control(call)
+            "GET /standin/runs" -> call.respondJson(STATUS_OK, runsSerializer, runs.toSortedMap())
+            else -> call.respondError(STATUS_NOT_FOUND, "unknown", "no such call")
+        }
+    }
+
+    private suspend fun length(call: StandInCall) {
+        val wheel = call.parse(Wheel.serializer())
+        if (failures.takeOne()) return call.respondError(STATUS_FAILED, "failed", "told to fail")
+        finish(call)
+        val fault = wheel.fault()
+        if (fault != null) return call.respondError(STATUS_UNPROCESSABLE, "impossible", fault)
+        val rounded = round(wheel.spokeLength() * ROUNDING) / ROUNDING
+        call.respondJson(STATUS_OK, LengthAnswer.serializer(), LengthAnswer(rounded))
+    }
+
+    private suspend fun book(call: StandInCall) {
+        if (failures.takeOne()) return call.respondError(STATUS_FAILED, "failed", "told to fail")
+        val key = call.header("idempotency-key") ?: ""
+        val run = runs.merge(key, 1, Int::plus) ?: 1
+        val booking = "b${bookings.incrementAndGet()}"
+        finish(call)
+        call.respondJson(STATUS_CREATED, BookingAnswer.serializer(), BookingAnswer(booking, run))
+    }
+
+    private suspend fun finish(call: StandInCall) {
+        delay(delayMillis.milliseconds)
+        if (drops.takeOne()) call.dropAnswer()
+    }
+
+    private suspend fun control(call: StandInCall) {
+        val change = call.parse(ServiceControl.serializer())
+        change.delayMillis?.let { delayMillis = it }
+        change.failNext?.let { failures.set(it) }
+        change.dropAnswers?.let { drops.set(it) }
+        call.respondEmpty()
+    }
+
+    private companion object {
+        const val STATUS_FAILED = 500
+
+        /** Lengths are answered in hundredths of a millimetre. */
+        const val ROUNDING = 100.0
+        val runsSerializer = MapSerializer(String.serializer(), Int.serializer())
+    }
+}
+
+@Serializable
+private data class LengthAnswer(
+    @SerialName("length_mm") val length: Double,
+)
+
+@Serializable
+private data class BookingAnswer(
+    val booking: String,
+    val run: Int,
+)
