Add the scenario language, its runner and the relays

Cause: the promises need proofs by scripted failures against real processes. Change: scenarios of one line a step, parsed into typed actions and checks with exact complaints; a runner that starts stand-ins and VMs as processes, signals them by process handle and calls them as callers do; TCP relays that delay links or hold bytes back and deliver them late, which is the harder case than closing connections. The platform stand-in can show each VM its own VM list, so that each pair of VMs has its own relay.

--- /dev/null
+++ b/standins/src/main/kotlin/org/agatestream/standin/Fleet.kt
@@ -0,0 +1,309 @@
+package org.agatestream.standin
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.json.Json
+import org.agatestream.core.FailureDomainId
+import org.agatestream.core.ListedVm
+import org.agatestream.core.VmId
+import org.agatestream.http.parseAddress
+import org.agatestream.server.VmConfig
+import java.io.File
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Where the programs are and where logs go. */
+internal class FleetFiles(
+    /** The jar of the system. */
+    val binary: File,
+    /** The class path of the stand-ins. */
+    val standIns: String,
+    /** The directory for settings files and logs of this run. */
+    val directory: File,
+)
+
+/** A VM of a scenario. */
+internal class FleetVm(
+    val listed: ListedVm,
+    val process: FleetProcess,
+) {
+    @Volatile
+    var frozen = false
+
+    /** Whether callers may still hold its address. */
+    @Volatile
+    var callable = true
+
+    val isLive: Boolean get() = process.isAlive && !frozen
+}
+
+/** A backend server of a scenario. */
+internal class FleetServer(
+    val name: String,
+    val domain: FailureDomainId,
+    val address: String,
+    /** The address that the system is told. */
+    val publicAddress: String,
+    val process: FleetProcess,
+)
+
+/** The processes of one scenario and the network between them; [close] ends them all. */
+internal class Fleet(
+    val spec: FleetSpec,
+    private val files: FleetFiles,
+    /** True if links may be cut or slowed, so that relays are needed. */
+    private val relayed: Boolean,
+) : AutoCloseable {
+    private val http = ScenarioCaller()
+    private val group = MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory())
+    private val relays = ConcurrentHashMap<Link, Relay>()
+    private val started = mutableListOf<FleetProcess>()
+    private val secret =
+        mapOf(SECRET_VARIABLE to "scenario-fleet-secret-0123456789", BOOTSTRAP_VARIABLE to OPERATOR_KEY)
+    private val domainOf = ConcurrentHashMap<String, FailureDomainId>()
+    private lateinit var platform: String
+    val vms = LinkedHashMap<VmId, FleetVm>()
+    val servers = LinkedHashMap<String, FleetServer>()
+
+    /** VMs that run and are not frozen. */
+    val liveVms: List<FleetVm> get() = vms.values.filter { it.isLive }
+
+    /** VMs whose address a caller may hold. */
+    val callableVms: List<FleetVm> get() = vms.values.filter { it.callable && !it.frozen }
+
+    suspend fun start() {
+        files.directory.mkdirs()
+        startStandIns()
+        setFaults(Faults())
+        val domains = (1..spec.vms).map { VmId("vm-$it") to domain(it) }
+        val planned = domains.map { (id, domain) -> listed(id, domain) }
+        planned.forEach { launch(it, planned) }
+        postVms()
+        vms.values.forEach { awaitReady(it) }
+    }
+
+    /** Starts one VM more and waits until it is ready to serve. */
+    suspend fun startVm(
+        id: VmId,
+        domain: FailureDomainId,
+    ) {
+        val vm = listed(id, domain)
+        launch(vm, vms.values.filter { it.process.isAlive }.map { it.listed } + vm)
+        postVms()
+        awaitReady(vm(id))
+    }
+
+    fun vm(id: VmId): FleetVm = vms[id] ?: throw ScenarioFailure("there is no VM $id")
+
+    fun server(name: String): FleetServer = servers[name] ?: throw ScenarioFailure("there is no backend server $name")
+
+    /** The servers called [target], or those of the failure domain [target]. */
+    fun serversOf(target: String): List<FleetServer> =
+        servers.values.filter { it.name == target || it.domain.value == target }
+
+    /** Takes VMs that ended off the platform's VM list and marks [leaving]. */
+    suspend fun postVms(leaving: VmId? = null) {
+        val current = vms.values.filter { it.process.isAlive }.map { it.listed.copy(leaving = it.listed.id == leaving) }
+        if (!relayed) return postVms("", current)
+        current.forEach { viewer ->
+            val seen = current.map { it.copy(peerAddress = peerAddress(viewer.id, it)) }
+            postVms("?viewer=${viewer.id}", seen)
+        }
+    }
+
+    suspend fun setFaults(faults: Faults) {
+        val lag = if (faults.lagMillis == 0L) spec.lag.inWholeMilliseconds else faults.lagMillis
+        val json = Json.encodeToString(Faults.serializer(), faults.copy(lagMillis = lag))
+        control(platform, "/standin/faults", json)
+    }
+
+    suspend fun control(
+        address: String,
+        target: String,
+        json: String,
+    ) {
+        val result = http.send(address, "POST", target, body = json)
+        if (result.status != STATUS_OK) throw ScenarioFailure("$target of a stand-in: $result")
+    }
+
+    suspend fun records(address: String): RequestRecords =
+        standInJson.decodeFromString(RequestRecords.serializer(), read(address, "/standin/records"))
+
+    suspend fun read(
+        address: String,
+        target: String,
+    ): String = http.send(address, "GET", target).body
+
+    /** The records of all stand-ins by name. */
+    suspend fun allRecords(): Map<String, RequestRecords> =
+        (servers.mapValues { it.value.address } + (PLATFORM to platform)).mapValues { records(it.value) }
+
+    /** Sets the network between two processes in both directions; null for [state] takes it back to the start. */
+    fun setLink(
+        from: String,
+        to: String,
+        state: LinkState?,
+    ) {
+        val touched = relays.filterKeys { it.joins(from, to) }
+        if (touched.isEmpty()) throw ScenarioFailure("there is no link between $from and $to")
+        touched.forEach { (link, relay) -> relay.state = state ?: initialState(link) }
+    }
+
+    override fun close() {
+        started.forEach { it.resumeAndEnd() }
+        relays.values.forEach { it.close() }
+        group.shutdownGracefully()
+    }
+
+    private fun FleetProcess.resumeAndEnd() {
+        if (isAlive) end()
+    }
+
+    private suspend fun startStandIns() =
+        coroutineScope {
+            val platformPort = async { launchStandIn(PLATFORM, listOf("platform")).awaitPort() }
+            val servers =
+                (1..spec.engines).map { async { startServer("engine-$it", domain(it), engineArguments()) } } +
+                    async { startServer(SERVICE, domain(1), listOf("service")) }
+            platform = "127.0.0.1:${platformPort.await()}"
+            servers.awaitAll().forEach { this@Fleet.servers[it.name] = it }
+        }
+
+    private suspend fun startServer(
+        name: String,
+        domain: FailureDomainId,
+        arguments: List<String>,
+    ): FleetServer {
+        val process = launchStandIn(name, arguments)
+        val address = "127.0.0.1:${process.awaitPort()}"
+        return FleetServer(name, domain, address, relay(Link(ANYONE, name), address), process)
+    }
+
+    private fun engineArguments(): List<String> {
+        val sizes = listOf("--cold-slots", "${spec.coldSlots}", "--max-running", "${spec.warmSlots}")
+        val speed = listOf("--step-micros", "5000", "--request-micros", "200", "--prefill-millis", "10")
+        return listOf("engine") + sizes + speed + if (spec.cold) listOf("--cold") else emptyList()
+    }
+
+    private fun launchStandIn(
+        name: String,
+        arguments: List<String>,
+    ): FleetProcess = launch(name, listOf("-cp", files.standIns, "org.agatestream.standin.MainKt") + arguments)
+
+    private fun launch(
+        vm: ListedVm,
+        others: List<ListedVm>,
+    ) {
+        val seeds = others.filter { it.id != vm.id }.map { peerAddress(vm.id, it) }
+        val config =
+            VmConfig(
+                vm = vm.id,
+                failureDomain = vm.failureDomain,
+                callerAddress = vm.callerAddress,
+                peerAddress = vm.peerAddress,
+                platformAddress = relay(Link(vm.id.value, PLATFORM), platform),
+                seedPeers = seeds,
+                entryTtlSeconds = spec.entryTtl,
+            )
+        val file = File(files.directory, "${vm.id}.json")
+        file.writeText(Json.encodeToString(VmConfig.serializer(), config))
+        val process = launch(vm.id.value, listOf("-jar", files.binary.path, "serve", "--config", file.path))
+        vms[vm.id] = FleetVm(vm, process)
+    }
+
+    private fun launch(
+        name: String,
+        arguments: List<String>,
+    ): FleetProcess {
+        val process = FleetProcess.java(name, arguments, secret, files.directory)
+        synchronized(started) { started += process }
+        return process
+    }
+
+    private suspend fun awaitReady(vm: FleetVm) {
+        withTimeoutOrNull(START_TIMEOUT) {
+            while (http.send(vm.listed.callerAddress, "GET", "/health/ready").status != STATUS_OK) {
+                if (!vm.process.isAlive) throw ScenarioFailure("${vm.listed.id} ended; see ${vm.process.log}")
+                delay(POLL)
+            }
+        } ?: throw ScenarioFailure("${vm.listed.id} is not ready; see ${vm.process.log}")
+    }
+
+    private suspend fun postVms(
+        query: String,
+        listed: List<ListedVm>,
+    ) {
+        control(platform, "/standin/vms$query", Json.encodeToString(ListSerializer(ListedVm.serializer()), listed))
+    }
+
+    private fun peerAddress(
+        viewer: VmId,
+        vm: ListedVm,
+    ): String = if (viewer == vm.id) vm.peerAddress else relay(Link(viewer.value, vm.id.value), vm.peerAddress)
+
+    /** Returns the address through which the link's first end reaches the other. */
+    private fun relay(
+        link: Link,
+        address: String,
+    ): String {
+        if (!relayed) return address
+        val relay =
+            relays.computeIfAbsent(link) {
+                Relay(group, parseAddress(address)).also { it.state = initialState(link) }
+            }
+        return relay.address
+    }
+
+    private fun initialState(link: Link): LinkState {
+        val ends = listOf(link.from, link.to).mapNotNull { domainOf[it] }
+        return if (ends.distinct().size == 2) LinkState(delay = spec.delay) else LinkState()
+    }
+
+    private fun domain(number: Int) = FailureDomainId("d${(number - 1) % spec.domains + 1}")
+
+    private fun listed(
+        id: VmId,
+        domain: FailureDomainId,
+    ): ListedVm {
+        domainOf[id.value] = domain
+        return ListedVm(id, domain, freeAddress(), freeAddress())
+    }
+
+    private fun freeAddress(): String =
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { "127.0.0.1:${it.localPort}" }
+
+    /** A direction of the network. */
+    private data class Link(
+        val from: String,
+        val to: String,
+    ) {
+        fun joins(
+            one: String,
+            other: String,
+        ): Boolean {
+            val ends = setOf(from, to)
+            return one in ends && (other == ALL || other in ends)
+        }
+    }
+
+    companion object {
+        const val PLATFORM = "platform"
+        const val SERVICE = "service-1"
+        const val ANYONE = "vms"
+        const val ALL = "all"
+        const val OPERATOR_KEY = "ago_scenario-operator-0123456789abcdef"
+        private const val SECRET_VARIABLE = "AGATESTREAM_FLEET_SECRET"
+        private const val BOOTSTRAP_VARIABLE = "AGATESTREAM_BOOTSTRAP_OPERATOR_KEY"
+        private val START_TIMEOUT = 30.seconds
+        private val POLL = 50.milliseconds
+    }
+}
--- a/standins/src/main/kotlin/org/agatestream/standin/Main.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/Main.kt
@@ -8,13 +8,16 @@
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
+import kotlinx.coroutines.runBlocking
+import java.io.File
+import kotlin.system.exitProcess
 import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Runs the stand-in that the first argument names. */
 public fun main(args: Array<String>) {
     val parser = ArgParser("agatestream-standins")
-    parser.subcommands(PlatformCommand(), EngineCommand(), ServiceCommand())
+    parser.subcommands(PlatformCommand(), EngineCommand(), ServiceCommand(), RunCommand(), QuickstartCommand())
     parser.parse(args.ifEmpty { arrayOf("--help") })
 }
 
@@ -85,3 +88,70 @@
         ready(ServiceStandIn().listen(port))
     }
 }
+
+/** A subcommand that runs a scenario and exits 0 if it passed, 1 if it failed, 2 if the file is faulty. */
+private abstract class ScenarioCommand(
+    name: String,
+    description: String,
+) : Subcommand(name, description) {
+    private val binary by
+        option(ArgType.String, description = "jar of the system").default("cli/target/agatestream")
+    private val directory by
+        option(ArgType.String, description = "directory for logs").default("standins/target/scenarios")
+
+    protected fun run(
+        name: String,
+        text: String,
+    ): Nothing {
+        val status =
+            when (val parsed = parseScenario(name, text)) {
+                is ParsedScenario.Invalid -> {
+                    parsed.faults.forEach { System.err.println(it) }
+                    STATUS_FAULTY
+                }
+
+                is ParsedScenario.Valid -> {
+                    run(parsed.scenario)
+                }
+            }
+        exitProcess(status)
+    }
+
+    private fun run(scenario: Scenario): Int {
+        val classPath = System.getProperty("java.class.path")
+        val logs = File(directory, scenario.name.removeSuffix(SCENARIO_SUFFIX))
+        val runner = ScenarioRunner(FleetFiles(File(binary), classPath, logs), ::println)
+        return when (val outcome = runBlocking { runner.run(scenario) }) {
+            is ScenarioOutcome.Passed -> {
+                println("passed")
+                0
+            }
+
+            is ScenarioOutcome.Failed -> {
+                println("failed: ${outcome.message}")
+                STATUS_FAILED
+            }
+        }
+    }
+
+    private companion object {
+        const val STATUS_FAILED = 1
+        const val STATUS_FAULTY = 2
+    }
+}
+
+private class RunCommand : ScenarioCommand("run", "Run a scenario file") {
+    private val file by argument(ArgType.String, description = "scenario file")
+
+    override fun execute() = run(File(file).name, File(file).readText())
+}
+
+private class QuickstartCommand : ScenarioCommand("quickstart", "Run the quickstart") {
+    override fun execute() {
+        val text = javaClass.getResource("/quickstart.scenario")?.readText() ?: error("the quickstart is missing")
+        run("quickstart.scenario", text)
+    }
+}
+
+/** The ending of the names of scenario files. */
+internal const val SCENARIO_SUFFIX = ".scenario"
--- /dev/null
+++ b/standins/src/main/kotlin/org/agatestream/standin/ScenarioCalls.kt
@@ -0,0 +1,283 @@
+package org.agatestream.standin
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import org.agatestream.core.MonotonicTime
+import org.agatestream.core.VmId
+import java.util.UUID
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A call that a scenario made. */
+internal data class MadeCall(
+    val spec: CallSpec,
+    val result: CallResult,
+)
+
+/** A batch job of a scenario. */
+internal data class MadeJob(
+    val id: String,
+    val key: String,
+    val items: WheelItems,
+)
+
+/** Makes the calls of a scenario and keeps keys, jobs and results by name. */
+internal class ScenarioCalls(
+    private val fleet: Fleet,
+    private val scope: CoroutineScope,
+) {
+    private val http = ScenarioCaller()
+    private val turn = AtomicInteger()
+    private val results = ConcurrentHashMap<String, Deferred<MadeCall>>()
+    private val races = ConcurrentHashMap<String, List<CallResult>>()
+    private val loads = ConcurrentHashMap<String, Deferred<LoadRun>>()
+    private val jobs = ConcurrentHashMap<String, MadeJob>()
+    private val newestRevision = AtomicLong()
+    private val keyPaths = ConcurrentHashMap<String, String>()
+    private val keys = ConcurrentHashMap(mapOf(OPERATOR to Fleet.OPERATOR_KEY))
+
+    /** Every key that has been in use. */
+    val allKeys: Collection<String> get() = keys.values
+
+    /** The newest revision that an accepted change made. */
+    val revision: Long get() = newestRevision.get()
+
+    suspend fun result(name: String): MadeCall =
+        results[name]?.await() ?: throw ScenarioFailure("there is no result $name")
+
+    fun race(name: String): List<CallResult> = races[name] ?: throw ScenarioFailure("there is no race $name")
+
+    suspend fun load(name: String): LoadRun = loads[name]?.await() ?: throw ScenarioFailure("there is no load $name")
+
+    fun job(name: String): MadeJob = jobs[name] ?: throw ScenarioFailure("there is no job $name")
+
+    /** Makes a call and returns what to print of it. */
+    suspend fun call(action: Action.Call): String {
+        val options = action.options
+        val made = scope.async { MadeCall(action.spec, send(action.spec, options.key, options.via)) }
+        results[options.result] = made
+        if (options.background) return "started"
+        val result = made.await().result
+        if (options.key == OPERATOR) noteRevision(result)
+        return if (options.show) "$result\n${result.body.trim()}" else "$result"
+    }
+
+    suspend fun createKey(action: Action.CreateKey): String {
+        val team = teamOf(action.workspace)
+        val path = "/teams/$team/keys/${action.name}"
+        val body = """{"path":"$path","workspace":"${action.workspace}"}"""
+        val result = sendAccepted(CallSpec.Plain("POST", "/admin/v1/keys", body))
+        keyPaths[action.name] = path
+        keys[action.name] = field(result, "key")?.content ?: throw ScenarioFailure("no key in the answer: $result")
+        return "$result"
+    }
+
+    suspend fun withdrawKey(action: Action.WithdrawKey): String {
+        val path = keyPaths[action.name] ?: throw ScenarioFailure("there is no key ${action.name}")
+        return "${sendAccepted(CallSpec.Plain("DELETE", SETTINGS + path, ""))}"
+    }
+
+    /** Puts a setting through any VM until one accepts it. */
+    suspend fun put(
+        path: String,
+        json: String,
+    ): CallResult = sendAccepted(CallSpec.Plain("PUT", SETTINGS + path, json))
+
+    suspend fun race(action: Action.Race): String {
+        val body = CallSpec.Plain("PUT", SETTINGS + action.path, action.body)
+        val expected = mapOf("x-expected-revision" to currentRevision(action.path))
+        val all = coroutineScope { action.vms.map { vm -> async { sendTo(vm, body, OPERATOR, expected) } }.awaitAll() }
+        all.forEach(::noteRevision)
+        races[action.result] = all
+        return all.joinToString("; ")
+    }
+
+    suspend fun submit(action: Action.Submit): String {
+        val key = action.options.key ?: throw ScenarioFailure("a job needs a key")
+        val items = WheelItems(action.items, action.impossible)
+        val target = "/v1/batches?target=/services/spokes/length"
+        val headers = mapOf("idempotency-key" to action.job, "content-type" to "application/jsonl")
+        val spec = CallSpec.Plain("POST", target, items.toInput())
+        val made = scope.async { MadeCall(spec, send(spec, key, action.options.via, headers)) }
+        results[action.options.result] = made
+        val result = made.await().result
+        val id = WheelJobStatus.parse(result.body)?.id
+        if (id != null) jobs[action.job] = MadeJob(id, key, items)
+        return "$result"
+    }
+
+    /** Calls [target] below the address of a job. */
+    suspend fun callJob(
+        name: String,
+        method: String,
+        target: String,
+    ): CallResult {
+        val job = job(name)
+        return send(CallSpec.Plain(method, "/v1/batches/${job.id}$target", ""), job.key, null)
+    }
+
+    fun startLoad(action: Action.Load): String {
+        loads[action.name] = scope.async { runLoad(action) }
+        return "started"
+    }
+
+    /** Makes a call through [via], or through any VM, going on to the next while it has not run. */
+    suspend fun send(
+        spec: CallSpec,
+        key: String?,
+        via: VmId?,
+        headers: Map<String, String> = emptyMap(),
+    ): CallResult {
+        if (via != null) return sendTo(via, spec, key, headers)
+        return sendAny(fleet.callableVms.map { it.listed.id }, spec, key, headers)
+    }
+
+    suspend fun sendTo(
+        vm: VmId,
+        spec: CallSpec,
+        key: String?,
+        headers: Map<String, String> = emptyMap(),
+    ): CallResult {
+        val authorization = key?.let { mapOf("authorization" to "Bearer ${keys[it] ?: it}") }.orEmpty()
+        val all = authorization + headers
+        val address = fleet.vm(vm).listed.callerAddress
+        return when (spec) {
+            is CallSpec.Complete -> {
+                http.send(address, "POST", "/v1/completions", all, completionBody(spec), spec.leaveAfter)
+            }
+
+            is CallSpec.Book -> {
+                val booking = all + ("idempotency-key" to spec.id)
+                http.send(address, "POST", "/services/spokes/bookings", booking, """{"slot":"${spec.id}"}""")
+            }
+
+            is CallSpec.Plain -> {
+                http.send(address, spec.method, withJobIds(spec.target), all, spec.body)
+            }
+        }
+    }
+
+    private suspend fun sendAny(
+        vms: List<VmId>,
+        spec: CallSpec,
+        key: String?,
+        headers: Map<String, String>,
+    ): CallResult {
+        val first = turn.getAndIncrement()
+        var last: CallResult? = null
+        for (index in vms.indices) {
+            val result = sendTo(vms[(first + index) % vms.size], spec, key, headers)
+            last = result
+            if (!result.isUnrun || result.code in FINAL_CODES) return result
+        }
+        return last ?: throw ScenarioFailure("no VM can be called")
+    }
+
+    private suspend fun sendAccepted(spec: CallSpec): CallResult {
+        val change = mapOf("x-change-id" to UUID.randomUUID().toString())
+        val start = MonotonicTime.now()
+        while (true) {
+            val result = send(spec, OPERATOR, null, change)
+            noteRevision(result)
+            if (result.status in STATUS_OK..STATUS_CREATED) return result
+            if (MonotonicTime.now() - start >
+                ACCEPT_TIMEOUT
+            ) {
+                throw ScenarioFailure("${spec.label()}: $result ${result.body}")
+            }
+            delay(ACCEPT_PAUSE)
+        }
+    }
+
+    private suspend fun runLoad(action: Action.Load): LoadRun =
+        coroutineScope {
+            val start = MonotonicTime.now()
+            val count = (action.ratePerSecond * action.span.inWholeMilliseconds / 1000).toInt()
+            val calls =
+                (0 until count).map { index ->
+                    val due = (index * 1000 / action.ratePerSecond).toLong().milliseconds
+                    delay(due - (MonotonicTime.now() - start))
+                    async { loadCall(action, index) }
+                }
+            LoadRun(calls.awaitAll())
+        }
+
+    private suspend fun loadCall(
+        action: Action.Load,
+        index: Int,
+    ): Pair<CallSpec.Complete, CallResult> {
+        val prompt = "${action.name} ${index % action.prompts}"
+        val spec = CallSpec.Complete(prompt, action.tokens, stream = index % 2 == 0)
+        val vms = action.vms.ifEmpty { fleet.callableVms.map { it.listed.id } }
+        val result =
+            if (action.retry) {
+                sendAny(
+                    vms,
+                    spec,
+                    action.key,
+                    emptyMap(),
+                )
+            } else {
+                sendTo(vms[index % vms.size], spec, action.key)
+            }
+        return spec to result
+    }
+
+    private suspend fun currentRevision(path: String): String {
+        val result = send(CallSpec.Plain("GET", SETTINGS + path, ""), OPERATOR, null)
+        return field(result, "revision")?.content ?: "0"
+    }
+
+    private fun noteRevision(result: CallResult) {
+        val made = field(result, "revision")?.takeIf { !it.isString }?.long ?: return
+        if (result.status == STATUS_OK) newestRevision.accumulateAndGet(made, ::maxOf)
+    }
+
+    private fun field(
+        result: CallResult,
+        name: String,
+    ): JsonPrimitive? {
+        val json = runCatching { Json.parseToJsonElement(result.body).jsonObject }.getOrNull() ?: return null
+        return json[name]?.let { runCatching { it.jsonPrimitive }.getOrNull() }
+    }
+
+    /** Replaces `$name` by the id of the job of that name. */
+    private fun withJobIds(target: String): String = JOB_REFERENCE.replace(target) { job(it.groupValues[1]).id }
+
+    private fun teamOf(workspace: String): String = if (workspace == "assembler") "wheels" else "care"
+
+    private fun CallSpec.label(): String = if (this is CallSpec.Plain) "$method $target" else javaClass.simpleName
+
+    private fun completionBody(spec: CallSpec.Complete): String =
+        JsonObject(
+            mapOf(
+                "model" to JsonPrimitive(MODEL),
+                "prompt" to JsonPrimitive(spec.prompt),
+                "max_tokens" to JsonPrimitive(spec.tokens),
+                "stream" to JsonPrimitive(spec.stream),
+            ),
+        ).toString()
+
+    companion object {
+        const val MODEL = "m"
+        private val JOB_REFERENCE = Regex("\\$([a-z][a-z0-9-]*)")
+        private val ACCEPT_TIMEOUT = 20.seconds
+        private val ACCEPT_PAUSE = 100.milliseconds
+
+        /** Refusals that every VM gives alike. */
+        private val FINAL_CODES = setOf("rate_exceeded", "unknown_key", "forbidden", "revision_conflict")
+    }
+}
--- /dev/null
+++ b/standins/src/test/kotlin/org/agatestream/standin/RelayTest.kt
@@ -0,0 +1,53 @@
+package org.agatestream.standin
+
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeGreaterThanOrEqualTo
+import io.kotest.matchers.shouldBe
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import org.agatestream.http.parseAddress
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.net.SocketTimeoutException
+import kotlin.concurrent.thread
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.measureTimedValue
+
+class RelayTest :
+    FunSpec({
+        val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+        val echo = ServerSocket(0, 1, InetAddress.getLoopbackAddress())
+        val relay = Relay(group, parseAddress("127.0.0.1:${echo.localPort}"))
+        thread(isDaemon = true) {
+            val peer = echo.accept()
+            peer.getInputStream().copyTo(peer.getOutputStream())
+        }
+        val address = parseAddress(relay.address)
+        val socket = Socket(address.address, address.port).apply { soTimeout = 300 }
+        afterSpec {
+            listOf(socket, echo, relay).forEach { it.close() }
+            group.shutdownGracefully()
+        }
+
+        fun send(byte: Int) = socket.getOutputStream().write(byte)
+
+        fun receive(): Int = socket.getInputStream().read()
+
+        test("bytes pass, each way with the delay") {
+            relay.state = LinkState(delay = 20.milliseconds)
+            send(1)
+            val (byte, span) = measureTimedValue { receive() }
+            byte shouldBe 1
+            span shouldBeGreaterThanOrEqualTo 39.milliseconds
+        }
+
+        test("a cut holds bytes back and a mended link delivers them late") {
+            relay.state = LinkState(cut = true)
+            send(2)
+            shouldThrow<SocketTimeoutException> { receive() }
+            relay.state = LinkState()
+            receive() shouldBe 2
+        }
+    })
