--- a/standins/src/main/kotlin/org/agatestream/standin/Main.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/Main.kt
@@ -8,11 +8,16 @@
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
+import kotlinx.coroutines.runBlocking
+import java.io.File
+import kotlin.system.exitProcess
+import kotlin.time.Duration.Companion.microseconds
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Runs the stand-in that the first argument names. */
 public fun main(args: Array<String>) {
     val parser = ArgParser("agatestream-standins")
-    parser.subcommands(PlatformCommand())
+    parser.subcommands(PlatformCommand(), EngineCommand(), ServiceCommand(), RunCommand(), QuickstartCommand())
     parser.parse(args.ifEmpty { arrayOf("--help") })
 }
 
@@ -43,3 +48,110 @@
         ready(PlatformStandIn(rates).listen(port))
     }
 }
+
+private class EngineCommand : ListenCommand("engine", "Model engine with continuous batching") {
+    private val cold by option(ArgType.Boolean, description = "start cold").default(false)
+    private val checksFencing by
+        option(ArgType.Boolean, "checks-fencing", description = "refuse orders with an old number").default(false)
+    private val stepMicros by
+        option(ArgType.Int, "step-micros", description = "duration of an empty step").default(10_000)
+    private val requestMicros by
+        option(ArgType.Int, "request-micros", description = "what a running request adds to a step").default(1_000)
+    private val prefillMillis by
+        option(ArgType.Int, "prefill-millis", description = "time to read an uncached prompt").default(40)
+    private val maxRunning by option(ArgType.Int, "max-running", description = "size of the batch").default(32)
+    private val coldSlots by option(ArgType.Int, "cold-slots", description = "requests borne when cold").default(2)
+    private val cachedPrefixes by
+        option(ArgType.Int, "cached-prefixes", description = "size of the prefix cache").default(64)
+    private val loadLagMillis by
+        option(ArgType.Int, "load-lag-millis", description = "age of the reported load").default(500)
+    private val reloadMillis by
+        option(ArgType.Int, "reload-millis", description = "refusals after falling over").default(2_000)
+
+    override fun execute() {
+        val limits =
+            EngineLimits(
+                stepBase = stepMicros.microseconds,
+                stepPerRequest = requestMicros.microseconds,
+                prefill = prefillMillis.milliseconds,
+                maxRunning = maxRunning,
+                coldSlots = coldSlots,
+                cachedPrefixes = cachedPrefixes,
+            )
+        val lag = loadLagMillis.milliseconds
+        ready(EngineStandIn(EngineOptions(limits, cold, checksFencing, lag, reloadMillis.milliseconds)).listen(port))
+    }
+}
+
+private class ServiceCommand : ListenCommand("service", "Spoke lengths and bookings") {
+    override fun execute() {
+        ready(ServiceStandIn().listen(port))
+    }
+}
+
+/** A subcommand that runs a scenario and exits 0 if it passed, 1 if it failed, 2 if the file is faulty. */
+private abstract class ScenarioCommand(
+    name: String,
+    description: String,
+) : Subcommand(name, description) {
+    private val binary by
+        option(ArgType.String, description = "jar of the system").default("cli/target/agatestream")
+    private val directory by
+        option(ArgType.String, description = "directory for logs").default("standins/target/scenarios")
+
+    protected fun run(
+        name: String,
+        text: String,
+    ): Nothing {
+        val status =
+            when (val parsed = parseScenario(name, text)) {
+                is ParsedScenario.Invalid -> {
+                    parsed.faults.forEach { System.err.println(it) }
+                    STATUS_FAULTY
+                }
+
+                is ParsedScenario.Valid -> {
+                    run(parsed.scenario)
+                }
+            }
+        exitProcess(status)
+    }
+
+    private fun run(scenario: Scenario): Int {
+        val classPath = System.getProperty("java.class.path")
+        val logs = File(directory, scenario.name.removeSuffix(SCENARIO_SUFFIX))
+        val runner = ScenarioRunner(FleetFiles(File(binary), classPath, logs), ::println)
+        return when (val outcome = runBlocking { runner.run(scenario) }) {
+            is ScenarioOutcome.Passed -> {
+                println("passed")
+                0
+            }
+
+            is ScenarioOutcome.Failed -> {
+                println("failed: ${outcome.message}")
+                STATUS_FAILED
+            }
+        }
+    }
+
+    private companion object {
+        const val STATUS_FAILED = 1
+        const val STATUS_FAULTY = 2
+    }
+}
+
+private class RunCommand : ScenarioCommand("run", "Run a scenario file") {
+    private val file by argument(ArgType.String, description = "scenario file")
+
+    override fun execute() = run(File(file).name, File(file).readText())
+}
+
+private class QuickstartCommand : ScenarioCommand("quickstart", "Run the quickstart") {
+    override fun execute() {
+        val text = javaClass.getResource("/quickstart.scenario")?.readText() ?: error("the quickstart is missing")
+        run("quickstart.scenario", text)
+    }
+}
+
+/** The ending of the names of scenario files. */
+internal const val SCENARIO_SUFFIX = ".scenario"
