Join the areas into one entry VM with an administration API

Cause: a caller needs the whole path in one process. EntryVm wires coordination, owned limits, requests, batch and administration. Ruled out: a second copy of the nesting check for JSON; the batch one serves.

--- a/cli/src/main/kotlin/org/agatestream/cli/ServeCommand.kt
+++ b/cli/src/main/kotlin/org/agatestream/cli/ServeCommand.kt
@@ -4,9 +4,14 @@
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
 import kotlinx.cli.required
+import kotlinx.coroutines.CompletableDeferred
 import org.agatestream.core.ParsedSettings
 import org.agatestream.core.parseSettings
+import org.agatestream.server.EntryVm
+import org.agatestream.server.FleetSecrets
 import org.agatestream.server.VmConfig
+import java.util.concurrent.CountDownLatch
+import kotlin.concurrent.thread
 
 /** Runs an entry VM until it is told to stop. */
 @OptIn(ExperimentalCli::class)
@@ -19,7 +24,7 @@
         selected.action = { serve() }
     }
 
-    private fun serve(): ExitStatus {
+    private suspend fun serve(): ExitStatus {
         val text = readInput(config).decodeToString()
         return when (val parsed = parseSettings(VmConfig.serializer(), config, text)) {
             is ParsedSettings.Invalid -> {
@@ -28,8 +33,37 @@
             }
 
             is ParsedSettings.Valid -> {
-                ExitStatus.DONE
+                run(parsed.value)
             }
         }
     }
+
+    private suspend fun run(config: VmConfig): ExitStatus {
+        val secret = System.getenv(config.fleetSecretVariable)
+        if (secret.isNullOrEmpty()) {
+            System.err.println("the environment variable ${config.fleetSecretVariable} must hold the fleet's secret")
+            return ExitStatus.BAD_USE
+        }
+        val secrets = FleetSecrets(secret.encodeToByteArray(), System.getenv(BOOTSTRAP_VARIABLE))
+        val vm = EntryVm(config, secrets)
+        val signalled = CompletableDeferred<Unit>()
+        val stopped = CountDownLatch(1)
+        // The process ends when this hook returns, so the hook waits for the shutdown.
+        val hook =
+            thread(start = false) {
+                signalled.complete(Unit)
+                stopped.await()
+                Runtime.getRuntime().halt(ExitStatus.DONE.code)
+            }
+        Runtime.getRuntime().addShutdownHook(hook)
+        vm.start()
+        signalled.await()
+        vm.stop()
+        stopped.countDown()
+        return ExitStatus.DONE
+    }
+
+    private companion object {
+        const val BOOTSTRAP_VARIABLE = "AGATESTREAM_BOOTSTRAP_OPERATOR_KEY"
+    }
 }
--- a/server/src/main/kotlin/org/agatestream/server/CoordinationService.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinationService.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import org.agatestream.core.ConfigLogEntry
+import org.agatestream.core.ConfigState
 import org.agatestream.core.ConfigWrite
 import org.agatestream.core.CoordinationState
 import org.agatestream.core.ErrorKind
@@ -19,6 +20,7 @@
 import org.agatestream.core.Outcome
 import org.agatestream.core.OwnerStanding
 import org.agatestream.core.Plan
+import org.agatestream.core.PlanStanding
 import org.agatestream.core.ReadResult
 import org.agatestream.core.Revision
 import org.agatestream.core.ShareKey
@@ -50,7 +52,7 @@
     private val vmList: VmList,
     parse: (Map<String, String>, Revision) -> Outcome<FleetView>,
     private val seedPeers: List<String> = emptyList(),
-    policy: FreshnessPolicy = FreshnessPolicy(),
+    public val policy: FreshnessPolicy = FreshnessPolicy(),
     private val random: Random = Random.Default,
     private val clock: () -> MonotonicTime = MonotonicTime::now,
 ) : Coordination,
@@ -72,6 +74,12 @@
 
     override val vms: List<ListedVm> get() = store.state.membership.listed
 
+    /** The replicated settings, by path with their revisions. */
+    public val config: ConfigState get() = store.state.config
+
+    /** What this VM knows of the plan and of the owners before it. */
+    public val planStanding: PlanStanding get() = store.state.standing
+
     /** How far this VM has come. */
     public val head: FleetHead get() = store.state.head
 
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
@@ -0,0 +1,182 @@
+package org.agatestream.server
+
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import org.agatestream.core.ErrorKind
+import org.agatestream.core.FleetView
+import org.agatestream.core.Invariants
+import org.agatestream.core.KeyHasher
+import org.agatestream.core.MonotonicTime
+import org.agatestream.core.Outcome
+import org.agatestream.core.ParsedSettings
+import org.agatestream.core.Revision
+import org.agatestream.core.authenticate
+import org.agatestream.core.loadBackendChart
+import org.agatestream.core.map
+import org.agatestream.core.parseFleet
+import org.agatestream.core.toFailed
+import org.agatestream.core.toOk
+import org.agatestream.http.EventLoops
+import org.agatestream.http.HttpCall
+import org.agatestream.http.HttpClient
+import org.agatestream.http.HttpLimits
+import org.agatestream.http.HttpServer
+import org.agatestream.http.parseAddress
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+
+/** One entry VM: joins the areas of the server and runs them until shutdown. */
+public class EntryVm(
+    private val config: VmConfig,
+    private val secrets: FleetSecrets,
+) {
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val loops = EventLoops()
+    private val client = HttpClient(loops)
+    private val platform = HttpPlatform(client, config.platformAddress, config.vm)
+    private val network = KtorPeerNetwork(config.vm, secrets.fleetSecret, registry)
+    private val coordination = CoordinationService(network, platform, platform, ::parseView, config.seedPeers)
+    private val hasher = KeyHasher(secrets.fleetSecret)
+    private val levels = ServiceLevels(registry)
+    private val shutdown = GracefulShutdown(config.entryTtlSeconds.seconds, config.shutdownGraceSeconds.seconds)
+    private val leaving = LeavingVms(coordination)
+    private val limits = OwnedLimits(config, coordination, network, scope, registry, client)
+    private val batch = BatchArea(config, coordination, platform, limits, client, scope)
+    private val server =
+        HttpServer.start(
+            loops,
+            parseAddress(config.callerAddress),
+            HttpLimits(),
+            scope,
+            router()::handle,
+        )
+
+    /** The port on which callers are served. */
+    public val callerPort: Int
+        get() = server.port
+
+    /** Joins the fleet and serves until [stop] is called. */
+    public suspend fun start() {
+        reportInvariants()
+        val address = parseAddress(config.peerAddress)
+        network.addHandler { _, ask -> if (ask is LeavingNotice) leaving.take(ask) else null }
+        network.listen(address.hostString, address.port)
+        coordination.start()
+        limits.start(scope)
+        batch.worker.start(scope)
+        shutdown.onDrain { leaving.announce(network) }
+        shutdown.onDrain { batch.worker.drain() }
+        EventLog.info("serving", "vm" to config.vm, "domain" to config.failureDomain, "port" to callerPort)
+    }
+
+    /** Drains this VM and stops it without cutting a request. */
+    public suspend fun stop() {
+        shutdown.run { server.runningCalls }
+        server.stopAccepting()
+        coordination.close()
+        network.close()
+        scope.cancel()
+        loops.close()
+    }
+
+    private fun router(): Router {
+        val store = CoordinationSettingsStore(coordination)
+        val operators = OperatorAuthentication(coordination, hasher, secrets.bootstrapOperatorKey)
+        val online =
+            OnlineRoutes(
+                coordination,
+                limits.workspaces,
+                limits.slots,
+                client,
+                hasher,
+                leaving,
+                config.entryTtlSeconds,
+                scope,
+            )
+        return Router(
+            listOf(
+                HealthRoutes(registry, ::isReady),
+                online,
+                batch.routes { call -> authenticate(call) },
+                AdminRoutes(store, hasher, operators::authenticate, levels::report),
+            ),
+            shutdown,
+        )
+    }
+
+    private fun authenticate(call: HttpCall) =
+        coordination.fleet.authenticate(call.header("authorization"), hasher).map { it.key }
+
+    private fun isReady(): Boolean = !shutdown.refusesRequests() && coordination.isCurrent(MonotonicTime.now())
+
+    private fun reportInvariants() {
+        Invariants.onViolation = { name, message ->
+            registry.counter("agatestream.invariant.violations", "name", name).increment()
+            EventLog.warn("invariant_violated", "name" to name, "detail" to message)
+        }
+    }
+
+    private fun parseView(
+        settings: Map<String, String>,
+        revision: Revision,
+    ): Outcome<FleetView> =
+        when (val parsed = parseFleet(settings, revision)) {
+            is ParsedSettings.Valid -> parsed.value.toOk()
+            is ParsedSettings.Invalid -> ErrorKind.INVALID_SETTING.toFailed(parsed.faults.joinToString("; "))
+        }
+}
+
+/** The owned limits of one VM and the loops that keep them. */
+internal class OwnedLimits(
+    config: VmConfig,
+    private val coordination: CoordinationService,
+    private val network: KtorPeerNetwork,
+    scope: CoroutineScope,
+    registry: PrometheusMeterRegistry,
+    client: HttpClient,
+) {
+    private val rights =
+        PlannedShareRights(config.vm, coordination::planStanding, coordination::isCurrent, coordination.policy)
+    private val context = LimitContext(config.vm, rights, coordination::fleet, network, scope, registry)
+    private val owner = LimitOwner(context, loadBackendChart())
+    val workspaces = OwnedWorkspaceLimits(context)
+    val slots = OwnedBackendSlots(context, config.failureDomain, Random.Default)
+    private val poller = BackendLoadPoller(client, slots)
+
+    /** Answers asks of other VMs and starts the loops. */
+    fun start(scope: CoroutineScope) {
+        owner.onGiveWay = slots::giveWay
+        coordination.onChange { rights.onPlan(it.plan, MonotonicTime.now()) }
+        network.addHandler { from, ask -> if (ask is LimitAsk) owner.handle(from, ask) else null }
+        scope.launch { slots.renewForever() }
+        scope.launch { poller.pollForever() }
+    }
+}
+
+/** The batch jobs of one VM. */
+internal class BatchArea(
+    config: VmConfig,
+    private val coordination: Coordination,
+    private val platform: HttpPlatform,
+    limits: OwnedLimits,
+    client: HttpClient,
+    scope: CoroutineScope,
+) {
+    private val runner = BackendItemRunner(coordination, limits.slots, client, scope)
+    val worker = BatchWorker(BatchPorts(config.vm, platform, platform, runner, coordination))
+
+    fun routes(authenticate: (HttpCall) -> Outcome<org.agatestream.core.CallerKey>): BatchRoutes =
+        BatchRoutes(
+            coordination,
+            authenticate,
+            BatchAcceptor(platform, platform, coordination),
+            BatchJobs(platform),
+            BatchResults(platform, platform),
+        )
+}
