--- a/core/src/main/kotlin/org/agatestream/core/JsonShape.kt
+++ b/core/src/main/kotlin/org/agatestream/core/JsonShape.kt
@@ -1,6 +1,7 @@
 package org.agatestream.core
 
 import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.descriptors.PolymorphicKind
 import kotlinx.serialization.descriptors.PrimitiveKind
 import kotlinx.serialization.descriptors.SerialDescriptor
 import kotlinx.serialization.descriptors.SerialKind
@@ -41,6 +42,8 @@
             descriptor.isInline -> visit(descriptor.getElementDescriptor(0), element, field)
             descriptor.kind == StructureKind.CLASS -> visitObject(descriptor, element, field)
             descriptor.kind == StructureKind.LIST -> visitList(descriptor, element, field)
+            descriptor.kind == StructureKind.MAP -> visitMap(descriptor, element, field)
+            descriptor.kind is PolymorphicKind -> Unit
             descriptor.kind == SerialKind.ENUM -> visitEnum(descriptor, element, field)
             else -> visitPrimitive(descriptor, element, field)
         }
@@ -74,6 +77,16 @@
         element.forEachIndexed { index, value -> visit(item, value, "$field[$index]") }
     }
 
+    private fun visitMap(
+        descriptor: SerialDescriptor,
+        element: JsonElement,
+        field: String,
+    ) {
+        if (element !is JsonObject) return add(field, kindOf(element), "an object")
+        val item = descriptor.getElementDescriptor(1)
+        element.forEach { (name, value) -> visit(item, value, join(field, name)) }
+    }
+
     private fun visitEnum(
         descriptor: SerialDescriptor,
         element: JsonElement,
@@ -116,7 +129,7 @@
             PrimitiveKind.DOUBLE -> "a number"
             PrimitiveKind.INT, PrimitiveKind.LONG -> "a whole number"
             StructureKind.LIST -> "a list"
-            StructureKind.CLASS -> "an object"
+            StructureKind.CLASS, StructureKind.MAP -> "an object"
             else -> descriptor.serialName
         }
 
