Revert the settings store in the coordination service

Cause: the settings of operators are served by an adapter of its own, which needs put, history and the head of each VM as the service had them.

--- a/server/src/main/kotlin/org/agatestream/server/CoordinationService.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinationService.kt
@@ -3,16 +3,11 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.async
-import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.sync.Semaphore
-import kotlinx.coroutines.sync.withPermit
 import org.agatestream.core.ConfigLogEntry
-import org.agatestream.core.ConfigState
 import org.agatestream.core.ConfigWrite
 import org.agatestream.core.CoordinationState
 import org.agatestream.core.ErrorKind
@@ -44,7 +39,6 @@
 
 private const val HEAD_READS_PER_SECOND = 100
 private const val LIST_READS_PER_SECOND = 50
-private const val MAX_STATUS_ASKS = 64
 private val MIN_READ_INTERVAL: Duration = 1.seconds
 private val URGENT_READ_INTERVAL: Duration = 500.milliseconds
 private val SEED_TIMEOUT: Duration = 2.seconds
@@ -59,9 +53,7 @@
     policy: FreshnessPolicy = FreshnessPolicy(),
     private val random: Random = Random.Default,
     private val clock: () -> MonotonicTime = MonotonicTime::now,
-    private val wallClock: () -> Instant = Instant::now,
 ) : Coordination,
-    SettingsStore,
     AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val store = FleetStore(CoordinationState.start(network.self, clock(), policy), parse)
@@ -124,26 +116,32 @@
     /** Returns the owner of [share] under this VM's plan, or null if the plan has no VM. */
     public fun ownerOf(share: ShareKey): VmId? = plan.cachedOwners(share).owner
 
-    override val settings: ConfigState get() = store.state.config
-
-    override suspend fun put(write: ConfigWrite): Outcome<Revision> = writer.put(write, wallClock())
-
-    override suspend fun history(limit: Int): Outcome<List<ConfigLogEntry>> {
-        val after = Revision(maxOf(0, settings.revision.number - limit))
-        return sync.history(after, limit)?.reversed()?.toOk()
+    /** Makes a change of the settings and returns its revision once it is in force; [at] is the time in history. */
+    public suspend fun put(
+        write: ConfigWrite,
+        at: Instant,
+    ): Outcome<Revision> = writer.put(write, at)
+
+    /** Reads up to [limit] accepted changes after [after], oldest first. */
+    public suspend fun history(
+        after: Revision,
+        limit: Int,
+    ): Outcome<List<ConfigLogEntry>> =
+        sync.history(after, limit)?.toOk()
             ?: ErrorKind.PLATFORM_UNAVAILABLE.toFailed("the table service did not answer")
-    }
 
-    override suspend fun inForce(): List<VmInForce> {
-        val permits = Semaphore(MAX_STATUS_ASKS)
-        val others = vms.map { it.id }.filter { it != network.self }
-        val asked =
-            others.map { vm ->
-                scope.async { permits.withPermit { VmInForce(vm, gossip.beat(vm)?.head?.revision) } }
-            }
-        return (asked.awaitAll() + VmInForce(network.self, head.revision)).sortedBy { it.vm.value }
+    /** Asks every listed VM how far it has come; a VM that doesn't answer has null. */
+    public suspend fun inForce(): Map<VmId, FleetHead?> {
+        val others = vms.filter { it.id != network.self }.associate { it.id to gossip.beat(it.id)?.head }
+        return others + (network.self to head)
     }
 
+    /** The settings in force on this VM as JSON text, by path. */
+    public val settings: Map<String, String> get() = store.state.config.values
+
+    /** Returns the revision at which the setting at [path] last changed, or [Revision.NONE] if it doesn't exist. */
+    public fun revisionOf(path: String): Revision = store.state.config.revisionOf(path)
+
     private fun onStoreChange() {
         val state = store.state
         shareOwners.keys.removeIf { it.first < state.plan.epoch.number }
--- a/server/src/test/kotlin/org/agatestream/server/CoordinationFleet.kt
+++ b/server/src/test/kotlin/org/agatestream/server/CoordinationFleet.kt
@@ -44,7 +44,7 @@
         expected: Map<String, Revision> = emptyMap(),
     ): Outcome<Revision> {
         val write = ConfigWrite(ChangeId(change), KeyId("operator"), listOf(PathChange(path, value)), expected)
-        return service.put(write)
+        return service.put(write, Instant.EPOCH)
     }
 }
 
@@ -82,7 +82,6 @@
                 seedPeers = seedPeers,
                 policy = policy,
                 random = Random(vms.size),
-                wallClock = { Instant.EPOCH },
             )
         val vm = CoordinationVm(listed, network, service)
         vms += vm
