Test batch jobs over HTTP and bound the nesting of JSON

Cause: an item nested 5,000 deep overflowed the stack of the JSON parser and left its request without an answer; the test of bad input showed it. Change: the nesting of callers' and backend servers' JSON is measured on the text before it is parsed. Measuring the parsed tree was ruled out, as the parser itself recurses. A refused upload is read on for up to 1 MiB, so that its answer is not lost. Tests run BatchRoutes and BatchWorker over loopback against a table and object store in memory.

--- a/core/src/main/kotlin/org/agatestream/core/BatchItem.kt
+++ b/core/src/main/kotlin/org/agatestream/core/BatchItem.kt
@@ -3,8 +3,6 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
-import kotlinx.serialization.json.JsonArray
-import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
 
 /** One line of a batch job's input. */
@@ -26,6 +24,7 @@
             number: Int,
             rules: BatchRules,
         ): Outcome<BatchItem> {
+            if (line.isJsonDeeperThan(rules.bodyDepth)) return malformed(number, "is nested too deep")
             val item =
                 try {
                     parse(line)
@@ -35,7 +34,6 @@
             return when {
                 item.id.value.isEmpty() -> malformed(number, "has an empty id")
                 item.id.value.length > rules.itemIdLength -> malformed(number, "has an id that is too long")
-                item.body.isDeeperThan(rules.bodyDepth) -> malformed(number, "is nested too deep")
                 else -> item.toOk()
             }
         }
@@ -47,23 +45,6 @@
     }
 }
 
-/** Returns whether objects and arrays are nested deeper than [limit]; recursion is avoided on purpose. */
-internal fun JsonElement.isDeeperThan(limit: Int): Boolean {
-    var level = listOf(this)
-    repeat(limit) {
-        level = level.flatMap { it.children() }
-        if (level.isEmpty()) return false
-    }
-    return level.any { it.children().isNotEmpty() }
-}
-
-private fun JsonElement.children(): Collection<JsonElement> =
-    when (this) {
-        is JsonObject -> values
-        is JsonArray -> this
-        else -> emptyList()
-    }
-
 /** Splits the content of a stored chunk into its items. */
 public fun parseStoredItems(bytes: ByteArray): List<BatchItem> =
     bytes
--- a/core/src/main/kotlin/org/agatestream/core/ItemResult.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ItemResult.kt
@@ -44,13 +44,13 @@
             body: String,
             depth: Int,
         ): ItemResult {
+            if (body.isJsonDeeperThan(depth)) return failed(id, "invalid_answer", "the answer is nested too deep")
             val element =
                 try {
                     Json.parseToJsonElement(body)
                 } catch (_: SerializationException) {
                     return failed(id, "invalid_answer", "the answer is no valid JSON")
                 }
-            if (element.isDeeperThan(depth)) return failed(id, "invalid_answer", "the answer is nested too deep")
             return ItemResult(id, ItemStatus.DONE, body = element)
         }
 
--- a/server/src/main/kotlin/org/agatestream/server/BatchRoutes.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchRoutes.kt
@@ -13,6 +13,7 @@
 import org.agatestream.core.WorkspaceId
 import org.agatestream.http.HttpCall
 import org.agatestream.http.query
+import org.agatestream.http.readBody
 import org.agatestream.http.respondFailure
 
 /** Serves `/v1/batches`: submit, list, status, results and cancel of the batch jobs of a caller's workspace. */
@@ -62,10 +63,19 @@
     ) {
         when (val outcome = acceptor.accept(call, workspace)) {
             is Outcome.Ok -> call.respondJson(STATUS_ACCEPTED, JobStatus.serializer(), outcome.value)
-            is Outcome.Failed -> call.respondFailure(outcome.failure)
+            is Outcome.Failed -> refuse(call, outcome.failure)
         }
     }
 
+    /** Reads on for a while before it refuses, so that the answer is not lost with the rest of the input. */
+    private suspend fun refuse(
+        call: HttpCall,
+        failure: Failure,
+    ) {
+        call.readBody(MAX_UNREAD_BYTES)
+        call.respondFailure(failure)
+    }
+
     private suspend fun list(
         call: HttpCall,
         workspace: WorkspaceId,
@@ -108,6 +118,7 @@
 
     private companion object {
         const val STATUS_OK = 200
+        const val MAX_UNREAD_BYTES = 1_048_576
         const val STATUS_ACCEPTED = 202
         val OPERATIONS = setOf("results", "cancel")
     }
--- /dev/null
+++ b/server/src/test/kotlin/org/agatestream/server/MemoryPlatform.kt
@@ -0,0 +1,108 @@
+package org.agatestream.server
+
+import kotlinx.coroutines.delay
+import org.agatestream.core.CommitResult
+import org.agatestream.core.ObjectStore
+import org.agatestream.core.ReadResult
+import org.agatestream.core.Row
+import org.agatestream.core.RowVersion
+import org.agatestream.core.TableService
+import org.agatestream.core.Transaction
+import java.util.TreeMap
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+
+/** A table service and object store in memory that can be down, slow, or lose the answers to commits. */
+internal class MemoryPlatform :
+    TableService,
+    ObjectStore {
+    private val rows = TreeMap<String, Row>()
+    val objects = ConcurrentHashMap<String, ByteArray>()
+    val reads = AtomicInteger()
+    val writes = AtomicInteger()
+    val puts = AtomicInteger()
+    val loseCommitAnswers = AtomicInteger()
+
+    @Volatile
+    var down = false
+
+    @Volatile
+    var answerDelay = Duration.ZERO
+
+    override suspend fun read(key: String): ReadResult<Row> {
+        if (!answers()) return ReadResult.Unavailable
+        reads.incrementAndGet()
+        return synchronized(rows) { rows[key] }?.let { ReadResult.Found(it) } ?: ReadResult.Absent
+    }
+
+    override suspend fun scan(
+        prefix: String,
+        after: String,
+        limit: Int,
+    ): ReadResult<List<Row>> {
+        if (!answers()) return ReadResult.Unavailable
+        reads.incrementAndGet()
+        return ReadResult.Found(synchronized(rows) { select(prefix, after, limit) })
+    }
+
+    override suspend fun commit(transaction: Transaction): CommitResult {
+        if (!answers()) return CommitResult.Unavailable
+        val failed = synchronized(rows) { apply(transaction) }
+        if (failed.isNotEmpty()) return CommitResult.Conflict(failed)
+        writes.addAndGet(transaction.writes.size)
+        val lost = loseCommitAnswers.getAndUpdate { maxOf(0, it - 1) } > 0
+        return if (lost) CommitResult.Unknown else CommitResult.Committed
+    }
+
+    override suspend fun put(
+        name: String,
+        bytes: ByteArray,
+    ): Boolean {
+        if (!answers()) return false
+        puts.incrementAndGet()
+        objects[name] = bytes
+        return true
+    }
+
+    override suspend fun get(name: String): ReadResult<ByteArray> {
+        if (!answers()) return ReadResult.Unavailable
+        return objects[name]?.let { ReadResult.Found(it) } ?: ReadResult.Absent
+    }
+
+    private suspend fun answers(): Boolean {
+        delay(answerDelay)
+        return !down
+    }
+
+    private fun select(
+        prefix: String,
+        after: String,
+        limit: Int,
+    ): List<Row> =
+        rows
+            .tailMap(maxOf(prefix, after), after < prefix)
+            .values
+            .asSequence()
+            .takeWhile { it.key.startsWith(prefix) }
+            .take(limit)
+            .toList()
+
+    private fun apply(transaction: Transaction): List<Row> {
+        val current = transaction.conditions.map { it to (rows[it.key] ?: Row(it.key, "", RowVersion.ABSENT)) }
+        val failed = current.filter { (condition, row) -> condition.version != row.version }.map { it.second }
+        if (failed.isEmpty()) transaction.writes.forEach { write(it.key, it.value) }
+        return failed
+    }
+
+    private fun write(
+        key: String,
+        value: String?,
+    ) {
+        if (value == null) {
+            rows.remove(key)
+        } else {
+            rows[key] = Row(key, value, RowVersion((rows[key]?.version?.value ?: 0) + 1))
+        }
+    }
+}
