Hand the batch side one set of ports

Cause: routes and worker each took the same seven things one by one, and runs with a virtual clock need to replace clock, randomness and log. Change: BatchPorts holds them; BatchRoutes(ports, authenticate) and BatchWorker(ports) are all that a server makes. Conclusion: no behaviour changed.

--- a/server/src/main/kotlin/org/agatestream/server/BatchAcceptor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchAcceptor.kt
@@ -6,7 +6,6 @@
 import org.agatestream.core.Backoff
 import org.agatestream.core.BatchInput
 import org.agatestream.core.BatchNames
-import org.agatestream.core.BatchRules
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.Failure
 import org.agatestream.core.InputChunk
@@ -15,10 +14,8 @@
 import org.agatestream.core.JobRecord
 import org.agatestream.core.JobSpec
 import org.agatestream.core.JobStatus
-import org.agatestream.core.ObjectStore
 import org.agatestream.core.Outcome
 import org.agatestream.core.ReadResult
-import org.agatestream.core.TableService
 import org.agatestream.core.WorkspaceId
 import org.agatestream.core.afterAccept
 import org.agatestream.core.getOrElse
@@ -34,22 +31,16 @@
 import org.agatestream.http.HttpCall
 import org.agatestream.http.query
 import java.time.Instant
-import kotlin.random.Random
 
 /** Accepts batch jobs: the input goes to the object store, then one transaction makes it a job. */
-public class BatchAcceptor(
-    private val table: TableService,
-    private val objects: ObjectStore,
-    private val coordination: Coordination,
-    private val rules: BatchRules = BatchRules(),
-    private val random: Random = Random.Default,
-    private val wallClock: () -> Instant = Instant::now,
+internal class BatchAcceptor(
+    private val ports: BatchPorts,
 ) {
     private val uploads = Semaphore(MAX_UPLOADS)
     private val backoff = Backoff()
 
     /** Reads the job from [call] and stores it; a job that was sent before is found and not stored again. */
-    public suspend fun accept(
+    suspend fun accept(
         call: HttpCall,
         workspace: WorkspaceId,
     ): Outcome<JobStatus> {
@@ -67,12 +58,16 @@
         order: JobOrder,
     ): Outcome<JobStatus> {
         val existing =
-            when (val row = table.read(BatchNames.jobKey(order.workspace, order.id))) {
+            when (val row = ports.table.read(BatchNames.jobKey(order.workspace, order.id))) {
                 is ReadResult.Found -> JobRecord.parse(row.value.value)
                 is ReadResult.Absent -> null
                 is ReadResult.Unavailable -> return notReached()
             }
-        val upload = random.nextLong().toULong().toString(UPLOAD_RADIX)
+        val upload =
+            ports.random
+                .nextLong()
+                .toULong()
+                .toString(UPLOAD_RADIX)
         val summary =
             readInput(call, order) { chunk -> existing != null || store(order.id, upload, chunk) }
                 .getOrElse { return Outcome.Failed(it) }
@@ -98,10 +93,10 @@
         if (type != "application/jsonl") {
             return ErrorKind.MALFORMED_REQUEST.toFailed("the content type is not application/jsonl")
         }
-        if (!coordination.fleet.isBatchTarget(target)) {
+        if (!ports.coordination.fleet.isBatchTarget(target)) {
             return ErrorKind.MALFORMED_REQUEST.toFailed("the target is no path whose calls may be repeated")
         }
-        val deadline = parseDeadline(deadlineText, wallClock()).getOrElse { return Outcome.Failed(it) }
+        val deadline = parseDeadline(deadlineText, ports.wallClock()).getOrElse { return Outcome.Failed(it) }
         return JobOrder(jobIdOf(workspace, key), workspace, target, deadline, deadlineText).toOk()
     }
 
@@ -110,7 +105,7 @@
         order: JobOrder,
         store: suspend (InputChunk) -> Boolean,
     ): Outcome<InputSummary> {
-        val input = BatchInput(rules, order.target, order.deadlineText)
+        val input = BatchInput(ports.rules, order.target, order.deadlineText)
         while (true) {
             val part = call.nextChunk()
             val ready =
@@ -133,8 +128,8 @@
     ): Boolean {
         val name = BatchNames.inputName(job, upload, chunk.index)
         repeat(MAX_PUTS) { failures ->
-            if (objects.put(name, chunk.bytes)) return true
-            delay(backoff.delay(failures + 1, random))
+            if (ports.objects.put(name, chunk.bytes)) return true
+            delay(backoff.delay(failures + 1, ports.random))
         }
         return false
     }
@@ -143,17 +138,17 @@
         val transaction = spec.toAcceptTransaction()
         var attempt = 1
         while (true) {
-            when (val step = spec.afterAccept(table.commit(transaction), attempt)) {
+            when (val step = spec.afterAccept(ports.table.commit(transaction), attempt)) {
                 is AcceptStep.Accepted -> return step.job.toAnswer()
                 is AcceptStep.Refused -> return Outcome.Failed(step.failure)
-                is AcceptStep.Repeat -> delay(backoff.delay(attempt++, random))
+                is AcceptStep.Repeat -> delay(backoff.delay(attempt++, ports.random))
             }
         }
     }
 
     private fun JobRecord.toAnswer(): Outcome<JobStatus> {
-        EventLog.info("batch_accepted", "job" to spec.id, "workspace" to spec.workspace, "items" to spec.items)
-        return toStatus(emptyList(), wallClock()).toOk()
+        ports.log("batch_accepted", arrayOf("job" to spec.id, "workspace" to spec.workspace, "items" to spec.items))
+        return toStatus(emptyList(), ports.wallClock()).toOk()
     }
 
     private companion object {
--- a/server/src/main/kotlin/org/agatestream/server/BatchJobs.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchJobs.kt
@@ -15,7 +15,6 @@
 import org.agatestream.core.Outcome
 import org.agatestream.core.ReadResult
 import org.agatestream.core.Row
-import org.agatestream.core.TableService
 import org.agatestream.core.WorkspaceId
 import org.agatestream.core.getOrElse
 import org.agatestream.core.map
@@ -23,42 +22,38 @@
 import org.agatestream.core.toFailed
 import org.agatestream.core.toOk
 import org.agatestream.core.toStatus
-import java.time.Instant
-import kotlin.random.Random
 
 /** Finds, lists and cancels batch jobs; a workspace sees no other's. */
-public class BatchJobs(
-    private val table: TableService,
-    private val random: Random = Random.Default,
-    private val wallClock: () -> Instant = Instant::now,
+internal class BatchJobs(
+    private val ports: BatchPorts,
 ) {
     private val backoff = Backoff()
 
     /** Finds a job of [workspace]. */
-    public suspend fun find(
+    suspend fun find(
         workspace: WorkspaceId,
         job: JobId,
     ): Outcome<JobRecord> = readRow(workspace, job).map { JobRecord.parse(it.value) }
 
     /** Returns the state and the counts of a job, with what its running chunks have reached. */
-    public suspend fun status(
+    suspend fun status(
         workspace: WorkspaceId,
         job: JobId,
     ): Outcome<JobStatus> {
         val record = find(workspace, job).getOrElse { return Outcome.Failed(it) }
-        if (record.state == JobState.DONE) return record.toStatus(emptyList(), wallClock()).toOk()
+        if (record.state == JobState.DONE) return record.toStatus(emptyList(), ports.wallClock()).toOk()
         val chunks = readChunks(job).getOrElse { return Outcome.Failed(it) }
-        return record.toStatus(chunks, wallClock()).toOk()
+        return record.toStatus(chunks, ports.wallClock()).toOk()
     }
 
     /** Lists up to a page of the jobs of [workspace] that come after [after]; counts are those of complete chunks. */
-    public suspend fun list(
+    suspend fun list(
         workspace: WorkspaceId,
         after: JobId?,
     ): Outcome<JobList> {
         val prefix = BatchNames.jobPrefix(workspace)
         val start = after?.let { BatchNames.jobKey(workspace, it) }.orEmpty()
-        return when (val rows = table.scan(prefix, start, PAGE_SIZE)) {
+        return when (val rows = ports.table.scan(prefix, start, PAGE_SIZE)) {
             is ReadResult.Found -> toPage(rows.value).toOk()
             is ReadResult.Absent -> JobList(emptyList()).toOk()
             is ReadResult.Unavailable -> notReached()
@@ -66,7 +61,7 @@
     }
 
     /** Cancels a job; one that has ended stays as it is. */
-    public suspend fun cancel(
+    suspend fun cancel(
         workspace: WorkspaceId,
         job: JobId,
     ): Outcome<JobStatus> {
@@ -78,27 +73,27 @@
                     is CancelStep.Ended -> return status(workspace, job)
                     is CancelStep.Commit -> step
                 }
-            when (table.commit(commit.transaction)) {
+            when (ports.table.commit(commit.transaction)) {
                 is CommitResult.Committed -> return cancelled(commit.next)
                 is CommitResult.Unknown -> maySucceed = true
                 is CommitResult.Conflict, is CommitResult.Unavailable -> Unit
             }
-            delay(backoff.delay(failures + 1, random))
+            delay(backoff.delay(failures + 1, ports.random))
         }
         return if (maySucceed) pending() else notReached()
     }
 
     private suspend fun cancelled(record: JobRecord): Outcome<JobStatus> {
-        EventLog.info("batch_cancelled", "job" to record.spec.id, "workspace" to record.spec.workspace)
+        ports.log("batch_cancelled", arrayOf("job" to record.spec.id, "workspace" to record.spec.workspace))
         val chunks = readChunks(record.spec.id).getOrElse { emptyList() }
-        return record.toStatus(chunks, wallClock()).toOk()
+        return record.toStatus(chunks, ports.wallClock()).toOk()
     }
 
     private suspend fun readRow(
         workspace: WorkspaceId,
         job: JobId,
     ): Outcome<Row> =
-        when (val row = table.read(BatchNames.jobKey(workspace, job))) {
+        when (val row = ports.table.read(BatchNames.jobKey(workspace, job))) {
             is ReadResult.Found -> row.value.toOk()
             is ReadResult.Absent -> ErrorKind.UNKNOWN_JOB.toFailed("the workspace has no such job")
             is ReadResult.Unavailable -> notReached()
@@ -109,7 +104,7 @@
         var after = ""
         while (true) {
             val rows =
-                when (val page = table.scan(BatchNames.chunkPrefix(job), after)) {
+                when (val page = ports.table.scan(BatchNames.chunkPrefix(job), after)) {
                     is ReadResult.Found -> page.value
                     is ReadResult.Absent -> emptyList()
                     is ReadResult.Unavailable -> return notReached()
@@ -123,7 +118,10 @@
     private fun toPage(rows: List<Row>): JobList {
         val records = rows.map { JobRecord.parse(it.value) }
         val next = records.lastOrNull()?.spec?.id
-        return JobList(records.map { it.toStatus(emptyList(), wallClock()) }, next.takeIf { rows.size == PAGE_SIZE })
+        return JobList(
+            records.map { it.toStatus(emptyList(), ports.wallClock()) },
+            next.takeIf { rows.size == PAGE_SIZE },
+        )
     }
 
     private fun pending(): Outcome.Failed = ErrorKind.CHANGE_PENDING.toFailed("the job may have been cancelled")
--- a/server/src/main/kotlin/org/agatestream/server/BatchResults.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchResults.kt
@@ -8,19 +8,14 @@
 import org.agatestream.core.JobRecord
 import org.agatestream.core.JobSpec
 import org.agatestream.core.JobState
-import org.agatestream.core.ObjectStore
 import org.agatestream.core.ReadResult
-import org.agatestream.core.TableService
 import org.agatestream.core.parseStoredItems
 import org.agatestream.http.BodyWriter
 import org.agatestream.http.HttpCall
-import kotlin.random.Random
 
 /** Streams the readable results of a job; it holds one object at a time. */
-public class BatchResults(
-    private val table: TableService,
-    private val objects: ObjectStore,
-    private val random: Random = Random.Default,
+internal class BatchResults(
+    private val ports: BatchPorts,
 ) {
     private val backoff = Backoff()
 
@@ -30,7 +25,7 @@
      * If the platform does not answer or [isAllowed] turns false, the connection is closed before the body is
      * complete, so that the reader sees an error.
      */
-    public suspend fun stream(
+    suspend fun stream(
         job: JobRecord,
         call: HttpCall,
         isAllowed: () -> Boolean,
@@ -54,7 +49,7 @@
         first: Int,
     ): Map<Int, ChunkRecord>? {
         val after = if (first == 0) "" else BatchNames.chunkKey(spec.id, first - 1)
-        val rows = read { table.scan(BatchNames.chunkPrefix(spec.id), after, PAGE_SIZE) } ?: return null
+        val rows = read { ports.table.scan(BatchNames.chunkPrefix(spec.id), after, PAGE_SIZE) } ?: return null
         val records = rows.map { ChunkRecord.parse(it.value) }
         return records.filter { it.index < first + PAGE_SIZE }.associateBy { it.index }
     }
@@ -79,7 +74,7 @@
         writer: BodyWriter,
     ): Boolean {
         for (part in record.parts) {
-            val bytes = read { objects.get(BatchNames.resultName(spec, record.index, part)) } ?: return false
+            val bytes = read { ports.objects.get(BatchNames.resultName(spec, record.index, part)) } ?: return false
             if (!writer.write(bytes)) return false
         }
         return true
@@ -90,7 +85,7 @@
         record: ChunkRecord,
         writer: BodyWriter,
     ): Boolean {
-        val bytes = read { objects.get(BatchNames.inputName(spec.id, spec.upload, record.index)) } ?: return false
+        val bytes = read { ports.objects.get(BatchNames.inputName(spec.id, spec.upload, record.index)) } ?: return false
         val finished = record.finished.toBits()
         val lines =
             parseStoredItems(bytes)
@@ -104,7 +99,7 @@
             when (val result = call()) {
                 is ReadResult.Found -> return result.value
                 is ReadResult.Absent -> return null
-                is ReadResult.Unavailable -> delay(backoff.delay(failures, random))
+                is ReadResult.Unavailable -> delay(backoff.delay(failures, ports.random))
             }
         }
         return null
--- a/server/src/main/kotlin/org/agatestream/server/BatchRoutes.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchRoutes.kt
@@ -8,7 +8,6 @@
 import org.agatestream.core.JobId
 import org.agatestream.core.JobList
 import org.agatestream.core.JobStatus
-import org.agatestream.core.MonotonicTime
 import org.agatestream.core.Outcome
 import org.agatestream.core.WorkspaceId
 import org.agatestream.http.HttpCall
@@ -18,16 +17,17 @@
 
 /** Serves `/v1/batches`: submit, list, status, results and cancel of the batch jobs of a caller's workspace. */
 public class BatchRoutes(
-    private val coordination: Coordination,
+    private val ports: BatchPorts,
     private val authenticate: (HttpCall) -> Outcome<CallerKey>,
-    private val acceptor: BatchAcceptor,
-    private val jobs: BatchJobs,
-    private val results: BatchResults,
 ) : HttpRoutes {
+    private val acceptor = BatchAcceptor(ports)
+    private val jobs = BatchJobs(ports)
+    private val results = BatchResults(ports)
+
     override suspend fun handle(call: HttpCall): Boolean {
         val segments = call.path.trim('/').split('/')
         if (segments.size < 2 || segments[0] != "v1" || segments[1] != "batches") return false
-        if (!coordination.isCurrent(MonotonicTime.now())) {
+        if (!ports.coordination.isCurrent(ports.clock())) {
             call.respondFailure(Failure(ErrorKind.NOT_CURRENT, "this VM has lost touch with the fleet"))
             return true
         }
--- a/server/src/main/kotlin/org/agatestream/server/BatchWorker.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchWorker.kt
@@ -10,31 +10,14 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.agatestream.core.BatchNames
-import org.agatestream.core.BatchRules
 import org.agatestream.core.JobId
 import org.agatestream.core.MonotonicTime
-import org.agatestream.core.ObjectStore
 import org.agatestream.core.ReadResult
-import org.agatestream.core.TableService
-import org.agatestream.core.VmId
 import java.util.concurrent.ConcurrentHashMap
-import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** The means by which a VM works on batch jobs. */
-public class BatchPorts(
-    public val self: VmId,
-    public val table: TableService,
-    public val objects: ObjectStore,
-    public val runner: ItemRunner,
-    public val coordination: Coordination,
-    public val rules: BatchRules = BatchRules(),
-    public val random: Random = Random.Default,
-    public val clock: () -> MonotonicTime = MonotonicTime::now,
-)
-
 /** Finds chunks of batch jobs, claims them and runs their items until it is drained. */
 public class BatchWorker(
     private val ports: BatchPorts,
@@ -69,7 +52,7 @@
         val held = runs.values.toList()
         held.forEach { it.drain() }
         held.map { it.job }.joinAll()
-        EventLog.info("batch_drained", "chunks" to held.size)
+        ports.log("batch_drained", arrayOf("chunks" to held.size))
     }
 
     private suspend fun findWork(chunks: CoroutineScope) {
--- a/server/src/main/kotlin/org/agatestream/server/ChunkRun.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ChunkRun.kt
@@ -213,7 +213,7 @@
     }
 
     private fun ended(event: String): ChunkHold? {
-        EventLog.info(event, "job" to spec.id, "chunk" to claimed.claim.record.index)
+        ports.log(event, arrayOf("job" to spec.id, "chunk" to claimed.claim.record.index))
         return null
     }
 
--- a/server/src/test/kotlin/org/agatestream/server/BatchFixture.kt
+++ b/server/src/test/kotlin/org/agatestream/server/BatchFixture.kt
@@ -88,16 +88,10 @@
 ) {
     val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     val coordination = FixedCoordination()
-    private val random = Random(id.hashCode())
-    val worker = BatchWorker(BatchPorts(VmId(id), platform, platform, runner, coordination, rules, random))
-    private val routes =
-        BatchRoutes(
-            coordination,
-            ::authenticate,
-            BatchAcceptor(platform, platform, coordination, rules, random),
-            BatchJobs(platform, random),
-            BatchResults(platform, platform, random),
-        )
+    private val ports =
+        BatchPorts(VmId(id), platform, platform, runner, coordination, rules, Random(id.hashCode()))
+    val worker = BatchWorker(ports)
+    private val routes = BatchRoutes(ports, ::authenticate)
     private val server =
         HttpServer.start(loops, InetSocketAddress("127.0.0.1", 0), HttpLimits(), scope) { routes.handle(it) }
     private val client = HttpClient(loops, maxIdlePerAddress = 0)
