--- a/server/src/main/kotlin/org/agatestream/server/BatchRoutes.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchRoutes.kt
@@ -8,25 +8,26 @@
 import org.agatestream.core.JobId
 import org.agatestream.core.JobList
 import org.agatestream.core.JobStatus
-import org.agatestream.core.MonotonicTime
 import org.agatestream.core.Outcome
 import org.agatestream.core.WorkspaceId
 import org.agatestream.http.HttpCall
 import org.agatestream.http.query
+import org.agatestream.http.readBody
 import org.agatestream.http.respondFailure
 
 /** Serves `/v1/batches`: submit, list, status, results and cancel of the batch jobs of a caller's workspace. */
 public class BatchRoutes(
-    private val coordination: Coordination,
+    private val ports: BatchPorts,
     private val authenticate: (HttpCall) -> Outcome<CallerKey>,
-    private val acceptor: BatchAcceptor,
-    private val jobs: BatchJobs,
-    private val results: BatchResults,
 ) : HttpRoutes {
+    private val acceptor = BatchAcceptor(ports)
+    private val jobs = BatchJobs(ports)
+    private val results = BatchResults(ports)
+
     override suspend fun handle(call: HttpCall): Boolean {
         val segments = call.path.trim('/').split('/')
         if (segments.size < 2 || segments[0] != "v1" || segments[1] != "batches") return false
-        if (!coordination.isCurrent(MonotonicTime.now())) {
+        if (!ports.coordination.isCurrent(ports.clock())) {
             call.respondFailure(Failure(ErrorKind.NOT_CURRENT, "this VM has lost touch with the fleet"))
             return true
         }
@@ -62,10 +63,19 @@
     ) {
         when (val outcome = acceptor.accept(call, workspace)) {
             is Outcome.Ok -> call.respondJson(STATUS_ACCEPTED, JobStatus.serializer(), outcome.value)
-            is Outcome.Failed -> call.respondFailure(outcome.failure)
+            is Outcome.Failed -> refuse(call, outcome.failure)
         }
     }
 
+    /** Reads on for a while before it refuses, so that the answer is not lost with the rest of the input. */
+    private suspend fun refuse(
+        call: HttpCall,
+        failure: Failure,
+    ) {
+        call.readBody(MAX_UNREAD_BYTES)
+        call.respondFailure(failure)
+    }
+
     private suspend fun list(
         call: HttpCall,
         workspace: WorkspaceId,
@@ -108,6 +118,7 @@
 
     private companion object {
         const val STATUS_OK = 200
+        const val MAX_UNREAD_BYTES = 1_048_576
         const val STATUS_ACCEPTED = 202
         val OPERATIONS = setOf("results", "cancel")
     }
