--- a/standins/src/main/kotlin/org/agatestream/standin/Scenario.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/Scenario.kt
@@ -32,6 +32,8 @@
     val lag: Duration = 500.milliseconds,
     val coldSlots: Int = 2,
     val warmSlots: Int = 16,
+    /** Calls that the plain service gets at once. */
+    val serviceSlots: Int = 32,
     /** True if the engines start cold. */
     val cold: Boolean = false,
     /** How long callers may use an entry answer, in seconds. */
@@ -87,9 +89,9 @@
 
 /** What a step does. */
 internal sealed interface Action {
-    /** Ends a VM at once. */
+    /** Ends a VM or a backend server at once. */
     data class Kill(
-        val vm: VmId,
+        val process: String,
     ) : Action
 
     /** Asks a VM to shut down in order. */
@@ -204,6 +206,8 @@
         val statuses: Set<Int>,
         val code: String?,
         val run: String?,
+        /** Time until the head of the answer, or null for any. */
+        val under: Duration?,
     ) : Check
 
     /** Of the results of a race, [accepted] have status 200 and the others are conflicts. */
--- a/standins/src/main/kotlin/org/agatestream/standin/ScenarioCalls.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/ScenarioCalls.kt
@@ -115,6 +115,8 @@
         results[action.options.result] = made
         val result = made.await().result
         val id = WheelJobStatus.parse(result.body)?.id
+        val before = jobs[action.job]?.id
+        if (id != null && before != null && id != before) throw ScenarioFailure("a resend made job $id beside $before")
         if (id != null) jobs[action.job] = MadeJob(id, key, items)
         return "$result"
     }
@@ -165,7 +167,7 @@
             }
 
             is CallSpec.Plain -> {
-                http.send(address, spec.method, withJobIds(spec.target), all, spec.body)
+                http.send(address, spec.method, withReferences(spec.target), all, withReferences(spec.body))
             }
         }
     }
@@ -254,8 +256,12 @@
         return json[name]?.let { runCatching { it.jsonPrimitive }.getOrNull() }
     }
 
-    /** Replaces `$name` by the id of the job of that name. */
-    private fun withJobIds(target: String): String = JOB_REFERENCE.replace(target) { job(it.groupValues[1]).id }
+    /** Replaces `$name` by the id of the job or the address of the backend server of that name. */
+    private fun withReferences(text: String): String =
+        REFERENCE.replace(text) { match ->
+            val name = match.groupValues[1]
+            fleet.servers[name]?.publicAddress ?: job(name).id
+        }
 
     private fun teamOf(workspace: String): String = if (workspace == "assembler") "wheels" else "care"
 
@@ -273,7 +279,7 @@
 
     companion object {
         const val MODEL = "m"
-        private val JOB_REFERENCE = Regex("\\$([a-z][a-z0-9-]*)")
+        private val REFERENCE = Regex("\\$([a-z][a-z0-9-]*)")
         private val ACCEPT_TIMEOUT = 20.seconds
         private val ACCEPT_PAUSE = 100.milliseconds
 
--- a/standins/src/main/kotlin/org/agatestream/standin/ScenarioChecks.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/ScenarioChecks.kt
@@ -58,8 +58,9 @@
         val right =
             result.status in check.statuses &&
                 (check.code == null || check.code == result.code) &&
-                (check.run == null || check.run == result.run)
-        return if (right) null else "$result ${result.body.take(MAX_SHOWN)}"
+                (check.run == null || check.run == result.run) &&
+                (check.under == null || result.answered - result.sent <= check.under)
+        return if (right) null else "$result after ${result.answered - result.sent}: ${result.body.take(MAX_SHOWN)}"
     }
 
     private fun raceFault(check: Check.RaceWon): String? {
--- a/standins/src/main/kotlin/org/agatestream/standin/ScenarioParser.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/ScenarioParser.kt
@@ -58,6 +58,7 @@
         lag = duration("lag", default.lag),
         coldSlots = int("cold-slots", default.coldSlots),
         warmSlots = int("warm-slots", default.warmSlots),
+        serviceSlots = int("service-slots", default.serviceSlots),
         cold = flag("cold"),
         entryTtl = int("entry-ttl", default.entryTtl),
         rate = double("rate", default.rate),
@@ -75,7 +76,7 @@
 
 private fun StepReader.action(): Action =
     when (val verb = word("a step")) {
-        "kill" -> Action.Kill(vm())
+        "kill" -> Action.Kill(word("a VM or a backend server"))
         "stop" -> Action.Stop(vm())
         "start" -> Action.Start(vm(), FailureDomainId(requiredOption("domain")))
         "freeze" -> Action.Freeze(vm())
@@ -170,7 +171,7 @@
 
 private fun StepReader.check(): Check =
     when (val what = word("what to expect")) {
-        "result" -> Check.Result(word("a result"), statuses(), option("code"), option("run"))
+        "result" -> result()
         "race" -> Check.RaceWon(word("a race"), int("accepted", 1))
         "whole" -> Check.Whole(word("a result"))
         "each-vm" -> eachVm()
@@ -184,6 +185,11 @@
         else -> counted(what)
     }
 
+private fun StepReader.result(): Check {
+    val under = duration("under", Duration.INFINITE).takeIf { it.isFinite() }
+    return Check.Result(word("a result"), statuses(), option("code"), option("run"), under)
+}
+
 private fun StepReader.eachVm(): Check {
     val key = requiredOption("key")
     if (take("answers")) return Check.EachVm(key, null)
--- a/standins/src/main/kotlin/org/agatestream/standin/ScenarioRunner.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/ScenarioRunner.kt
@@ -97,7 +97,7 @@
     /** Performs a step and returns what to print of it. */
     private suspend fun perform(action: Action): String {
         when (action) {
-            is Action.Kill -> kill(action.vm)
+            is Action.Kill -> kill(action.process)
             is Action.Stop -> stop(action.vm)
             is Action.Start -> fleet.startVm(action.vm, action.domain)
             is Action.Freeze -> fleet.vm(action.vm).let { it.process.freeze().also { _ -> it.frozen = true } }
@@ -125,8 +125,9 @@
         return "holds"
     }
 
-    private suspend fun kill(id: VmId) {
-        val vm = fleet.vm(id)
+    private suspend fun kill(name: String) {
+        fleet.servers[name]?.let { return it.process.end() }
+        val vm = fleet.vm(VmId(name))
         vm.process.end()
         fleet.postVms()
         forgetAddress(vm)
@@ -185,8 +186,8 @@
             failureDomain = domain,
             kind = if (engine) BackendKind.ENGINE else BackendKind.SERVICE,
             models = if (engine) listOf(ModelId(MODEL)) else emptyList(),
-            coldSlots = if (engine) fleet.spec.coldSlots else SERVICE_SLOTS,
-            warmSlots = if (engine) fleet.spec.warmSlots else SERVICE_SLOTS,
+            coldSlots = if (engine) fleet.spec.coldSlots else fleet.spec.serviceSlots,
+            warmSlots = if (engine) fleet.spec.warmSlots else fleet.spec.serviceSlots,
         )
     }
 
@@ -202,7 +203,6 @@
 
     private companion object {
         const val MODEL = ScenarioCalls.MODEL
-        const val SERVICE_SLOTS = 32
         const val TIME_WIDTH = 6
     }
 }
--- a/standins/src/test/kotlin/org/agatestream/standin/ScenarioParserTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/ScenarioParserTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldNotBeEmpty
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import org.agatestream.core.VmId
@@ -20,7 +21,7 @@
             val scenario = parsed("# what it shows\nfleet vms=5 delay=1.5ms\n\nat 2s kill vm-2")
             scenario.fleet.vms shouldBe 5
             scenario.fleet.delay shouldBe 1500.milliseconds / 1000
-            scenario.steps shouldBe listOf(Step(4, "at 2s kill vm-2", 2.seconds, Action.Kill(VmId("vm-2"))))
+            scenario.steps shouldBe listOf(Step(4, "at 2s kill vm-2", 2.seconds, Action.Kill("vm-2")))
         }
 
         test("a call takes options in any order and JSON at the end") {
@@ -41,7 +42,7 @@
                 "kill\nat soon kill vm-1\nwait 1s 2s\ndo complete ky=a\nexpect running engine-1 ~ 2\nplatform {\"dwn\":1}",
             ).map { it.substringBefore("; ").substringBefore(" at path") }
                 .shouldContainExactly(
-                    "a.scenario:1: expected a VM, found nothing more",
+                    "a.scenario:1: expected a VM or a backend server, found nothing more",
                     "a.scenario:2: expected a duration such as 2s or 200ms, found \"soon\"",
                     "a.scenario:3: unexpected \"2s\"",
                     "a.scenario:4: unknown option ky=",
@@ -55,7 +56,8 @@
         }
 
         test("every scenario file is without faults") {
-            val files = File("src/test/resources/scenarios").listFiles().orEmpty().toList()
+            val files = File("src/test/resources/scenarios").walk().filter { it.isFile }.toList()
+            files.shouldNotBeEmpty()
             files
                 .map { parseScenario(it.name, it.readText()) }
                 .filterIsInstance<ParsedScenario.Invalid>()
