Give each attempt of a request its own id at the backend server

Cause: a repeat on the same engine carried the id of the attempt before it, so the cancel of the lost attempt, which is sent in the background, could end the repeat, and a late answer could pass for the new one.

Change: attempts are numbered below the request's id; cancel, resume and the check of the echoed id use the attempt's.

--- a/server/src/main/kotlin/org/agatestream/server/BackendRequest.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BackendRequest.kt
@@ -44,7 +44,8 @@
 
 /** An answer that has begun, from the server of [lease]. */
 internal class BackendExchange(
-    val request: BackendRequest,
+    /** The id under which the server knows this attempt. */
+    val id: RequestId,
     val lease: SlotLease,
     val answer: HttpAnswer,
 ) {
@@ -54,11 +55,12 @@
 
 /** Builds the message that carries this request to [address]; the key of the caller is not among its headers. */
 internal fun BackendRequest.toSpec(
+    attempt: RequestId,
     address: String,
     now: MonotonicTime,
 ): HttpRequestSpec {
     val remaining = (slot.deadline - now).inWholeMilliseconds.coerceAtLeast(1)
-    val own = listOf(REQUEST_ID_HEADER to id.value, TIMEOUT_HEADER to remaining.toString())
+    val own = listOf(REQUEST_ID_HEADER to attempt.value, TIMEOUT_HEADER to remaining.toString())
     return HttpRequestSpec(address, method, target, headers + own, body, fresh = !idempotent)
 }
 
--- a/server/src/main/kotlin/org/agatestream/server/Forwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/Forwarder.kt
@@ -8,6 +8,7 @@
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.Failure
 import org.agatestream.core.MonotonicTime
+import org.agatestream.core.RequestId
 import org.agatestream.core.getOrElse
 import org.agatestream.http.ExchangeResult
 import org.agatestream.http.HttpAnswer
@@ -29,10 +30,10 @@
     ): Attempt<T> {
         val failed = mutableSetOf<BackendServerId>()
         var last: Attempt<T>? = null
-        repeat(MAX_ATTEMPTS) {
+        repeat(MAX_ATTEMPTS) { number ->
             val slot = request.slot.copy(excluded = request.slot.excluded + failed)
             val lease = slots.acquire(slot).getOrElse { return last ?: Attempt.NotRun(it) }
-            val attempt = attempt(request, lease, use)
+            val attempt = attempt(request, RequestId("${request.id}.$number"), lease, use)
             val again =
                 attempt is Attempt.NotRun || (attempt is Attempt.Lost && attempt.repeatable && request.idempotent)
             if (!again || clock() >= request.slot.deadline) return attempt
@@ -45,10 +46,11 @@
 
     private suspend fun <T : Any> attempt(
         request: BackendRequest,
+        id: RequestId,
         lease: SlotLease,
         use: suspend (BackendExchange) -> Attempt<T>,
     ): Attempt<T> {
-        val run = Run(request, lease)
+        val run = Run(request, id, lease)
         try {
             val attempt = runUnless(lease.revoked) { withinDeadline(request) { run.send(use) } } ?: Attempt.Revoked
             run.settle(attempt)
@@ -69,6 +71,7 @@
     /** One attempt on one server. */
     private inner class Run(
         private val request: BackendRequest,
+        private val id: RequestId,
         private val lease: SlotLease,
     ) {
         private val sentAt = clock()
@@ -77,7 +80,7 @@
         private var settled = false
 
         suspend fun <T> send(use: suspend (BackendExchange) -> Attempt<T>): Attempt<T> {
-            val spec = request.toSpec(lease.setting.address, sentAt)
+            val spec = request.toSpec(id, lease.setting.address, sentAt)
             return when (val exchange = client.exchange(spec)) {
                 is ExchangeResult.NotSent -> {
                     result = SlotResult.NotSent
@@ -100,13 +103,13 @@
             use: suspend (BackendExchange) -> Attempt<T>,
         ): Attempt<T> {
             val echoed = answer.header(REQUEST_ID_HEADER)
-            if (echoed != null && echoed != request.id.value) {
+            if (echoed != null && echoed != id.value) {
                 answer.close()
                 return Attempt.Lost(Failure(ErrorKind.BACKEND_FAILED, "the answer belonged to another request"))
             }
             if (answer.status == STATUS_UNAVAILABLE) return readRefusal(answer)
             result = SlotResult.Answered(clock() - sentAt, answer.header(INCARNATION_HEADER))
-            return use(BackendExchange(request, lease, answer))
+            return use(BackendExchange(id, lease, answer))
         }
 
         private suspend fun readRefusal(answer: HttpAnswer): Attempt<Nothing> {
@@ -152,7 +155,7 @@
         }
 
         private suspend fun cancelAtEngine() {
-            val target = "/v1/streams/${request.id}/cancel"
+            val target = "/v1/streams/$id/cancel"
             val exchange = client.exchange(HttpRequestSpec(lease.setting.address, "POST", target))
             if (exchange is ExchangeResult.Answered) exchange.answer.readWhole(MAX_REFUSAL_BYTES)
         }
--- a/server/src/main/kotlin/org/agatestream/server/StreamRelay.kt
+++ b/server/src/main/kotlin/org/agatestream/server/StreamRelay.kt
@@ -121,7 +121,7 @@
     }
 
     private suspend fun resume(exchange: BackendExchange): HttpAnswer? {
-        val id = exchange.request.id
+        val id = exchange.id
         val body = """{"from":$passedTokens}""".encodeToByteArray()
         val headers = listOf("content-type" to "application/json", REQUEST_ID_HEADER to id.value)
         val target = "/v1/streams/$id/resume"
--- a/server/src/main/kotlin/org/agatestream/server/WholeAnswer.kt
+++ b/server/src/main/kotlin/org/agatestream/server/WholeAnswer.kt
@@ -2,9 +2,9 @@
 
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
-import org.agatestream.http.BodyPart
+import org.agatestream.core.getOrElse
 import org.agatestream.http.HttpAnswer
-import java.io.ByteArrayOutputStream
+import org.agatestream.http.readBody
 
 /** An answer of a backend server that was read to its end. */
 internal class WholeAnswer(
@@ -15,20 +15,11 @@
 )
 
 /** Reads the body to its end, or closes the answer and returns null if it breaks off or exceeds [limit] bytes. */
-internal suspend fun HttpAnswer.readWhole(limit: Int): ByteArray? {
-    val buffer = ByteArrayOutputStream()
-    while (true) {
-        when (val part = nextChunk()) {
-            is BodyPart.Chunk -> buffer.write(part.bytes)
-            is BodyPart.End -> return buffer.toByteArray()
-            is BodyPart.Broken -> return null
-        }
-        if (buffer.size() > limit) {
-            close()
-            return null
-        }
+internal suspend fun HttpAnswer.readWhole(limit: Int): ByteArray? =
+    readBody(limit).getOrElse {
+        close()
+        null
     }
-}
 
 /** Reads the whole answer of a backend server, or returns null if it breaks off or is too large. */
 internal suspend fun BackendExchange.readWholeAnswer(): WholeAnswer? {
