Add the ledger of calls that may not be repeated

Cause: a call without a durable intent could run a second time when it was resent through another VM.

The chart once-call is interpreted.

--- /dev/null
+++ b/core/src/main/kotlin/org/agatestream/core/OnceRecord.kt
@@ -0,0 +1,113 @@
+package org.agatestream.core
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import java.security.MessageDigest
+import java.util.HexFormat
+import kotlin.jvm.JvmInline
+
+/** Identifies one attempt to claim a call that may not be repeated; a resend makes a new one. */
+@Serializable
+@JvmInline
+public value class ClaimId(
+    public val value: String,
+) {
+    override fun toString(): String = value
+}
+
+/** The states of a call that may not be repeated, as in the chart `once-call`. */
+@Serializable
+public enum class OnceState {
+    ABSENT,
+    CLAIMED,
+    RELEASED,
+    DONE,
+    UNKNOWN,
+}
+
+/** The events of a call that may not be repeated, as in the chart `once-call`. */
+public enum class OnceEvent {
+    CLAIM,
+    TAKE_OVER,
+    RELEASE,
+    COMPLETE,
+    LOSE,
+}
+
+/** An answer that is kept for resends of its call. */
+@Serializable
+public data class StoredAnswer(
+    val status: Int,
+    val contentType: String,
+    val headers: Map<String, String> = emptyMap(),
+    /** The body in base 64, or null if it was too large to keep. */
+    val body: String? = null,
+)
+
+/** The row of a call that may not be repeated. */
+@Serializable
+public data class OnceRecord(
+    val state: OnceState,
+    val claim: ClaimId,
+    /** The VM that claimed the call and alone may send it. */
+    val vm: VmId,
+    /** A digest of the call, so that a key is not used for another one. */
+    val digest: String,
+    val answer: StoredAnswer? = null,
+) {
+    /** Returns the JSON text of the row. */
+    public fun toRowValue(): String = Json.encodeToString(serializer(), this)
+
+    /** Returns the record after [event], or null if the chart does not move on it. */
+    public fun after(
+        event: OnceEvent,
+        answer: StoredAnswer? = null,
+    ): OnceRecord? = (CHART.next(state, event) as? Step.Moved)?.let { copy(state = it.state, answer = answer) }
+
+    public companion object {
+        private val CHART = TypedChart.load<OnceState, OnceEvent>("once-call")
+        private val json = Json { ignoreUnknownKeys = true }
+
+        /** Parses the value of a row, or returns null if it is no record. */
+        public fun parse(text: String): OnceRecord? =
+            runCatching { json.decodeFromString(serializer(), text) }.getOrNull()
+    }
+}
+
+/** One attempt to run a call that may not be repeated. */
+public data class OnceClaim(
+    /** The key of the call's row. */
+    val rowKey: String,
+    val id: ClaimId,
+    val vm: VmId,
+    val digest: String,
+) {
+    /** Returns the record that this claim writes. */
+    public fun toRecord(): OnceRecord = OnceRecord(OnceState.CLAIMED, id, vm, digest)
+}
+
+/** Returns the key of the row for the call with [idempotencyKey] on [route]; open routes have no workspace. */
+public fun onceRowKey(
+    workspace: WorkspaceId?,
+    route: RouteId,
+    idempotencyKey: String,
+): String = "once/${workspace?.value ?: "-"}/${sha256Hex(listOf(route.value, idempotencyKey))}"
+
+/** Returns the digest that tells one call from another under the same key. */
+public fun onceDigest(
+    method: String,
+    target: String,
+    body: ByteArray,
+): String = sha256Hex(listOf(method, target), body)
+
+private fun sha256Hex(
+    parts: List<String>,
+    body: ByteArray = ByteArray(0),
+): String {
+    val digest = MessageDigest.getInstance("SHA-256")
+    parts.forEach {
+        digest.update(it.encodeToByteArray())
+        digest.update(0)
+    }
+    return HexFormat.of().formatHex(digest.digest(body))
+}
