--- a/cli/src/main/kotlin/org/agatestream/cli/ServeCommand.kt
+++ b/cli/src/main/kotlin/org/agatestream/cli/ServeCommand.kt
@@ -8,6 +8,7 @@
 import org.agatestream.core.ParsedSettings
 import org.agatestream.core.parseSettings
 import org.agatestream.server.EntryVm
+import org.agatestream.server.EventLog
 import org.agatestream.server.FleetSecrets
 import org.agatestream.server.VmConfig
 import java.util.concurrent.CountDownLatch
@@ -59,6 +60,7 @@
         vm.start()
         signalled.await()
         vm.stop()
+        EventLog.close()
         stopped.countDown()
         return ExitStatus.DONE
     }
--- a/core/src/main/kotlin/org/agatestream/core/CompletionRequest.kt
+++ b/core/src/main/kotlin/org/agatestream/core/CompletionRequest.kt
@@ -68,13 +68,13 @@
 
 /** Parses a JSON object that is not nested too deeply; fails with `MALFORMED_REQUEST`. */
 public fun parseJsonObject(text: String): Outcome<JsonObject> {
+    if (text.isJsonDeeperThan(MAX_JSON_DEPTH)) return malformed("the body is nested deeper than $MAX_JSON_DEPTH levels")
     val element =
         try {
             Json.parseToJsonElement(text)
         } catch (_: SerializationException) {
             return malformed("the body is no valid JSON")
         }
-    if (element.isDeeperThan(MAX_JSON_DEPTH)) return malformed("the body is nested deeper than $MAX_JSON_DEPTH levels")
     return (element as? JsonObject)?.toOk() ?: malformed("the body must be a JSON object")
 }
 
--- a/core/src/main/kotlin/org/agatestream/core/SettingsText.kt
+++ b/core/src/main/kotlin/org/agatestream/core/SettingsText.kt
@@ -36,7 +36,12 @@
     path: String,
     text: String,
 ): ParsedSettings<T> {
-    if (depthOf(text) > MAX_DEPTH) return invalid(path, "nesting deeper than $MAX_DEPTH", "at most $MAX_DEPTH levels")
+    if (text.isJsonDeeperThan(
+            MAX_DEPTH,
+        )
+    ) {
+        return invalid(path, "nesting deeper than $MAX_DEPTH", "at most $MAX_DEPTH levels")
+    }
     val element =
         try {
             settingsJson.decodeFromString(JsonElement.serializer(), text)
@@ -64,15 +69,3 @@
     found: String,
     allowed: String,
 ): ParsedSettings.Invalid = ParsedSettings.Invalid(listOf(SettingFault(path, "", found, allowed)))
-
-/** Returns an upper bound of the nesting depth; brackets within strings count too. */
-private fun depthOf(text: String): Int {
-    var depth = 0
-    var deepest = 0
-    for (c in text) {
-        if (c == '{' || c == '[') depth++
-        if (c == '}' || c == ']') depth--
-        deepest = maxOf(deepest, depth)
-    }
-    return deepest
-}
--- a/server/src/main/kotlin/org/agatestream/server/BatchAcceptor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchAcceptor.kt
@@ -82,7 +82,7 @@
     ): Outcome<JobOrder> {
         val key = call.header("idempotency-key").orEmpty()
         val target = call.query("target").orEmpty()
-        val deadlineText = call.query("deadline").orEmpty()
+        val deadlineText = call.query("deadline") ?: DEFAULT_DEADLINE_SECONDS
         val type =
             call
                 .header("content-type")
@@ -155,6 +155,7 @@
         const val MAX_UPLOADS = 16
         const val MAX_PUTS = 5
         const val UPLOAD_RADIX = 36
+        const val DEFAULT_DEADLINE_SECONDS = "86400"
     }
 }
 
--- a/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
@@ -6,7 +6,6 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
-import kotlinx.coroutines.launch
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.FleetView
 import org.agatestream.core.Invariants
@@ -16,7 +15,6 @@
 import org.agatestream.core.ParsedSettings
 import org.agatestream.core.Revision
 import org.agatestream.core.authenticate
-import org.agatestream.core.loadBackendChart
 import org.agatestream.core.map
 import org.agatestream.core.parseFleet
 import org.agatestream.core.toFailed
@@ -27,7 +25,6 @@
 import org.agatestream.http.HttpLimits
 import org.agatestream.http.HttpServer
 import org.agatestream.http.parseAddress
-import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
 
 /** One entry VM: joins the areas of the server and runs them until shutdown. */
@@ -47,7 +44,9 @@
     private val shutdown = GracefulShutdown(config.entryTtlSeconds.seconds, config.shutdownGraceSeconds.seconds)
     private val leaving = LeavingVms(coordination)
     private val limits = OwnedLimits(config, coordination, network, scope, registry, client)
-    private val batch = BatchArea(config, coordination, platform, limits, client, scope)
+    private val runner = BackendItemRunner(coordination, limits.slots, client, scope)
+    private val batch = BatchPorts(config.vm, platform, platform, runner, coordination)
+    private val worker = BatchWorker(batch)
     private val server =
         HttpServer.start(
             loops,
@@ -69,9 +68,9 @@
         network.listen(address.hostString, address.port)
         coordination.start()
         limits.start(scope)
-        batch.worker.start(scope)
+        worker.start(scope)
         shutdown.onDrain { leaving.announce(network) }
-        shutdown.onDrain { batch.worker.drain() }
+        shutdown.onDrain { worker.drain() }
         EventLog.info("serving", "vm" to config.vm, "domain" to config.failureDomain, "port" to callerPort)
     }
 
@@ -103,7 +102,7 @@
             listOf(
                 HealthRoutes(registry, ::isReady),
                 online,
-                batch.routes { call -> authenticate(call) },
+                BatchRoutes(batch, ::authenticate),
                 AdminRoutes(store, hasher, operators::authenticate, levels::report),
             ),
             shutdown,
@@ -131,52 +130,3 @@
             is ParsedSettings.Invalid -> ErrorKind.INVALID_SETTING.toFailed(parsed.faults.joinToString("; "))
         }
 }
-
-/** The owned limits of one VM and the loops that keep them. */
-internal class OwnedLimits(
-    config: VmConfig,
-    private val coordination: CoordinationService,
-    private val network: KtorPeerNetwork,
-    scope: CoroutineScope,
-    registry: PrometheusMeterRegistry,
-    client: HttpClient,
-) {
-    private val rights =
-        PlannedShareRights(config.vm, coordination::planStanding, coordination::isCurrent, coordination.policy)
-    private val context = LimitContext(config.vm, rights, coordination::fleet, network, scope, registry)
-    private val owner = LimitOwner(context, loadBackendChart())
-    val workspaces = OwnedWorkspaceLimits(context)
-    val slots = OwnedBackendSlots(context, config.failureDomain, Random.Default)
-    private val poller = BackendLoadPoller(client, slots)
-
-    /** Answers asks of other VMs and starts the loops. */
-    fun start(scope: CoroutineScope) {
-        owner.onGiveWay = slots::giveWay
-        coordination.onChange { rights.onPlan(it.plan, MonotonicTime.now()) }
-        network.addHandler { from, ask -> if (ask is LimitAsk) owner.handle(from, ask) else null }
-        scope.launch { slots.renewForever() }
-        scope.launch { poller.pollForever() }
-    }
-}
-
-/** The batch jobs of one VM. */
-internal class BatchArea(
-    config: VmConfig,
-    private val coordination: Coordination,
-    private val platform: HttpPlatform,
-    limits: OwnedLimits,
-    client: HttpClient,
-    scope: CoroutineScope,
-) {
-    private val runner = BackendItemRunner(coordination, limits.slots, client, scope)
-    val worker = BatchWorker(BatchPorts(config.vm, platform, platform, runner, coordination))
-
-    fun routes(authenticate: (HttpCall) -> Outcome<org.agatestream.core.CallerKey>): BatchRoutes =
-        BatchRoutes(
-            coordination,
-            authenticate,
-            BatchAcceptor(platform, platform, coordination),
-            BatchJobs(platform),
-            BatchResults(platform, platform),
-        )
-}
--- a/server/src/main/kotlin/org/agatestream/server/EventLog.kt
+++ b/server/src/main/kotlin/org/agatestream/server/EventLog.kt
@@ -1,6 +1,7 @@
 package org.agatestream.server
 
 import org.tinylog.kotlin.Logger
+import org.tinylog.provider.ProviderRegistry
 
 /** Writes one line of key=value pairs for each event; values hold no key, no body and no text of a caller. */
 public object EventLog {
@@ -29,6 +30,11 @@
         Logger.error(cause) { format(event, pairs) }
     }
 
+    /** Writes out what is buffered; nothing can be logged afterwards. */
+    public fun close() {
+        ProviderRegistry.getLoggingProvider().shutdown()
+    }
+
     private fun format(
         event: String,
         pairs: Array<out Pair<String, Any?>>,
