Count online requests and batch items for the burn report

Cause: the burn report stayed empty: nothing counted requests, and a first try lost those whose caller closed right after the last byte. Ruled out: counting inside the request path, which would mix two concerns.

--- a/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
@@ -14,6 +14,7 @@
 import org.agatestream.core.Outcome
 import org.agatestream.core.ParsedSettings
 import org.agatestream.core.Revision
+import org.agatestream.core.WorkspaceId
 import org.agatestream.core.authenticate
 import org.agatestream.core.map
 import org.agatestream.core.parseFleet
@@ -44,9 +45,10 @@
     private val shutdown = GracefulShutdown(config.entryTtlSeconds.seconds, config.shutdownGraceSeconds.seconds)
     private val leaving = LeavingVms(coordination)
     private val limits = OwnedLimits(config, coordination, network, scope, registry, client)
-    private val runner = BackendItemRunner(coordination, limits.slots, client, scope)
+    private val runner = ObservedItemRunner(BackendItemRunner(coordination, limits.slots, client, scope), levels)
     private val batch = BatchPorts(config.vm, platform, platform, runner, coordination)
     private val worker = BatchWorker(batch)
+    private val router = router()
     private val server =
         HttpServer.start(
             loops,
@@ -84,6 +86,16 @@
         loops.close()
     }
 
+    private suspend fun answer(call: HttpCall) {
+        levels.observe(call, ::workspaceOf, router::handle)
+    }
+
+    private fun workspaceOf(call: HttpCall): WorkspaceId? =
+        when (val key = authenticate(call)) {
+            is Outcome.Ok -> key.value.workspace
+            is Outcome.Failed -> null
+        }
+
     private fun router(): Router {
         val store = CoordinationSettingsStore(coordination)
         val operators = OperatorAuthentication(coordination, hasher, secrets.bootstrapOperatorKey)
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/ObservedItemRunner.kt
@@ -0,0 +1,19 @@
+package org.agatestream.server
+
+import org.agatestream.core.RequestClass
+
+/** Counts the items that [runner] runs; an item that gave way, or that can't be done, is not counted. */
+internal class ObservedItemRunner(
+    private val runner: ItemRunner,
+    private val levels: ServiceLevels,
+) : ItemRunner {
+    override suspend fun run(call: ItemCall): ItemOutcome {
+        val outcome = runner.run(call)
+        when (outcome) {
+            is ItemOutcome.Done -> levels.count(call.workspace, RequestClass.BATCH, isGood = true, "ok")
+            is ItemOutcome.Failed -> levels.count(call.workspace, RequestClass.BATCH, isGood = false, "failed")
+            is ItemOutcome.Impossible, ItemOutcome.Yielded -> Unit
+        }
+        return outcome
+    }
+}
--- a/server/src/main/kotlin/org/agatestream/server/ServiceLevels.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ServiceLevels.kt
@@ -4,11 +4,10 @@
 import io.micrometer.core.instrument.Timer
 import org.agatestream.core.BurnLedger
 import org.agatestream.core.BurnLine
-import org.agatestream.core.ErrorKind
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.RequestClass
-import org.agatestream.core.RunState
 import org.agatestream.core.WorkspaceId
+import org.agatestream.http.HttpCall
 import kotlin.time.Duration
 import kotlin.time.toJavaDuration
 
@@ -19,48 +18,67 @@
 ) {
     private val ledger = BurnLedger()
 
-    /** Counts a request that was answered; [firstByteAfter] counts from its arrival. */
-    public fun answered(
-        workspace: WorkspaceId,
-        requestClass: RequestClass,
-        firstByteAfter: Duration,
+    /** Runs [answer] and counts how it answered [call], if [workspaceOf] finds that it is an online request. */
+    public suspend fun observe(
+        call: HttpCall,
+        workspaceOf: (HttpCall) -> WorkspaceId?,
+        answer: suspend (HttpCall) -> Unit,
     ) {
-        val objective = BurnLedger.OBJECTIVES.first { it.requestClass == requestClass }
-        val good = firstByteAfter.inWholeMilliseconds <= objective.firstByteMillis
-        ledger.record(workspace, requestClass, good, clock())
-        timer(requestClass).record(firstByteAfter.toJavaDuration())
-        count(requestClass, "ok")
+        val workspace = if (isOnline(call.path)) workspaceOf(call) else null
+        if (workspace == null) return answer(call)
+        val observed = ObservedCall(call, clock)
+        try {
+            answer(observed)
+        } finally {
+            if (observed.isWhole || !call.callerGone.isCompleted) record(workspace, observed)
+        }
     }
 
-    /** Counts a request that ended in an error; what the caller caused is not counted against the objective. */
-    public fun failed(
+    /** Counts one request. */
+    public fun count(
         workspace: WorkspaceId,
         requestClass: RequestClass,
-        kind: ErrorKind,
+        isGood: Boolean,
+        code: String,
     ) {
-        count(requestClass, kind.code)
-        val byCaller = kind.status < STATUS_SERVER_ERROR && kind.run != RunState.UNKNOWN
-        if (!byCaller) ledger.record(workspace, requestClass, good = false, clock())
+        ledger.record(workspace, requestClass, isGood, clock())
+        registry.counter("agatestream.requests", "class", requestClass.name.lowercase(), "code", code).increment()
     }
 
     /** Returns the burn report of this VM. */
     public fun report(): List<BurnLine> = ledger.report(clock())
 
-    private fun timer(requestClass: RequestClass): Timer =
+    private fun record(
+        workspace: WorkspaceId,
+        observed: ObservedCall,
+    ) {
+        val status = observed.status ?: return
+        val firstByteAfter = observed.firstByteAfter
+        val byCaller = status in CALLER_ERRORS
+        if (byCaller) {
+            registry.counter("agatestream.requests", "class", "online", "code", status.toString()).increment()
+            return
+        }
+        firstByteAfter?.let { timer.record(it.toJavaDuration()) }
+        val isServed = status < CALLER_ERRORS.first && observed.isWhole
+        count(workspace, RequestClass.ONLINE, isServed && isInTime(firstByteAfter), status.toString())
+    }
+
+    private fun isInTime(firstByteAfter: Duration?): Boolean =
+        firstByteAfter != null && firstByteAfter.inWholeMilliseconds <= ONLINE_OBJECTIVE.firstByteMillis
+
+    private fun isOnline(path: String): Boolean = ONLINE_PATHS.any { path.startsWith(it) }
+
+    private val timer: Timer =
         Timer
             .builder("agatestream.first.byte")
-            .tag("class", requestClass.name.lowercase())
+            .tag("class", "online")
             .publishPercentileHistogram()
             .register(registry)
 
-    private fun count(
-        requestClass: RequestClass,
-        code: String,
-    ) {
-        registry.counter("agatestream.requests", "class", requestClass.name.lowercase(), "code", code).increment()
-    }
-
     private companion object {
-        const val STATUS_SERVER_ERROR = 500
+        val CALLER_ERRORS = 400..499
+        val ONLINE_PATHS = listOf("/v1/completions", "/v1/chat/completions", "/services/")
+        val ONLINE_OBJECTIVE = BurnLedger.OBJECTIVES.first { it.requestClass == RequestClass.ONLINE }
     }
 }
--- /dev/null
+++ b/server/src/test/kotlin/org/agatestream/server/ServiceLevelsTest.kt
@@ -0,0 +1,91 @@
+package org.agatestream.server
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import kotlinx.coroutines.CompletableJob
+import kotlinx.coroutines.Job
+import org.agatestream.core.LevelCounts
+import org.agatestream.core.MonotonicTime
+import org.agatestream.core.WorkspaceId
+import org.agatestream.http.BodyPart
+import org.agatestream.http.BodyWriter
+import org.agatestream.http.HttpCall
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+class ServiceLevelsTest :
+    FunSpec({
+        var now = MonotonicTime.ZERO
+        val desk = WorkspaceId("desk")
+
+        suspend fun countsAfter(answer: suspend (HttpCall, CompletableJob) -> Unit): LevelCounts {
+            val levels = ServiceLevels(SimpleMeterRegistry()) { now }
+            val gone = Job()
+            levels.observe(NullCall(gone), { desk }) { answer(it, gone) }
+            return levels.report().firstOrNull()?.counts ?: LevelCounts()
+        }
+
+        suspend fun HttpCall.stream(after: Duration): BodyWriter {
+            val writer = startStream(200, "text/event-stream")
+            now += after
+            writer.write(ByteArray(1))
+            return writer
+        }
+
+        test("a whole answer in time is good, also if the caller is gone by its end") {
+            countsAfter { call, gone ->
+                call.stream(100.milliseconds).finish()
+                gone.complete()
+            } shouldBe LevelCounts(good = 1)
+        }
+
+        test("a late first byte, a broken stream and a server error are bad") {
+            countsAfter { call, _ -> call.stream(400.milliseconds).finish() } shouldBe LevelCounts(bad = 1)
+            countsAfter { call, _ -> call.stream(1.milliseconds).abort() } shouldBe LevelCounts(bad = 1)
+            countsAfter { call, _ -> call.respond(503, "text/plain", ByteArray(0)) } shouldBe LevelCounts(bad = 1)
+        }
+
+        test("what the caller caused does not count") {
+            countsAfter { call, _ -> call.respond(429, "text/plain", ByteArray(0)) } shouldBe LevelCounts()
+            countsAfter { call, gone ->
+                call.stream(1.milliseconds)
+                gone.complete()
+            } shouldBe LevelCounts()
+        }
+    })
+
+private class NullCall(
+    override val callerGone: Job,
+) : HttpCall,
+    BodyWriter {
+    override val method = "POST"
+    override val path = "/v1/completions"
+    override val target = path
+    override val answered = false
+
+    override fun header(name: String): String? = null
+
+    override fun headers(): List<Pair<String, String>> = emptyList()
+
+    override suspend fun nextChunk(): BodyPart = BodyPart.End
+
+    override suspend fun respond(
+        status: Int,
+        contentType: String,
+        body: ByteArray,
+        headers: Map<String, String>,
+    ): Unit = Unit
+
+    override suspend fun startStream(
+        status: Int,
+        contentType: String,
+        headers: Map<String, String>,
+    ): BodyWriter = this
+
+    override suspend fun write(bytes: ByteArray): Boolean = true
+
+    override suspend fun finish(): Unit = Unit
+
+    override fun abort(): Unit = Unit
+}
