Run the rate's owners under faults at random

Cause: a limit that holds in examples may break when owners are frozen, replaced or cut off between two steps. Change: a seeded run of five VMs over the pure code measures admissions where they take effect.

--- a/core/src/main/kotlin/org/agatestream/core/AdmissionPlan.kt
+++ b/core/src/main/kotlin/org/agatestream/core/AdmissionPlan.kt
@@ -216,6 +216,6 @@
     maxWait: Duration,
     times: AdmissionTimes,
     now: MonotonicTime,
-): TokenTake = TokenTake(needed, min(ahead(times, now), MOST_AHEAD), maxWait, times.hold)
+): TokenTake = TokenTake(needed, min(ahead(times, now), MOST_AHEAD), maxWait, times.hold, times.askTimeout)
 
 private const val MOST_AHEAD = 64
--- a/core/src/main/kotlin/org/agatestream/core/TokenShare.kt
+++ b/core/src/main/kotlin/org/agatestream/core/TokenShare.kt
@@ -40,7 +40,7 @@
 public fun WorkspaceSetting.toShare(count: Int): ShareSetting =
     ShareSetting(ratePerSecond / count, burst.toDouble() / count)
 
-/** Tokens that an entry VM took ahead of its requests and may use until [until]. */
+/** Tokens that may be used until [until]. */
 public data class HeldTokens(
     val count: Int,
     val until: MonotonicTime,
@@ -54,8 +54,10 @@
     val ahead: Int = 0,
     /** Longest wait that a needed token may have before it counts. */
     val maxWait: Duration = Duration.ZERO,
-    /** How long tokens taken ahead may stay unused, counted by the owner. */
+    /** How long tokens taken ahead may stay unused. */
     val hold: Duration = Duration.ZERO,
+    /** How long the answer may be on its way; a later one is dropped. */
+    val answerWithin: Duration = Duration.ZERO,
 )
 
 /**
@@ -85,6 +87,13 @@
         } else {
             firstWait + spacing * (index - ready)
         }
+
+    /** Returns when the token at [index] lapses, by the clock of the VM that sent the ask at [sentAt]. */
+    public fun lapseOf(
+        index: Int,
+        sentAt: MonotonicTime,
+        answerWithin: Duration,
+    ): MonotonicTime = sentAt + waitOf(index) + answerWithin
 }
 
 /** A changed setting that takes effect at [at] where it is larger than the present one. */
@@ -97,14 +106,18 @@
  * One owner's share of a workspace's token bucket.
  *
  * The level may fall below zero: such a token counts only once the level is back at zero, so tokens count at no more
- * than the rate and burst over any interval. Tokens taken ahead keep their room in the bucket until their hold is over,
- * whether or not they were used, so a later use can't add to a refilled bucket.
+ * than the rate and burst over any interval. Granted tokens keep their room in the bucket until they must have been
+ * used or lost, so that a late use can't add to a refilled bucket. The room that answers on their way keep is at most
+ * half of the burst, so with a burst of less than twice the rate times the longest way it bounds the excess only.
  */
 public data class TokenShare(
     val setting: ShareSetting,
     val level: Double,
     val at: MonotonicTime,
+    /** Tokens that entry VMs took ahead. */
     val held: List<HeldTokens> = emptyList(),
+    /** Tokens whose answers may be on their way. */
+    val recent: List<HeldTokens> = emptyList(),
     val raise: PendingRaise? = null,
 ) {
     /** Returns the share as it is at [now]; a reading before the last one changes nothing. */
@@ -124,7 +137,12 @@
         val afterReady = share.copy(level = share.level - ready)
         val delayed = min(take.needed - ready, afterReady.delayable(take.maxWait))
         val ahead = if (ready == take.needed) afterReady.aheadOf(take) else 0
-        val left = afterReady.copy(level = afterReady.level - delayed - ahead).hold(ahead, now + take.hold)
+        val lastWait = if (delayed > 0) afterReady.waitFor(delayed) else Duration.ZERO
+        val left =
+            afterReady
+                .copy(level = afterReady.level - delayed - ahead)
+                .hold(ahead, now + take.hold * CLOCK_DRIFT)
+                .sent(ready + delayed, now + lastWait + take.answerWithin * CLOCK_DRIFT)
         val grant =
             TokenGrant(
                 ready = ready,
@@ -155,7 +173,7 @@
     }
 
     private fun step(to: MonotonicTime): TokenShare {
-        val room = setting.burst - held.sumOf { it.count }
+        val room = setting.burst - held.total() - min(recent.total().toDouble(), setting.burst * MOST_RECENT)
         val gained = setting.ratePerSecond * (to - at).toDouble(DurationUnit.SECONDS)
         val filled = if (level >= room) level else min(room, level + gained)
         val raised = raise?.takeIf { it.at <= to }
@@ -164,6 +182,7 @@
             level = filled,
             at = to,
             held = held.filter { it.until > to },
+            recent = recent.filter { it.until > to },
             raise = raise.takeIf { raised == null },
         )
     }
@@ -183,7 +202,7 @@
         ).toInt().coerceAtLeast(0)
 
     private fun aheadOf(take: TokenTake): Int {
-        val room = floor(setting.burst * MOST_HELD - held.sumOf { it.count }).toInt()
+        val room = floor(setting.burst * MOST_HELD - held.total()).toInt()
         return min(take.ahead, min(wholeTokens(), room)).coerceAtLeast(0)
     }
 
@@ -201,12 +220,25 @@
         until: MonotonicTime,
     ): TokenShare = if (count == 0) this else copy(held = held + HeldTokens(count, until))
 
+    private fun sent(
+        count: Int,
+        until: MonotonicTime,
+    ): TokenShare = if (count == 0) this else copy(recent = recent + HeldTokens(count, until))
+
+    private fun List<HeldTokens>.total(): Int = sumOf { it.count }
+
     public companion object {
         // Lets sums of fractions that should be whole count as whole; less than one token in a million is given away.
         private const val ROUNDING = 1e-9
 
         // The part of the burst that tokens taken ahead may occupy.
-        private const val MOST_HELD = 0.5
+        private const val MOST_HELD = 0.25
+
+        // The part of the burst that tokens on their way may occupy.
+        private const val MOST_RECENT = 0.5
+
+        // A span on one clock that lasts as long as one of the same length on the slowest other clock.
+        private const val CLOCK_DRIFT = 1.02
 
         /** Returns a share that has granted nothing and holds nothing, as a new owner must start. */
         public fun empty(
--- /dev/null
+++ b/core/src/test/kotlin/org/agatestream/core/RateRun.kt
@@ -0,0 +1,386 @@
+package org.agatestream.core
+
+import kotlin.math.min
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+/** The guards of the rate's owners; a run with one of them off must break the limit. */
+internal data class RateGuards(
+    val emptyStart: Boolean = true,
+    val leaseWait: Boolean = true,
+    val lateAnswersDropped: Boolean = true,
+    val roomKept: Boolean = true,
+    val settledGrowth: Boolean = true,
+)
+
+/** A run of several VMs over the pure code of the rate's owners, with faults between any two steps. */
+internal class RateRun(
+    seed: Long,
+    private val guards: RateGuards = RateGuards(),
+    private val times: AdmissionTimes = AdmissionTimes(),
+) {
+    private val random = Random(seed)
+    private val queue = EventQueue()
+    private val vms = ArrayList<Vm>()
+
+    /** The VM in each place of the plan; a replaced VM leaves its place to a new one. */
+    private val plan = ArrayList<Vm>()
+    private val settings = arrayListOf(Duration.ZERO to SETTINGS.random(random))
+    private val setting get() = settings.last().second
+    private val meter = RateMeter(setting)
+    private val trace = ArrayList<Pair<Duration, String>>()
+    private var load = 1.0
+    private var longDelays = 0.0
+
+    val steps: Long get() = queue.steps
+    var admitted = 0
+        private set
+    var refused = 0
+        private set
+
+    fun run(length: Duration) {
+        repeat(PLACES) { place -> plan += newVm(place, since = Duration.ZERO) }
+        queue.after(random.nextGap(FAULTS_PER_SECOND), ::fault)
+        queue.after(Duration.ZERO, ::arrive)
+        queue.runUntil(length)
+        queue.runUntil(length + 5.seconds)
+        val (excess, at) = meter.excess()
+        invariant("rate-and-burst", excess <= 0.0) {
+            "$excess tokens over the limit at $at after:\n" +
+                trace.filter { it.first <= at }.takeLast(25).joinToString("\n")
+        }
+    }
+
+    private fun newVm(
+        place: Int,
+        since: Duration,
+    ): Vm = Vm(VmId("vm${vms.size}"), place, since, settings.lastIndex).also { vms += it }
+
+    private fun note(text: String) {
+        trace += queue.time to text
+    }
+
+    private fun arrive() {
+        val vm = plan.random(random)
+        if (!vm.isFrozen) vm.request()
+        queue.after(random.nextGap(setting.ratePerSecond * load), ::arrive)
+    }
+
+    private fun fault() {
+        when (random.nextInt(7)) {
+            0 -> plan.random(random).freeze(random.nextDuration(50.milliseconds, 9.seconds))
+            1 -> plan.random(random).let { replace(it, conceded = true) }
+            2 -> plan.random(random).let { if (random.nextBoolean()) it.freeze(8.seconds) else it.cutOff() }
+            3 -> changeSetting()
+            4 -> load = listOf(0.3, 0.9, 1.5, 5.0).random(random)
+            5 -> longDelays = listOf(0.0, 0.05, 0.5).random(random)
+            6 -> plan.random(random).die()
+        }
+        queue.after(random.nextGap(FAULTS_PER_SECOND), ::fault)
+    }
+
+    /** The platform names a new VM in place of [old], which stops at once or when its lease is out. */
+    private fun replace(
+        old: Vm,
+        conceded: Boolean,
+    ) {
+        if (plan[old.place] !== old) return
+        val atOnce = conceded && !old.isFrozen && !old.isCutOff
+        val ends = if (atOnce) queue.time else queue.time + FRESHNESS
+        val begins = if (guards.leaseWait) ends + FRESHNESS * 0.02 + times.askTimeout else queue.time
+        note("replace ${old.id} ends=$ends begins=$begins")
+        old.until = minOf(old.until, ends)
+        plan[old.place] = newVm(old.place, begins)
+    }
+
+    private fun changeSetting() {
+        settings += queue.time to SETTINGS.random(random)
+        val revision = settings.lastIndex
+        note("setting ${settings.last().second}")
+        meter.change(setting, queue.time, FRESHNESS + times.maxWait + times.askTimeout * 2)
+        vms.forEach { vm -> queue.after(random.nextDuration(Duration.ZERO, FRESHNESS)) { vm.learn(revision) } }
+    }
+
+    private inner class Vm(
+        val id: VmId,
+        val place: Int,
+        val since: Duration,
+        private var revision: Int,
+    ) {
+        private val known get() = settings[revision].second
+        private var freshAt = queue.time
+        private val rate = 1 + random.nextDouble(-0.002, 0.002)
+        private var frozenUntil = Duration.ZERO
+        private var accounts = HashMap<Int, RateAccount>()
+        private var counts = ShareCounts(now()).apply(fleetOf(known), now())
+        private var memory = AdmissionMemory()
+        private var salt = 0
+        var until = Duration.INFINITE
+        var isCutOff = false
+            private set
+
+        val isFrozen get() = queue.time < frozenUntil
+
+        private fun now(): MonotonicTime = MonotonicTime.ZERO + queue.time * rate
+
+        init {
+            refresh()
+        }
+
+        fun learn(next: Int) =
+            whenThawed {
+                revision = maxOf(revision, next)
+                counts = counts.apply(fleetOf(known), now())
+            }
+
+        /** Reads what is in force; a VM that was paused knows the present settings only after such a read. */
+        private fun refresh() {
+            queue.after(500.milliseconds) {
+                if (isCutOff || frozenUntil == Duration.INFINITE) return@after
+                whenThawed {
+                    freshAt = queue.time
+                    learn(
+                        settings.indexOfLast { it.first <= queue.time - FRESHNESS + 600.milliseconds }.coerceAtLeast(0),
+                    )
+                    refresh()
+                }
+            }
+        }
+
+        private val isCurrent get() = queue.time - freshAt <= FRESHNESS
+
+        fun freeze(span: Duration) {
+            note("freeze $id $span")
+            frozenUntil = maxOf(frozenUntil, queue.time + span)
+            val vm = this
+            if (span > 4.seconds) queue.after(1.seconds) { replace(vm, conceded = false) }
+        }
+
+        fun cutOff() {
+            note("cut off $id from the platform")
+            isCutOff = true
+            replace(this, conceded = false)
+        }
+
+        fun die() {
+            note("die $id")
+            frozenUntil = Duration.INFINITE
+            replace(this, conceded = false)
+        }
+
+        private fun whenThawed(action: () -> Unit) {
+            when {
+                frozenUntil == Duration.INFINITE -> Unit
+                isFrozen -> queue.at(frozenUntil, action)
+                else -> action()
+            }
+        }
+
+        fun request() {
+            if (!isCurrent) return
+            val (next, had) = memory.arrive(now())
+            memory = next
+            salt += 1
+            val attempt = AdmissionAttempt(salt, now() + times.giveUp)
+            if (had) admit(Duration.ZERO, now() + times.hold, attempt) else proceed(attempt)
+        }
+
+        private fun admit(
+            wait: Duration,
+            lapse: MonotonicTime,
+            attempt: AdmissionAttempt,
+        ) {
+            queue.after(wait / rate) {
+                whenThawed {
+                    if (now() > lapse && guards.lateAnswersDropped) {
+                        proceed(attempt)
+                    } else {
+                        meter.count(queue.time)
+                        admitted++
+                    }
+                }
+            }
+        }
+
+        private fun proceed(attempt: AdmissionAttempt) {
+            val owners = List(known.shareCount()) { ShareOwner(it, plan[placeOf(it, known.shareCount())].id) }
+            when (val step = nextAdmissionStep(owners, memory, attempt, times, now())) {
+                is AdmissionStep.Refuse -> refused++
+                is AdmissionStep.Wait -> queue.after(step.at - now()) { whenThawed { proceed(attempt) } }
+                is AdmissionStep.Ask -> ask(step, attempt)
+            }
+        }
+
+        private fun ask(
+            step: AdmissionStep.Ask,
+            attempt: AdmissionAttempt,
+        ) {
+            val sentAt = now()
+            val take = memory.toTake(1, step.maxWait, times, sentAt)
+            val owner = vms.first { it.id == step.owner.vm }
+            var open = true
+            send {
+                owner.answer(take, step.owner.share) { grant ->
+                    send {
+                        whenThawed {
+                            if (open ||
+                                !guards.lateAnswersDropped
+                            ) {
+                                receive(grant, step, attempt, sentAt).also { open = false }
+                            }
+                        }
+                    }
+                }
+            }
+            queue.after(times.askTimeout) {
+                whenThawed {
+                    if (open) {
+                        open = !guards.lateAnswersDropped
+                        memory = memory.silent(step.owner, times, now())
+                        proceed(attempt)
+                    }
+                }
+            }
+        }
+
+        private fun receive(
+            grant: TokenGrant?,
+            step: AdmissionStep.Ask,
+            attempt: AdmissionAttempt,
+            sentAt: MonotonicTime,
+        ) {
+            val isLate = now() - sentAt > times.askTimeout
+            if (isLate && guards.lateAnswersDropped) {
+                memory = memory.silent(step.owner, times, now())
+                return proceed(attempt)
+            }
+            if (grant == null) {
+                memory = memory.silent(step.owner, times, now())
+                return proceed(attempt)
+            }
+            memory = memory.answered(step.owner, grant, sentAt, times, now())
+            if (grant.granted == 0) return proceed(attempt.refused(step.owner, step.maxWait))
+            admit(grant.waitOf(0), grant.lapseOf(0, sentAt, times.askTimeout), attempt)
+        }
+
+        private fun answer(
+            take: TokenTake,
+            share: Int,
+            reply: (TokenGrant?) -> Unit,
+        ) = whenThawed {
+            val count = checkNotNull(counts[WORKSPACE])
+            val mayOwn = isCurrent && queue.time >= since && queue.time < until && placeOf(share, count.number) == place
+            if (!mayOwn || share >= count.number) reply(null) else reply(take(take, share, count))
+        }
+
+        private fun take(
+            take: TokenTake,
+            share: Int,
+            count: ShareCount,
+        ): TokenGrant? {
+            val begin = MonotonicTime.ZERO + since * rate
+            val settledAt = if (guards.settledGrowth) count.since + FRESHNESS * 1.01 else count.since
+            val shareSetting = known.toShare(count.number)
+            val old = accounts[share] ?: if (guards.emptyStart) null else full(begin, shareSetting)
+            val account = old.under(RateRight(begin, settledAt), shareSetting, now())
+            val kept = if (guards.roomKept) take else take.copy(hold = Duration.ZERO, answerWithin = Duration.ZERO)
+            val taken = account.take(kept, now())
+            accounts[share] = taken?.first ?: account
+            return taken?.second
+        }
+
+        private fun full(
+            begin: MonotonicTime,
+            share: ShareSetting,
+        ) = RateAccount(begin, begin, TokenShare(share, share.burst, now()))
+
+        private fun send(deliver: () -> Unit) {
+            val delay =
+                if (random.nextDouble() <
+                    longDelays
+                ) {
+                    random.nextDuration(5.milliseconds, 3.seconds)
+                } else {
+                    random.nextDuration(1.milliseconds, 5.milliseconds)
+                }
+            if (random.nextDouble() > 0.001) queue.after(delay, deliver)
+        }
+    }
+
+    private fun placeOf(
+        share: Int,
+        count: Int,
+    ): Int = (share + count * 2) % PLACES
+
+    companion object {
+        private const val PLACES = 5
+        private const val FAULTS_PER_SECOND = 0.5
+        private val FRESHNESS = 3.seconds
+        private val WORKSPACE = WorkspaceId("carers")
+        private val SETTINGS =
+            listOf(
+                WorkspaceSetting(20.0, 20),
+                WorkspaceSetting(60.0, 40),
+                WorkspaceSetting(400.0, 300),
+                WorkspaceSetting(5.0, 2),
+                WorkspaceSetting(100.0, 60),
+            )
+
+        private fun fleetOf(setting: WorkspaceSetting) =
+            FleetView(workspaces = mapOf(WORKSPACE to Workspace(WORKSPACE, "rrb", setting)))
+    }
+}
+
+/** Measures how far admissions go over a rate and burst; while a change spreads, the larger setting counts. */
+internal class RateMeter(
+    setting: WorkspaceSetting,
+) {
+    private class Limit(
+        val setting: WorkspaceSetting,
+        val from: Duration,
+        val until: Duration,
+    )
+
+    private val limits = arrayListOf(Limit(setting, Duration.ZERO, Duration.INFINITE))
+    private val admissions = ArrayList<Duration>()
+
+    fun count(at: Duration) {
+        admissions += at
+    }
+
+    fun change(
+        setting: WorkspaceSetting,
+        now: Duration,
+        spread: Duration,
+    ) {
+        val last = limits.removeLast()
+        limits += Limit(last.setting, last.from, now + spread)
+        limits += Limit(setting, now, Duration.INFINITE)
+    }
+
+    /** Returns by how many tokens the admissions exceed the limit at the worst moment, and when; at most zero if they keep it. */
+    fun excess(): Pair<Double, Duration> {
+        var level = Double.MAX_VALUE
+        var last = Duration.ZERO
+        var worst = Double.NEGATIVE_INFINITY to Duration.ZERO
+        for (at in admissions.sorted()) {
+            val inForce = limits.filter { it.from <= at && at < it.until }
+            val rate = limits.filter { it.from <= at && last < it.until }.maxOf { it.setting.ratePerSecond }
+            val burst = inForce.maxOf { it.setting.burst }.toDouble()
+            level = min(burst, level + rate * CLOCK_SLACK * (at - last).toDouble(DurationUnit.SECONDS)) - 1
+            worst = maxOf(worst, -level - ROUNDING to at, compareBy { it.first })
+            last = at
+        }
+        return worst
+    }
+
+    private companion object {
+        const val ROUNDING = 1e-6
+
+        /** Clocks of owners may run fast by this factor. */
+        const val CLOCK_SLACK = 1.002
+    }
+}
--- a/server/src/main/kotlin/org/agatestream/server/LimitAsk.kt
+++ b/server/src/main/kotlin/org/agatestream/server/LimitAsk.kt
@@ -41,6 +41,8 @@
     @CborLabel(4) val ahead: Int = 0,
     @CborLabel(5) val maxWaitMillis: Int = 0,
     @CborLabel(6) val holdMillis: Int = 0,
+    /** How long the sender waits for the answer. */
+    @CborLabel(7) val answerWithinMillis: Int = 0,
 )
 
 /** The answers to the takes of a [TokenAsk], in their order. */
@@ -140,10 +142,11 @@
         ahead = ahead,
         maxWaitMillis = maxWait.inWholeMilliseconds.toInt(),
         holdMillis = if (ahead > 0) hold.inWholeMilliseconds.toInt() else 0,
+        answerWithinMillis = answerWithin.inWholeMilliseconds.toInt(),
     )
 
 internal fun WorkspaceTake.toTake(): TokenTake =
-    TokenTake(needed, ahead, maxWaitMillis.milliseconds, holdMillis.milliseconds)
+    TokenTake(needed, ahead, maxWaitMillis.milliseconds, holdMillis.milliseconds, answerWithinMillis.milliseconds)
 
 internal fun TokenGrant.toMessage(): WorkspaceGrant =
     WorkspaceGrant(
--- a/server/src/main/kotlin/org/agatestream/server/LimitOwner.kt
+++ b/server/src/main/kotlin/org/agatestream/server/LimitOwner.kt
@@ -20,7 +20,10 @@
     public val times: LimitTimes = LimitTimes(),
     public val now: () -> MonotonicTime = MonotonicTime::now,
     public val wallTime: () -> Instant = Instant::now,
-)
+) {
+    /** When this VM began to know settings. */
+    public val startedAt: MonotonicTime = now()
+}
 
 /** Answers asks for the limits that this VM owns. */
 public class LimitOwner(
@@ -34,6 +37,11 @@
     @Volatile
     public var onGiveWay: (GiveWayAsk) -> Unit = {}
 
+    /** Takes down the settings now in force; call it after each change of them. */
+    public fun onFleetChange() {
+        tokens.learn(context.now())
+    }
+
     /** Answers [ask] of the VM [from]. */
     public suspend fun handle(
         from: VmId,
--- a/server/src/main/kotlin/org/agatestream/server/QuotaOwner.kt
+++ b/server/src/main/kotlin/org/agatestream/server/QuotaOwner.kt
@@ -2,12 +2,13 @@
 
 import org.agatestream.core.BackendChart
 import org.agatestream.core.BackendServerSetting
-import org.agatestream.core.BackendWarmth
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.QuotaAnswer
 import org.agatestream.core.QuotaAsk
 import org.agatestream.core.QuotaCap
 import org.agatestream.core.QuotaLedger
+import org.agatestream.core.SlotLedger
+import org.agatestream.core.SlotRules
 import org.agatestream.core.VmId
 import org.agatestream.core.runningCap
 import java.util.concurrent.ConcurrentHashMap
@@ -33,11 +34,9 @@
         val since = context.rights.ownedSince(ask.key.toOwnedShare(), now) ?: return NOT_OWNER
         var decision = NOT_OWNER
         accounts.compute(ask.key) { _, old ->
-            val account = (old?.takeIf { it.since == since } ?: open(ask.key, since, now)).dropGone().record(ask)
-            val cap = account.cap(ask.key) ?: return@compute old
-            val (ledger, answer) = account.ledger.ask(ask.toQuotaAsk(from), cap, context.times.quota, now)
-            val changed = account.copy(ledger = ledger)
-            decision = QuotaDecision(answer.toMessage(ledger, cap), changed.giveWay(from, cap, now))
+            val account = (old?.takeIf { it.since == since } ?: open(ask.key, since, now)).dropGone()
+            val (changed, answer) = account.apply(from, ask, now) ?: return@compute old
+            decision = QuotaDecision(answer.toMessage(changed), changed.ledger.quota.giveWay(changed.cap, now) - from)
             changed
         }
         return decision
@@ -52,51 +51,58 @@
         val counted = if (key is QuotaKey.Server) since else now + context.times.settingSpread
         val opensAt = counted + context.times.leaseOver()
         EventLog.info("quota_opened", "quota" to key.toText(), "opens_in_ms" to (opensAt - now).inWholeMilliseconds)
-        return Account(since, QuotaLedger(opensAt))
+        return Account(since, SlotLedger(QuotaLedger(opensAt)), UNLIMITED)
     }
 
-    private fun Account.record(ask: QuotaLeaseAsk): Account {
-        val setting = setting(ask.key) ?: return this
-        val next = warmth.record(ask.results, setting, chart)
-        if (next.state != warmth.state) {
-            EventLog.info(
-                "backend_warmth",
-                "server" to ask.key.toText(),
-                "state" to next.state,
-                "was" to warmth.state,
+    private fun Account.dropGone(): Account {
+        val gone =
+            ledger.quota.leases.keys
+                .filter { context.rights.isGone(it) }
+        return if (gone.isEmpty()) {
+            this
+        } else {
+            copy(
+                ledger = ledger.copy(quota = gone.fold(ledger.quota) { left, vm -> left.gone(vm) }),
             )
         }
-        return copy(warmth = next)
-    }
-
-    private fun Account.dropGone(): Account {
-        val gone = ledger.leases.keys.filter { context.rights.isGone(it) }
-        return if (gone.isEmpty()) this else copy(ledger = gone.fold(ledger) { left, vm -> left.gone(vm) })
-    }
-
-    /** Returns the present cap; null if the backend server is unknown. */
-    private fun Account.cap(key: QuotaKey): QuotaCap? {
-        val scope = key.toScope()
-        if (scope != null) return context.fleet().runningCap(scope, context.wallTime()) ?.shareOf(key) ?: UNLIMITED
-        return setting(key)?.let { QuotaCap(warmth.slots(it)) }
     }
 
-    private fun setting(key: QuotaKey): BackendServerSetting? =
-        (key as? QuotaKey.Server)?.let {
-            context.fleet().backendServers[it.id]
+    /** Applies an ask; returns null if the backend server is unknown. */
+    private fun Account.apply(
+        from: VmId,
+        ask: QuotaLeaseAsk,
+        now: MonotonicTime,
+    ): Pair<Account, QuotaAnswer>? =
+        when (val key = ask.key) {
+            is QuotaKey.Server -> context.fleet().backendServers[key.id]?.let { applySlots(from, ask, it, now) }
+            is QuotaKey.Domain, is QuotaKey.Fleet -> applyCap(from, ask, now)
         }
 
-    private fun Account.giveWay(
+    private fun Account.applySlots(
         from: VmId,
-        cap: QuotaCap,
+        ask: QuotaLeaseAsk,
+        setting: BackendServerSetting,
         now: MonotonicTime,
-    ): Map<VmId, Int> = ledger.giveWay(cap, now) - from
+    ): Pair<Account, QuotaAnswer> {
+        val rules = SlotRules(setting, context.times.quota, chart)
+        val (changed, answer) = ledger.ask(ask.toQuotaAsk(from), ask.results, rules, now)
+        val state = changed.warmth.state
+        if (state != ledger.warmth.state) {
+            EventLog.info("backend_warmth", "quota" to ask.key.toText(), "state" to state, "was" to ledger.warmth.state)
+        }
+        return copy(ledger = changed, cap = changed.cap(setting)) to answer
+    }
 
-    private data class Account(
-        val since: MonotonicTime,
-        val ledger: QuotaLedger,
-        val warmth: BackendWarmth = BackendWarmth(),
-    )
+    private fun Account.applyCap(
+        from: VmId,
+        ask: QuotaLeaseAsk,
+        now: MonotonicTime,
+    ): Pair<Account, QuotaAnswer> {
+        val scope = checkNotNull(ask.key.toScope())
+        val present = context.fleet().runningCap(scope, context.wallTime())?.shareOf(ask.key) ?: UNLIMITED
+        val (changed, answer) = ledger.quota.ask(ask.toQuotaAsk(from), present, context.times.quota, now)
+        return copy(ledger = ledger.copy(quota = changed), cap = present) to answer
+    }
 
     private companion object {
         val NOT_OWNER = QuotaDecision(QuotaLeaseAnswer(isOwner = false))
@@ -104,16 +110,20 @@
     }
 }
 
+/** The account of one quota under the right that it was begun with. */
+private data class Account(
+    val since: MonotonicTime,
+    val ledger: SlotLedger,
+    val cap: QuotaCap,
+)
+
 private fun QuotaLeaseAsk.toQuotaAsk(from: VmId): QuotaAsk = QuotaAsk(from, sequence, keeps, wants)
 
-private fun QuotaAnswer.toMessage(
-    ledger: QuotaLedger,
-    cap: QuotaCap,
-): QuotaLeaseAnswer =
+private fun QuotaAnswer.toMessage(account: Account): QuotaLeaseAnswer =
     QuotaLeaseAnswer(
         granted = granted,
         mayKeepBatch = mayKeepBatch,
         scarce = scarce,
-        inUse = ledger.held.total,
-        cap = cap.total,
+        inUse = account.ledger.quota.held.total,
+        cap = account.cap.total,
     )
