Run the batch side under faults in virtual time and mend early completion

Change: a chunk has ended when its results are as many as its items. Ruled out: a second, stepwise copy of the shell over the pure decisions, which would have proved the copy.

--- a/core/src/main/kotlin/org/agatestream/core/ChunkHold.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ChunkHold.kt
@@ -34,7 +34,7 @@
 
     /** True once every item has a result, in a checkpoint or not. */
     val allEnded: Boolean
-        get() = unfinished().isEmpty()
+        get() = record.finished.size + pending.size == ids.size
 
     /** Returns the positions of up to [limit] items that may start at [now]; their order is that of the chunk. */
     public fun startable(
@@ -58,14 +58,18 @@
         position: Int,
         result: ItemResult,
         bytes: Int,
-    ): ChunkHold =
-        copy(
+    ): ChunkHold {
+        invariant("item-ends-once", position !in pending && !record.finished.toBits().get(position)) {
+            "item ${ids[position]} of ${spec.id} ended twice"
+        }
+        return copy(
             running = running - position,
             retryAt = retryAt - position,
             tries = tries - position,
             pending = pending + (position to result),
             pendingBytes = pendingBytes + bytes,
         )
+    }
 
     /** Notes that a run of the item at [position] failed; after the last try the item ends as an error. */
     public fun runFailed(
@@ -132,6 +136,9 @@
         val results = if (carries) pending.toSortedMap() else emptyMap()
         val part = if (results.isEmpty()) null else toPart(results.values)
         val finished = record.finished + results.keys
+        invariant("result-counted-once", finished.size == record.done + record.failed + results.size) {
+            "chunk ${record.index} of ${spec.id} has ${finished.size} finished items"
+        }
         val next =
             record.copy(
                 state = checkNotNull(record.stateAfter(event)) { "the chart refuses $event in ${record.state}" },
@@ -150,7 +157,9 @@
         return ResultPart(record.epoch, nextSequence, done, results.size - done)
     }
 
-    private fun isFull(): Boolean = pending.size >= rules.checkpointItems || pendingBytes >= rules.checkpointBytes
+    /** True if the results gathered are enough for a checkpoint, or nothing more can run without one. */
+    private fun isFull(): Boolean =
+        pending.size >= rules.checkpointItems || pendingBytes >= rules.checkpointBytes || unfinished().isEmpty()
 
     private fun isFlushDue(now: MonotonicTime): Boolean =
         pending.size >= rules.renewItems || now - flushedAt >= rules.flushAfter
--- /dev/null
+++ b/core/src/test/kotlin/org/agatestream/core/ChunkHoldTest.kt
@@ -0,0 +1,148 @@
+package org.agatestream.core
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.int
+import io.kotest.property.checkAll
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class ChunkHoldTest :
+    FunSpec({
+        val start = MonotonicTime.ZERO
+
+        test("a chunk whose window has ended is not complete while items are left") {
+            val hold = hold(10, RULES).endAll(listOf(0, 1, 2, 3))
+            hold.allEnded shouldBe false
+            val checkpoint = hold.planCheckpoint(start)
+            checkpoint.completes shouldBe false
+            hold.committed(checkpoint, start).startable(10, start) shouldBe listOf(4, 5, 6, 7)
+        }
+
+        test("no item starts once the lease has run out, and a commit renews it") {
+            val hold = hold(10, RULES)
+            hold.startable(2, start + RULES.lease - 1.milliseconds) shouldBe listOf(0, 1)
+            hold.startable(2, start + RULES.lease).shouldBeEmpty()
+            val late = start + RULES.lease * 2
+            hold.committed(hold.planCheckpoint(late), late).startable(2, late) shouldBe listOf(0, 1)
+        }
+
+        test("an item ends as an error after its last try and holds up no other") {
+            var hold = hold(3, RULES)
+            repeat(RULES.maxTries) { hold = hold.started(listOf(1)).runFailed(1, "broken", start) }
+            hold.pending
+                .getValue(1)
+                .error
+                ?.code shouldBe "tries_exhausted"
+            hold.startable(10, start) shouldBe listOf(0, 2)
+        }
+
+        test("tries survive the holder") {
+            val failed = hold(3, RULES).runFailed(1, "broken", start)
+            val released = failed.planRelease().record
+            released.tries shouldBe mapOf(1 to 1)
+            released.state shouldBe ChunkState.OPEN
+        }
+
+        test("a paused holder's commit is lost and a repeated one is found") {
+            val checkpoint = hold(3, RULES).endAll(listOf(0)).planRelease()
+            val key = BatchNames.chunkKey(SPEC.id, 0)
+            val own = Row(key, checkpoint.record.toRowValue(), RowVersion(2))
+            checkpoint.afterCommit(CommitResult.Conflict(listOf(own))) shouldBe CheckpointStep.Committed
+            val other = own.copy(value = own.value.replace("\"epoch\":1", "\"epoch\":2"))
+            checkpoint.afterCommit(CommitResult.Conflict(listOf(other))) shouldBe CheckpointStep.Lost
+            val cancel = Row(BatchNames.cancelKey(SPEC.id), "{}", RowVersion(1))
+            checkpoint.afterCommit(CommitResult.Conflict(listOf(cancel))) shouldBe CheckpointStep.Lost
+            checkpoint.afterCommit(CommitResult.Unknown) shouldBe CheckpointStep.Repeat
+        }
+
+        test("after lost holders, items run alone and a poison item ends as an error") {
+            var row = Row(BatchNames.chunkKey(SPEC.id, 0), hold(6, RULES).record.toRowValue(), RowVersion(1))
+            var losses = 0
+            while (true) {
+                val now = start + 1.seconds * losses
+                val watch = ChunkWatch(row.version, now - RULES.takeOverAfter - 1.milliseconds)
+                val claim = checkNotNull(SPEC.claimExisting(row, watch, VmId("vm-$losses"), now, RULES))
+                var hold = ChunkHold.begin(claim, ids(6), now, RULES)
+                while (0 !in hold.startable(1, now) && !hold.isDone(0)) {
+                    val checkpoint = hold.planCheckpoint(now)
+                    hold = hold.committed(checkpoint, now)
+                }
+                if (hold.isDone(0)) break
+                losses++
+                losses shouldBeLessThanOrEqual RULES.isolateAfterLosses + RULES.maxItemLosses
+                row = Row(row.key, hold.record.toRowValue(), hold.version)
+            }
+            losses shouldBe RULES.isolateAfterLosses - 1 + RULES.maxItemLosses
+        }
+
+        test("whatever the order of events, each item ends once and the chunk completes with all of them") {
+            checkAll(Arb.int(1..40), Arb.int()) { size, seed ->
+                val random = Random(seed)
+                var hold = hold(size, RULES)
+                var now = start
+                val carried = mutableListOf<Int>()
+                while (true) {
+                    now += random.nextInt(300).milliseconds
+                    val started = hold.startable(random.nextInt(6), now)
+                    hold = hold.started(started)
+                    hold.running.filter { random.nextBoolean() }.forEach { hold = hold.endOrFail(it, random, now) }
+                    if (!hold.isCheckpointDue(now)) continue
+                    val checkpoint = hold.planCheckpoint(now)
+                    carried += checkpoint.positions
+                    if (checkpoint.completes) break
+                    hold = hold.named(checkpoint).committed(checkpoint, now)
+                }
+                carried.sorted() shouldBe (0 until size).toList()
+            }
+        }
+    })
+
+private val RULES =
+    BatchRules(
+        windowItems = 4,
+        checkpointItems = 4,
+        lease = 3.seconds,
+        renewAfter = 1.seconds,
+        retryDelay = 100.milliseconds,
+    )
+
+private val SPEC =
+    JobSpec(
+        JobId("j"),
+        WorkspaceId("w"),
+        "d",
+        "/v1/completions",
+        deadlineMillis = 0,
+        upload = "u",
+        items = 6,
+        chunks = 1,
+    )
+
+private fun ids(size: Int): List<ItemId> = List(size) { ItemId("i$it") }
+
+private fun hold(
+    size: Int,
+    rules: BatchRules,
+): ChunkHold = ChunkHold.begin(SPEC.claimFresh(0, VmId("vm")), ids(size), MonotonicTime.ZERO, rules)
+
+private fun ChunkHold.end(position: Int): ChunkHold = ended(position, ItemResult.done(ids[position], "{}", 1), 2)
+
+private fun ChunkHold.endAll(positions: List<Int>): ChunkHold = positions.fold(started(positions)) { h, p -> h.end(p) }
+
+private fun ChunkHold.endOrFail(
+    position: Int,
+    random: Random,
+    now: MonotonicTime,
+): ChunkHold =
+    when (random.nextInt(4)) {
+        0 -> runFailed(position, "flaky", now)
+        1 -> yielded(position, 50.milliseconds, now)
+        else -> end(position)
+    }
+
+private fun ChunkHold.isDone(position: Int): Boolean = position in pending || record.finished.toBits().get(position)
--- a/server/src/main/kotlin/org/agatestream/server/BatchWorker.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchWorker.kt
@@ -25,6 +25,7 @@
     private val search = ChunkSearch(ports)
     private val slots = ItemSlots()
     private val runs = ConcurrentHashMap<String, ChunkRun>()
+    private val cancelledJobs = BoundedMap<JobId, Unit>(MAX_CANCELLED)
     private val wakeUps = Channel<Unit>(Channel.CONFLATED)
 
     @Volatile
@@ -85,6 +86,8 @@
     ) {
         val run = ChunkRun(ports, slots, claimed)
         runs[claimed.key] = run
+        // The cancel may have been seen while the claim was under way.
+        if (synchronized(cancelledJobs) { claimed.claim.spec.id in cancelledJobs }) run.cancelled()
         run.job =
             chunks.launch {
                 try {
@@ -107,11 +110,13 @@
 
     private suspend fun checkCancelled(job: JobId) {
         if (ports.table.read(BatchNames.cancelKey(job)) !is ReadResult.Found) return
+        synchronized(cancelledJobs) { cancelledJobs[job] = Unit }
         runs.values.filter { it.spec.id == job }.forEach { it.cancelled() }
     }
 
     private companion object {
         const val MAX_CHUNKS = 16
+        const val MAX_CANCELLED = 256
         const val MAX_IDLE_ROUNDS = 4
         val IDLE_READ_SPAN = 10.milliseconds
         val MIN_IDLE_DELAY = 200.milliseconds
--- a/server/src/main/kotlin/org/agatestream/server/CheckpointWriter.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CheckpointWriter.kt
@@ -16,8 +16,8 @@
 ) {
     private val backoff = Backoff()
 
-    suspend fun write(checkpoint: Checkpoint): CheckpointStep {
-        storeResults(checkpoint)
+    /** Commits the row, which makes the results readable; call it after [storeResults]. */
+    suspend fun commit(checkpoint: Checkpoint): CheckpointStep {
         var failures = 0
         while (true) {
             val transaction = transactionOf(checkpoint) ?: return CheckpointStep.Lost
@@ -27,7 +27,8 @@
         }
     }
 
-    private suspend fun storeResults(checkpoint: Checkpoint) {
+    /** Stores the results under a name that no row holds yet. */
+    suspend fun storeResults(checkpoint: Checkpoint) {
         val name = checkpoint.objectName ?: return
         val bytes = checkpoint.toObject()
         var failures = 0
--- a/server/src/main/kotlin/org/agatestream/server/ChunkRun.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ChunkRun.kt
@@ -61,13 +61,20 @@
     private var draining = false
     private var writing = false
 
+    @Volatile
+    private var stopped = false
+
+    @Volatile
+    private var leaseEnd = claimed.sentAt + ports.rules.lease
+
     /** Asks the run to hand the chunk on. */
     fun drain() {
         signals.trySend(ChunkSignal.Drain)
     }
 
-    /** Tells the run that its job is cancelled. */
+    /** Tells the run that its job is cancelled; no item starts afterwards. */
     fun cancelled() {
+        stopped = true
         signals.trySend(ChunkSignal.Cancelled)
     }
 
@@ -121,8 +128,13 @@
     }
 
     private suspend fun runItem(position: Int) {
-        var yielded = true
+        var yielded = false
         try {
+            // The process may have been paused since the decision to start the item.
+            if (stopped || ports.clock() >= leaseEnd) {
+                signals.trySend(ChunkSignal.ItemEnded(position, ItemOutcome.Yielded))
+                return
+            }
             val item = items[position]
             val deadline = ports.clock() + ITEM_TIMEOUT
             val call = ItemCall(spec.id, item.id, spec.workspace, spec.target, item.body.toString(), deadline)
@@ -130,10 +142,8 @@
             yielded = outcome is ItemOutcome.Yielded
             signals.trySend(ChunkSignal.ItemEnded(position, outcome))
         } catch (e: CancellationException) {
-            yielded = false
             throw e
         } catch (_: Exception) {
-            yielded = false
             signals.trySend(ChunkSignal.ItemEnded(position, ItemOutcome.Failed("the run met an unexpected error")))
         } finally {
             slots.giveBack(yielded)
@@ -146,8 +156,10 @@
     ) {
         writing = true
         scope.launch {
+            writer.storeResults(checkpoint)
             val sentAt = ports.clock()
-            val step = writer.write(checkpoint)
+            val step = writer.commit(checkpoint)
+            if (step is CheckpointStep.Lost) stopped = true
             signals.trySend(ChunkSignal.CheckpointEnded(checkpoint, sentAt, step))
         }
     }
@@ -209,7 +221,7 @@
         if (signal.step is CheckpointStep.Lost) return ended("batch_chunk_lost")
         if (signal.checkpoint.completes) return ended("batch_chunk_completed")
         if (signal.checkpoint.releases) return ended("batch_chunk_released")
-        return hold.committed(signal.checkpoint, signal.sentAt)
+        return hold.committed(signal.checkpoint, signal.sentAt).also { leaseEnd = it.leaseEnd }
     }
 
     private fun ended(event: String): ChunkHold? {
--- a/server/src/test/kotlin/org/agatestream/server/MemoryPlatform.kt
+++ b/server/src/test/kotlin/org/agatestream/server/MemoryPlatform.kt
@@ -48,13 +48,20 @@
 
     override suspend fun commit(transaction: Transaction): CommitResult {
         if (!answers()) return CommitResult.Unavailable
+        val result = commitNow(transaction)
+        val lost = loseCommitAnswers.getAndUpdate { maxOf(0, it - 1) } > 0
+        return if (lost) CommitResult.Unknown else result
+    }
+
+    fun commitNow(transaction: Transaction): CommitResult {
         val failed = synchronized(rows) { apply(transaction) }
         if (failed.isNotEmpty()) return CommitResult.Conflict(failed)
         writes.addAndGet(transaction.writes.size)
-        val lost = loseCommitAnswers.getAndUpdate { maxOf(0, it - 1) } > 0
-        return if (lost) CommitResult.Unknown else CommitResult.Committed
+        return CommitResult.Committed
     }
 
+    fun peek(key: String): Row? = synchronized(rows) { rows[key] }
+
     override suspend fun put(
         name: String,
         bytes: ByteArray,
@@ -71,7 +78,7 @@
     }
 
     private suspend fun answers(): Boolean {
-        delay(answerDelay)
+        if (answerDelay > Duration.ZERO) delay(answerDelay)
         return !down
     }
 
--- /dev/null
+++ b/server/src/test/kotlin/org/agatestream/server/SimJob.kt
@@ -0,0 +1,76 @@
+package org.agatestream.server
+
+import org.agatestream.core.ItemResult
+import org.agatestream.core.ItemStatus
+import org.agatestream.core.JobStatus
+import org.agatestream.core.WorkspaceId
+import org.agatestream.core.invariant
+import org.agatestream.core.jobIdOf
+import kotlin.random.Random
+
+/** A job of a simulated caller, and what the caller has seen of it. */
+internal class SimJob(
+    number: Int,
+    random: Random,
+) {
+    val workspace = "ws${number % 3}"
+    val key = "key$number"
+    val id = jobIdOf(WorkspaceId(workspace), key)
+    private val items = List(random.nextInt(1, MAX_ITEMS)) { "${kinds.random(random)}-$it" }
+    val body =
+        items
+            .withIndex()
+            .joinToString(
+                "",
+            ) { (n, id) -> "{\"id\":\"$id\",\"body\":{\"n\":$n}}\n" }
+            .encodeToByteArray()
+    val submitTarget = "/v1/batches?target=/v1/completions&deadline=${random.nextInt(1_000)}"
+    private val seen = mutableMapOf<String, ItemResult>()
+    private var counts = 0
+
+    fun see(status: JobStatus) {
+        val now = status.counts.done + status.counts.failed
+        invariant("counts-never-fall", now >= counts) { "job $id had $counts ended items and now has $now" }
+        invariant("counts-add-up", status.counts.total == items.size && status.counts.pending >= 0) { "$status" }
+        counts = now
+    }
+
+    fun see(answer: CallerAnswer) {
+        val results = answer.results()
+        val byId = results.associateBy { it.id.value }
+        invariant("result-given-once", byId.size == results.size) { "job $id has an item twice" }
+        invariant("result-of-an-item", byId.keys.all { it in items }) { "job $id has a result of no item" }
+        byId.forEach { (item, result) ->
+            val earlier = seen.getOrPut(item) { result }
+            invariant("results-never-change", earlier == result) { "$item of $id was $earlier and is $result" }
+        }
+        if (!answer.complete) return
+        invariant("results-stay-readable", seen.keys == byId.keys) { "job $id lost ${seen.keys - byId.keys}" }
+    }
+
+    fun seeEnd(status: JobStatus) {
+        invariant("each-item-has-a-result", seen.keys == items.toSet()) { "job $id lacks ${items - seen.keys}" }
+        invariant("an-ended-job-waits-for-nothing", status.counts.pending == 0) { "$status" }
+        val done = seen.values.count { it.status == ItemStatus.DONE }
+        invariant("counts-are-those-of-results", done == status.counts.done) { "job $id: $done and $status" }
+        seen.forEach { (item, result) -> checkEnd(item, result) }
+    }
+
+    private fun checkEnd(
+        item: String,
+        result: ItemResult,
+    ) {
+        val right =
+            when (result.status) {
+                ItemStatus.CANCELLED -> true
+                ItemStatus.DONE -> "{\"n\":${items.indexOf(item)}}" == result.body.toString() && item[0] in "of"
+                ItemStatus.FAILED -> !item.startsWith("ok") || result.error?.code == "holder_lost"
+            }
+        invariant("answer-is-the-items-own", right) { "$item of $id ended as $result" }
+    }
+
+    private companion object {
+        const val MAX_ITEMS = 25
+        val kinds = List(60) { "ok" } + List(9) { "flaky" } + List(3) { "impossible" } + "kill"
+    }
+}
