Run calls that may not be repeated through the ledger, and count requests

Cause: services were called without a durable intent, and nothing counted requests against the objectives.

Change: OnceCalls carries out the ledger's steps, answers other VMs about its claims, goes on when the caller has gone and brings rows up to date in the background; a call under way is not given up to online bursts. OnlineRoutes counts and logs each request; items that may not be repeated use job and item as their key.

--- a/core/src/main/kotlin/org/agatestream/core/OnceLedger.kt
+++ b/core/src/main/kotlin/org/agatestream/core/OnceLedger.kt
@@ -1,8 +1,10 @@
 package org.agatestream.core
 
+import kotlinx.serialization.Serializable
 import kotlin.time.Duration.Companion.seconds
 
 /** What the holder of a claim says about it. */
+@Serializable
 public enum class HolderWord {
     /** The holder still works on the call. */
     ACTIVE,
--- a/http/src/main/kotlin/org/agatestream/http/ServerConnection.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ServerConnection.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.launch
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.Failure
+import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -97,7 +98,7 @@
 
     /** Asks the socket for the next piece of the body of [current]. */
     fun requestBody(current: ServerCall) {
-        ctx.executor().execute {
+        onLoop {
             if (call === current && !current.bodyComplete) {
                 startTimer(
                     limits.senderTimeout,
@@ -110,7 +111,7 @@
     /** Closes the connection once no request is under way. */
     fun closeWhenIdle() {
         closing = true
-        ctx.executor().execute { if (call == null && !headArriving) ctx.close() }
+        onLoop { if (call == null && !headArriving) ctx.close() }
     }
 
     fun closeNow() {
@@ -144,7 +145,7 @@
         } catch (_: Exception) {
             if (current.answered) current.abort() else current.respondFailure(INTERNAL_FAILURE)
         } finally {
-            ctx.executor().execute { end(current) }
+            onLoop { end(current) }
         }
     }
 
@@ -187,6 +188,14 @@
         demand.request(ctx)
     }
 
+    private fun onLoop(task: () -> Unit) {
+        try {
+            ctx.executor().execute(task)
+        } catch (_: RejectedExecutionException) {
+            // The threads have been stopped, and with them every connection.
+        }
+    }
+
     private fun startTimer(
         span: Duration,
         action: () -> Unit,
--- a/server/src/main/kotlin/org/agatestream/server/BackendItemRunner.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BackendItemRunner.kt
@@ -11,6 +11,7 @@
 import org.agatestream.core.OnlineRoute
 import org.agatestream.core.RequestClass
 import org.agatestream.core.RequestId
+import org.agatestream.core.RunState
 import org.agatestream.core.findOnlineRoute
 import org.agatestream.core.getOrElse
 import org.agatestream.http.HttpClient
@@ -21,18 +22,19 @@
     private val coordination: Coordination,
     slots: BackendSlots,
     client: HttpClient,
+    once: OnceCalls,
     scope: CoroutineScope,
-    clock: () -> MonotonicTime = MonotonicTime::now,
+    private val clock: () -> MonotonicTime = MonotonicTime::now,
 ) : ItemRunner {
     private val forwarder = Forwarder(client, slots, scope, clock)
-    private val completions = CompletionCalls(forwarder, client)
-    private val services = ServiceCalls(forwarder)
+    private val completions = CompletionCalls(forwarder, client, clock)
+    private val services = ServiceCalls(forwarder, once)
 
     override suspend fun run(call: ItemCall): ItemOutcome {
         val route = coordination.fleet.findOnlineRoute("POST", call.target.substringBefore('?'))
         val found = route?.getOrElse { return it.toItemOutcome() }
         val caller = findCaller(call) ?: return ItemOutcome.Impossible("forbidden", "the workspace is gone")
-        val context = CallContext(RequestId(UUID.randomUUID().toString()), caller, call.deadline)
+        val context = CallContext(RequestId(UUID.randomUUID().toString()), caller, clock(), call.deadline)
         return when (found) {
             is OnlineRoute.Completion -> runCompletion(call, context, found.chat)
             is OnlineRoute.Service -> runService(call, context, found)
@@ -105,8 +107,12 @@
 }
 
 private fun Failure.toItemOutcome(): ItemOutcome =
-    when (kind) {
-        ErrorKind.NO_CAPACITY -> ItemOutcome.Yielded
-        ErrorKind.OUTCOME_UNKNOWN -> ItemOutcome.Impossible(kind.code, message)
-        else -> if (kind.status in 400..499) ItemOutcome.Impossible(kind.code, message) else ItemOutcome.Failed(message)
+    when {
+        kind.status == STATUS_UNAVAILABLE && kind.run == RunState.NOT_RUN -> ItemOutcome.Yielded
+        kind == ErrorKind.OUTCOME_UNKNOWN -> ItemOutcome.Impossible(kind.code, message)
+        kind == ErrorKind.IN_PROGRESS -> ItemOutcome.Failed(message)
+        kind.status in 400..499 -> ItemOutcome.Impossible(kind.code, message)
+        else -> ItemOutcome.Failed(message)
     }
+
+private const val STATUS_UNAVAILABLE = 503
--- a/server/src/main/kotlin/org/agatestream/server/CallContext.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CallContext.kt
@@ -10,8 +10,13 @@
     val id: RequestId,
     /** The caller, or null on a route that is open to all. */
     val caller: Caller?,
+    val arrivedAt: MonotonicTime,
     val deadline: MonotonicTime,
 ) {
+    /** When the first byte of an answer was ready for the caller, or null if none was yet. */
+    @Volatile
+    var firstByteAt: MonotonicTime? = null
+
     val workspace: WorkspaceId?
         get() = caller?.workspace?.id
 }
--- a/server/src/main/kotlin/org/agatestream/server/CompletionCalls.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CompletionCalls.kt
@@ -9,6 +9,7 @@
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.Failure
 import org.agatestream.core.FleetView
+import org.agatestream.core.MonotonicTime
 import org.agatestream.core.Outcome
 import org.agatestream.core.RequestClass
 import org.agatestream.core.checkLimits
@@ -42,6 +43,7 @@
 internal class CompletionCalls(
     private val forwarder: Forwarder,
     private val client: HttpClient,
+    private val clock: () -> MonotonicTime,
 ) {
     /** Answers [call] with the completion; returns the failure that the caller got, or null. */
     suspend fun answer(
@@ -52,9 +54,9 @@
     ): Failure? {
         val request = plan.toBackendRequest(context, RequestClass.ONLINE)
         return if (plan.completion.stream) {
-            answerStream(call, request, plan.completion.chat, withdrawn)
+            answerStream(call, context, request, plan.completion.chat, withdrawn)
         } else {
-            answerWhole(call, request, plan.completion.chat, withdrawn)
+            answerWhole(call, context, request, plan.completion.chat, withdrawn)
         }
     }
 
@@ -73,23 +75,26 @@
 
     private suspend fun answerWhole(
         call: HttpCall,
+        context: CallContext,
         request: BackendRequest,
         chat: Boolean,
         withdrawn: Job,
     ): Failure? {
         val attempt = runUnless(withdrawn) { runWhole(request) } ?: return WITHDRAWN_FAILURE
         if (attempt !is Attempt.Finished) return attempt.toFailure()
-        call.respondWhole(if (chat) attempt.value.toChatAnswer() else attempt.value, request)
+        context.firstByteAt = clock()
+        call.respondWhole(if (chat) attempt.value.toChatAnswer() else attempt.value, context)
         return null
     }
 
     private suspend fun answerStream(
         call: HttpCall,
+        context: CallContext,
         request: BackendRequest,
         chat: Boolean,
         withdrawn: Job,
     ): Failure? {
-        val relay = StreamRelay(call, chat, client)
+        val relay = StreamRelay(call, chat, client) { context.firstByteAt = clock() }
         var refusal: WholeAnswer? = null
         val attempt =
             runUnless(withdrawn) {
@@ -100,7 +105,7 @@
                 }
             }
         refusal?.takeIf { attempt is Attempt.Finished }?.let {
-            call.respondWhole(it, request)
+            call.respondWhole(it, context)
             return null
         }
         val failure = if (attempt == null) WITHDRAWN_FAILURE else attempt.toFailure()
@@ -162,8 +167,8 @@
 /** Answers with what a backend server answered. */
 internal suspend fun HttpCall.respondWhole(
     answer: WholeAnswer,
-    request: BackendRequest,
+    context: CallContext,
 ) {
-    val own = mapOf(REQUEST_ID_HEADER to request.id.value)
+    val own = mapOf(REQUEST_ID_HEADER to context.id.value)
     respond(answer.status, answer.contentType, answer.body, answer.headers + own)
 }
--- a/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
@@ -47,7 +47,8 @@
     private val shutdown = GracefulShutdown(config.entryTtlSeconds.seconds, config.shutdownGraceSeconds.seconds)
     private val leaving = LeavingVms(coordination)
     private val limits = OwnedLimits(config, coordination, network, scope, registry, client)
-    private val batch = BatchArea(config, coordination, platform, limits, client, scope)
+    private val once = OnceCalls(platform, network, coordination, scope)
+    private val batch = BatchArea(config, coordination, platform, limits, client, once, scope)
     private val server =
         HttpServer.start(
             loops,
@@ -66,6 +67,7 @@
         reportInvariants()
         val address = parseAddress(config.peerAddress)
         network.addHandler { _, ask -> if (ask is LeavingNotice) leaving.take(ask) else null }
+        network.addHandler { _, ask -> if (ask is ClaimAsk) once.answer(ask) else null }
         network.listen(address.hostString, address.port)
         coordination.start()
         limits.start(scope)
@@ -79,6 +81,7 @@
     public suspend fun stop() {
         shutdown.run { server.runningCalls }
         server.stopAccepting()
+        once.flush(FLUSH_LIMIT)
         coordination.close()
         network.close()
         scope.cancel()
@@ -95,6 +98,8 @@
                 limits.slots,
                 client,
                 hasher,
+                once,
+                levels,
                 leaving,
                 config.entryTtlSeconds,
                 scope,
@@ -122,6 +127,10 @@
         }
     }
 
+    private companion object {
+        val FLUSH_LIMIT = 5.seconds
+    }
+
     private fun parseView(
         settings: Map<String, String>,
         revision: Revision,
@@ -166,9 +175,10 @@
     private val platform: HttpPlatform,
     limits: OwnedLimits,
     client: HttpClient,
+    once: OnceCalls,
     scope: CoroutineScope,
 ) {
-    private val runner = BackendItemRunner(coordination, limits.slots, client, scope)
+    private val runner = BackendItemRunner(coordination, limits.slots, client, once, scope)
     val worker = BatchWorker(BatchPorts(config.vm, platform, platform, runner, coordination))
 
     fun routes(authenticate: (HttpCall) -> Outcome<org.agatestream.core.CallerKey>): BatchRoutes =
--- a/server/src/main/kotlin/org/agatestream/server/Forwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/Forwarder.kt
@@ -1,6 +1,7 @@
 package org.agatestream.server
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.agatestream.core.BackendKind
@@ -52,7 +53,9 @@
     ): Attempt<T> {
         val run = Run(request, id, lease)
         try {
-            val attempt = runUnless(lease.revoked) { withinDeadline(request) { run.send(use) } } ?: Attempt.Revoked
+            // A call that may not be repeated does not give way: to cancel it would leave its outcome unknown.
+            val stop = if (request.idempotent) lease.revoked else Job()
+            val attempt = runUnless(stop) { withinDeadline(request) { run.send(use) } } ?: Attempt.Revoked
             run.settle(attempt)
             return attempt
         } finally {
--- a/server/src/main/kotlin/org/agatestream/server/OnlineRoutes.kt
+++ b/server/src/main/kotlin/org/agatestream/server/OnlineRoutes.kt
@@ -1,6 +1,7 @@
 package org.agatestream.server
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.add
@@ -42,6 +43,8 @@
     slots: BackendSlots,
     client: HttpClient,
     private val keyHasher: KeyHasher,
+    once: OnceCalls,
+    private val levels: ServiceLevels,
     private val leavingVms: LeavingVms,
     private val entryTtlSeconds: Int,
     scope: CoroutineScope,
@@ -49,8 +52,8 @@
 ) : HttpRoutes {
     private val running = RunningCalls(coordination)
     private val forwarder = Forwarder(client, slots, scope, clock)
-    private val completions = CompletionCalls(forwarder, client)
-    private val services = ServiceCalls(forwarder)
+    private val completions = CompletionCalls(forwarder, client, clock)
+    private val services = ServiceCalls(forwarder, once)
 
     override suspend fun handle(call: HttpCall): Boolean {
         val fleet = coordination.fleet
@@ -71,15 +74,46 @@
         val open = route is OnlineRoute.Service && route.setting.open
         val caller = if (open) null else authenticate(call, fleet).getOrElse { return it }
         val timeout = call.findTimeout().getOrElse { return it }
-        val context = CallContext(RequestId(UUID.randomUUID().toString()), caller, clock() + timeout)
-        return running.track(caller) { withdrawn ->
-            when (route) {
-                is OnlineRoute.Entries -> null
-                is OnlineRoute.Models -> answerModels(call, fleet, checkNotNull(caller))
-                is OnlineRoute.Completion -> answerCompletion(call, fleet, route, context, withdrawn)
-                is OnlineRoute.Service -> answerService(call, route, context)
-            }
+        val now = clock()
+        val context = CallContext(RequestId(UUID.randomUUID().toString()), caller, now, now + timeout)
+        val failure = running.track(caller) { withdrawn -> answer(call, fleet, route, context, withdrawn) }
+        count(context, failure)
+        return failure
+    }
+
+    private suspend fun answer(
+        call: HttpCall,
+        fleet: FleetView,
+        route: OnlineRoute,
+        context: CallContext,
+        withdrawn: Job,
+    ): Failure? =
+        when (route) {
+            is OnlineRoute.Entries -> null
+            is OnlineRoute.Models -> answerModels(call, fleet, checkNotNull(context.caller))
+            is OnlineRoute.Completion -> answerCompletion(call, fleet, route, context, withdrawn)
+            is OnlineRoute.Service -> answerService(call, route, context)
+        }
+
+    private fun count(
+        context: CallContext,
+        failure: Failure?,
+    ) {
+        val workspace = context.workspace ?: return
+        val firstByteAfter = context.firstByteAt?.let { it - context.arrivedAt }
+        if (failure != null) {
+            levels.failed(workspace, RequestClass.ONLINE, failure.kind)
+        } else if (firstByteAfter != null) {
+            levels.answered(workspace, RequestClass.ONLINE, firstByteAfter)
         }
+        EventLog.info(
+            "request",
+            "id" to context.id,
+            "workspace" to workspace,
+            "result" to (failure?.kind?.code ?: "ok"),
+            "first_byte_ms" to firstByteAfter?.inWholeMilliseconds,
+            "total_ms" to (clock() - context.arrivedAt).inWholeMilliseconds,
+        )
     }
 
     private fun authenticate(
@@ -123,7 +157,7 @@
         fleet: FleetView,
         route: OnlineRoute.Completion,
         context: CallContext,
-        withdrawn: kotlinx.coroutines.Job,
+        withdrawn: Job,
     ): Failure? {
         val body = readBody(call, context).getOrElse { return it }
         val caller = checkNotNull(context.caller)
@@ -139,11 +173,13 @@
     ): Failure? {
         val body = readBody(call, context).getOrElse { return it }
         val key = call.header("idempotency-key")
+        if (key != null && key.length !in 1..MAX_KEY_CHARS) return BAD_IDEMPOTENCY_KEY
         val service = ServiceCall(route, call.method, call.targetBelow(route), call.passedHeaders(), body, key)
         context.workspace?.let { limits.admit(it, context.deadline).getOrElse { failure -> return failure } }
         val attempt = services.run(service, context, RequestClass.ONLINE)
         if (attempt !is Attempt.Finished) return attempt.toFailure()
-        call.respondWhole(attempt.value, service.toBackendRequest(context, RequestClass.ONLINE))
+        context.firstByteAt = clock()
+        call.respondWhole(attempt.value, context)
         return null
     }
 
@@ -174,9 +210,12 @@
 
     private companion object {
         const val MAX_BODY_BYTES = 1_048_576
+        const val MAX_KEY_CHARS = 255
         val DEFAULT_TIMEOUT = 60.seconds
         val MAX_TIMEOUT = 600.seconds
         val SLOW_BODY = ErrorKind.REQUEST_TIMEOUT.toFailed("the body did not arrive in time")
+        val BAD_IDEMPOTENCY_KEY =
+            Failure(ErrorKind.MALFORMED_REQUEST, "an idempotency key has 1 to $MAX_KEY_CHARS characters")
         val NOT_CURRENT_FAILURE = Failure(ErrorKind.NOT_CURRENT, "this VM has lost touch with the fleet")
     }
 }
--- a/server/src/main/kotlin/org/agatestream/server/ServiceCalls.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ServiceCalls.kt
@@ -2,8 +2,13 @@
 
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.Failure
+import org.agatestream.core.OnceResult
 import org.agatestream.core.OnlineRoute
 import org.agatestream.core.RequestClass
+import org.agatestream.core.RunState
+import org.agatestream.core.SendOutcome
+import org.agatestream.core.onceDigest
+import org.agatestream.core.onceRowKey
 
 /** A call to a plain service, with its body read whole. */
 internal class ServiceCall(
@@ -19,6 +24,7 @@
 /** Runs calls to plain services; one that may not be repeated is sent at most once. */
 internal class ServiceCalls(
     private val forwarder: Forwarder,
+    private val once: OnceCalls,
 ) {
     /** Runs [call] and returns the service's whole answer. */
     suspend fun run(
@@ -27,13 +33,52 @@
         requestClass: RequestClass,
     ): Attempt<WholeAnswer> {
         val request = call.toBackendRequest(context, requestClass)
-        val attempt =
-            forwarder.forward(request) { exchange ->
-                exchange.readWholeAnswer()?.let { Attempt.Finished(it) } ?: Attempt.Lost(BROKEN_FAILURE)
+        val key = call.idempotencyKey
+        return when {
+            call.route.idempotent -> forward(request)
+            key == null -> forward(request).withUnknownOutcome()
+            else -> runOnce(call, context, key, request)
+        }
+    }
+
+    private suspend fun forward(request: BackendRequest): Attempt<WholeAnswer> =
+        forwarder.forward(request) { exchange ->
+            exchange.readWholeAnswer()?.let { Attempt.Finished(it) } ?: Attempt.Lost(BROKEN_FAILURE)
+        }
+
+    private suspend fun runOnce(
+        call: ServiceCall,
+        context: CallContext,
+        key: String,
+        request: BackendRequest,
+    ): Attempt<WholeAnswer> {
+        val rowKey = onceRowKey(context.workspace, call.route.id, key)
+        var own: WholeAnswer? = null
+        val result =
+            once.run(rowKey, onceDigest(call.method, call.target, call.body)) {
+                val attempt = forward(request)
+                own = (attempt as? Attempt.Finished)?.value
+                attempt.toSendOutcome()
             }
-        return if (attempt is Attempt.Lost && !call.route.idempotent) Attempt.Lost(UNKNOWN_FAILURE) else attempt
+        return when (result) {
+            is OnceResult.Answered -> Attempt.Finished(own ?: result.answer.toReplay())
+            is OnceResult.Refused -> result.failure.toAttempt()
+        }
     }
 
+    private fun Attempt<WholeAnswer>.toSendOutcome(): SendOutcome =
+        when (this) {
+            is Attempt.Finished -> SendOutcome.Answered(value.toStoredAnswer())
+            is Attempt.NotRun -> SendOutcome.NotRun(failure)
+            is Attempt.Lost, Attempt.Revoked -> SendOutcome.Lost
+        }
+
+    private fun Failure.toAttempt(): Attempt<Nothing> =
+        if (kind.run == RunState.NOT_RUN) Attempt.NotRun(this) else Attempt.Lost(this, repeatable = false)
+
+    private fun Attempt<WholeAnswer>.withUnknownOutcome(): Attempt<WholeAnswer> =
+        if (this is Attempt.Lost) Attempt.Lost(UNKNOWN_FAILURE, repeatable = false) else this
+
     private companion object {
         val BROKEN_FAILURE = Failure(ErrorKind.BACKEND_FAILED, "the backend server broke the answer off")
         val UNKNOWN_FAILURE = Failure(ErrorKind.OUTCOME_UNKNOWN, "the call was sent and its answer was lost")
--- a/server/src/main/kotlin/org/agatestream/server/StreamRelay.kt
+++ b/server/src/main/kotlin/org/agatestream/server/StreamRelay.kt
@@ -30,6 +30,7 @@
     private val call: HttpCall,
     private val chat: Boolean,
     private val client: HttpClient,
+    private val onFirstByte: () -> Unit,
 ) {
     private var writer: BodyWriter? = null
     private var passedTokens = 0
@@ -116,10 +117,15 @@
     }
 
     private suspend fun write(text: String): Boolean {
-        val open = writer ?: call.startStream(STATUS_OK, "text/event-stream", STREAM_HEADERS).also { writer = it }
+        val open = writer ?: begin()
         return open.write(text.encodeToByteArray())
     }
 
+    private suspend fun begin(): BodyWriter {
+        onFirstByte()
+        return call.startStream(STATUS_OK, "text/event-stream", STREAM_HEADERS).also { writer = it }
+    }
+
     private suspend fun resume(exchange: BackendExchange): HttpAnswer? {
         val id = exchange.id
         val body = """{"from":$passedTokens}""".encodeToByteArray()
--- a/server/src/test/kotlin/org/agatestream/server/FakeBackend.kt
+++ b/server/src/test/kotlin/org/agatestream/server/FakeBackend.kt
@@ -30,6 +30,9 @@
 sealed interface Script {
     data object Refuse : Script
 
+    /** Answers that the call can't be done. */
+    data object Impossible : Script
+
     data object DropBeforeHead : Script
 
     /** Answers under another request's id. */
@@ -67,7 +70,7 @@
 
     fun close() = server.closeNow()
 
-    fun requests(target: String): List<Recorded> = recorded.filter { it.target == target }
+    fun requestId(index: Int): String = recorded[index].headers.toMap().getValue("x-request-id")
 
     private suspend fun handle(call: HttpCall) {
         val body = (call.readBody(1_000_000) as Outcome.Ok).value.decodeToString()
@@ -87,6 +90,10 @@
     ) {
         val script = scripts.removeFirstOrNull()
         if (script is Script.Refuse) return refuse(call)
+        if (script is Script.Impossible) {
+            val error = """{"error":{"code":"impossible","message":"no such wheel"}}"""
+            return call.respond(422, "application/json", error.encodeToByteArray())
+        }
         if (call.path == "/bookings") bookings.incrementAndGet()
         if (script is Script.DropBeforeHead) return call.startStream(200, "text/plain").abort()
         if (script is Script.Late) script.go.await()
--- a/server/src/test/kotlin/org/agatestream/server/OnlineFixture.kt
+++ b/server/src/test/kotlin/org/agatestream/server/OnlineFixture.kt
@@ -1,14 +1,17 @@
 package org.agatestream.server
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.coroutines.CompletableJob
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
 import org.agatestream.core.BackendKind
 import org.agatestream.core.BackendServerId
 import org.agatestream.core.BackendServerSetting
 import org.agatestream.core.CallerKey
+import org.agatestream.core.CommitResult
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.FailureDomainId
 import org.agatestream.core.FleetView
@@ -18,10 +21,16 @@
 import org.agatestream.core.ModelId
 import org.agatestream.core.ModelSetting
 import org.agatestream.core.MonotonicTime
+import org.agatestream.core.OnceRecord
 import org.agatestream.core.Outcome
 import org.agatestream.core.Plan
+import org.agatestream.core.ReadResult
 import org.agatestream.core.RouteId
 import org.agatestream.core.RouteSetting
+import org.agatestream.core.Row
+import org.agatestream.core.RowVersion
+import org.agatestream.core.TableService
+import org.agatestream.core.Transaction
 import org.agatestream.core.VmId
 import org.agatestream.core.Workspace
 import org.agatestream.core.WorkspaceId
@@ -38,11 +47,14 @@
 import org.agatestream.http.HttpServer
 import java.io.ByteArrayOutputStream
 import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 const val KEY = "agk_secret"
-private val hasher = KeyHasher("fleet secret".encodeToByteArray())
+val hasher = KeyHasher("fleet secret".encodeToByteArray())
 
 class FakeCoordination(
     override var fleet: FleetView,
@@ -92,7 +104,84 @@
     }
 }
 
-/** An entry VM's request path with two fake backend servers behind it. */
+/** A table in memory that can be down or lose the answers of commits that took effect. */
+class FakeTable : TableService {
+    private val rows = ConcurrentHashMap<String, Row>()
+
+    @Volatile
+    var down = false
+
+    @Volatile
+    var loseAnswers = 0
+
+    override suspend fun read(key: String): ReadResult<Row> =
+        if (down) ReadResult.Unavailable else rows[key]?.let { ReadResult.Found(it) } ?: ReadResult.Absent
+
+    override suspend fun scan(
+        prefix: String,
+        after: String,
+        limit: Int,
+    ): ReadResult<List<Row>> = ReadResult.Unavailable
+
+    @Synchronized
+    private fun apply(transaction: Transaction): CommitResult {
+        val failed = transaction.conditions.filter { (rows[it.key]?.version ?: RowVersion.ABSENT) != it.version }
+        if (failed.isNotEmpty()) return CommitResult.Conflict(failed.mapNotNull { rows[it.key] })
+        transaction.writes.forEach {
+            val version = (rows[it.key]?.version ?: RowVersion.ABSENT).value + 1
+            rows[it.key] = Row(it.key, checkNotNull(it.value), RowVersion(version))
+        }
+        return CommitResult.Committed
+    }
+
+    override suspend fun commit(transaction: Transaction): CommitResult {
+        if (down) return CommitResult.Unavailable
+        val result = apply(transaction)
+        if (loseAnswers-- > 0) return CommitResult.Unknown
+        return result
+    }
+
+    fun records(): List<OnceRecord> = rows.values.mapNotNull { OnceRecord.parse(it.value) }
+}
+
+/** The request path of one entry VM of a fixture. */
+class FakeVm(
+    private val fixture: OnlineFixture,
+    id: String,
+) : PeerNetwork {
+    override val self = VmId(id)
+    val once = OnceCalls(fixture.table, this, fixture.coordination, fixture.scope)
+    val leavingVms = LeavingVms(fixture.coordination)
+    val shutdown = GracefulShutdown(300.milliseconds, 5.seconds)
+    private val levels = ServiceLevels(SimpleMeterRegistry())
+    private val online =
+        with(fixture) {
+            OnlineRoutes(coordination, limits, slots, client, hasher, once, levels, leavingVms, 10, scope)
+        }
+    val items = with(fixture) { BackendItemRunner(coordination, slots, client, once, scope) }
+    private val router = Router(listOf(online), shutdown)
+    val server = with(fixture) { HttpServer.start(loops, ANY_PORT, HttpLimits(), scope, router::handle) }
+    val address = "127.0.0.1:${server.port}"
+
+    override suspend fun ask(
+        peer: VmId,
+        ask: PeerAsk,
+        timeout: Duration,
+    ): PeerAnswer? {
+        val other = fixture.vms.firstOrNull { it.self == peer } ?: return null
+        return when (ask) {
+            is ClaimAsk -> other.once.answer(ask)
+            is LeavingNotice -> other.leavingVms.take(ask)
+            else -> null
+        }
+    }
+
+    private companion object {
+        val ANY_PORT = InetSocketAddress("127.0.0.1", 0)
+    }
+}
+
+/** Two entry VMs with two fake backend servers behind them. */
 class OnlineFixture : AutoCloseable {
     val loops = EventLoops(2)
     val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
@@ -101,21 +190,23 @@
     val coordination = FakeCoordination(fleet())
     val slots = FakeSlots(coordination)
     val client = HttpClient(loops)
-    val leavingVms = LeavingVms(coordination)
-    val shutdown = GracefulShutdown(1.seconds, 5.seconds)
+    val table = FakeTable()
     var admission: Outcome<Unit> = Unit.toOk()
-    private val limits =
+    val limits =
         object : WorkspaceLimits {
             override suspend fun admit(
                 workspace: WorkspaceId,
                 deadline: MonotonicTime,
             ) = admission
         }
-    val online = OnlineRoutes(coordination, limits, slots, client, hasher, leavingVms, 10, scope)
-    val items = BackendItemRunner(coordination, slots, client, scope)
-    private val router = Router(listOf(online), shutdown)
-    val server = HttpServer.start(loops, InetSocketAddress("127.0.0.1", 0), HttpLimits(), scope, router::handle)
-    val address = "127.0.0.1:${server.port}"
+    val vms = CopyOnWriteArrayList<FakeVm>()
+    val vm = addVm("vm1")
+
+    fun addVm(id: String): FakeVm =
+        FakeVm(this, id).also {
+            vms += it
+            coordination.vms += ListedVm(it.self, FailureDomainId("rennes"), it.address, "")
+        }
 
     private fun fleet(): FleetView {
         val domain = FailureDomainId("rennes")
@@ -151,11 +242,20 @@
         body: String = "",
         vararg headers: Pair<String, String>,
         key: String? = KEY,
-    ): Reply {
+        via: FakeVm = vm,
+    ): Reply = open(method, target, body, *headers, key = key, via = via).readReply()
+
+    suspend fun open(
+        method: String,
+        target: String,
+        body: String = "",
+        vararg headers: Pair<String, String>,
+        key: String? = KEY,
+        via: FakeVm = vm,
+    ): HttpAnswer {
         val authorization = listOfNotNull(key?.let { "authorization" to "Bearer $it" })
-        val spec = HttpRequestSpec(address, method, target, authorization + headers, body.encodeToByteArray())
-        val answer = (client.exchange(spec) as ExchangeResult.Answered).answer
-        return answer.readReply()
+        val spec = HttpRequestSpec(via.address, method, target, authorization + headers, body.encodeToByteArray())
+        return (client.exchange(spec) as ExchangeResult.Answered).answer
     }
 
     suspend fun complete(
@@ -165,7 +265,8 @@
     ): Reply = send("POST", path, completionBody(stream, chat = "chat" in path), *headers)
 
     override fun close() {
-        server.closeNow()
+        scope.cancel()
+        vms.forEach { it.server.closeNow() }
         first.close()
         second.close()
         loops.close()
