--- a/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
@@ -14,7 +14,6 @@
 import org.agatestream.core.Outcome
 import org.agatestream.core.ParsedSettings
 import org.agatestream.core.Revision
-import org.agatestream.core.WorkspaceId
 import org.agatestream.core.authenticate
 import org.agatestream.core.map
 import org.agatestream.core.parseFleet
@@ -45,10 +44,11 @@
     private val shutdown = GracefulShutdown(config.entryTtlSeconds.seconds, config.shutdownGraceSeconds.seconds)
     private val leaving = LeavingVms(coordination)
     private val limits = OwnedLimits(config, coordination, network, scope, registry, client)
-    private val runner = ObservedItemRunner(BackendItemRunner(coordination, limits.slots, client, scope), levels)
+    private val once = OnceCalls(platform, network, coordination, scope)
+    private val items = BackendItemRunner(coordination, limits.slots, client, once, scope)
+    private val runner = ObservedItemRunner(items, levels)
     private val batch = BatchPorts(config.vm, platform, platform, runner, coordination)
     private val worker = BatchWorker(batch)
-    private val router = router()
     private val server =
         HttpServer.start(
             loops,
@@ -67,6 +67,7 @@
         reportInvariants()
         val address = parseAddress(config.peerAddress)
         network.addHandler { _, ask -> if (ask is LeavingNotice) leaving.take(ask) else null }
+        network.addHandler { _, ask -> if (ask is ClaimAsk) once.answer(ask) else null }
         network.listen(address.hostString, address.port)
         coordination.start()
         limits.start(scope)
@@ -80,22 +81,13 @@
     public suspend fun stop() {
         shutdown.run { server.runningCalls }
         server.stopAccepting()
+        once.flush(FLUSH_LIMIT)
         coordination.close()
         network.close()
         scope.cancel()
         loops.close()
     }
 
-    private suspend fun answer(call: HttpCall) {
-        levels.observe(call, ::workspaceOf, router::handle)
-    }
-
-    private fun workspaceOf(call: HttpCall): WorkspaceId? =
-        when (val key = authenticate(call)) {
-            is Outcome.Ok -> key.value.workspace
-            is Outcome.Failed -> null
-        }
-
     private fun router(): Router {
         val store = CoordinationSettingsStore(coordination)
         val operators = OperatorAuthentication(coordination, hasher, secrets.bootstrapOperatorKey)
@@ -106,6 +98,8 @@
                 limits.slots,
                 client,
                 hasher,
+                once,
+                levels,
                 leaving,
                 config.entryTtlSeconds,
                 scope,
@@ -133,6 +127,10 @@
         }
     }
 
+    private companion object {
+        val FLUSH_LIMIT = 5.seconds
+    }
+
     private fun parseView(
         settings: Map<String, String>,
         revision: Revision,
--- a/server/src/main/kotlin/org/agatestream/server/ServiceLevels.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ServiceLevels.kt
@@ -1,13 +1,15 @@
 package org.agatestream.server
 
+import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
 import org.agatestream.core.BurnLedger
 import org.agatestream.core.BurnLine
+import org.agatestream.core.ErrorKind
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.RequestClass
+import org.agatestream.core.RunState
 import org.agatestream.core.WorkspaceId
-import org.agatestream.http.HttpCall
 import kotlin.time.Duration
 import kotlin.time.toJavaDuration
 
@@ -18,19 +20,29 @@
 ) {
     private val ledger = BurnLedger()
 
-    /** Runs [answer] and counts how it answered [call], if [workspaceOf] finds that it is an online request. */
-    public suspend fun observe(
-        call: HttpCall,
-        workspaceOf: (HttpCall) -> WorkspaceId?,
-        answer: suspend (HttpCall) -> Unit,
+    /** Counts an online request that was answered; [firstByteAfter] counts from its arrival. */
+    public fun answered(
+        workspace: WorkspaceId,
+        firstByteAfter: Duration,
+    ) {
+        timer.record(firstByteAfter.toJavaDuration())
+        val isInTime = firstByteAfter.inWholeMilliseconds <= ONLINE_OBJECTIVE.firstByteMillis
+        count(workspace, RequestClass.ONLINE, isInTime, "ok")
+    }
+
+    /** Counts an online request that ended in an error; what the caller caused does not burn the budget. */
+    public fun failed(
+        workspace: WorkspaceId,
+        kind: ErrorKind,
     ) {
-        val workspace = if (isOnline(call.path)) workspaceOf(call) else null
-        if (workspace == null) return answer(call)
-        val observed = ObservedCall(call, clock)
-        try {
-            answer(observed)
-        } finally {
-            if (observed.isWhole || !call.callerGone.isCompleted) record(workspace, observed)
+        val byCaller = kind.status < STATUS_SERVER_ERROR && kind.run != RunState.UNKNOWN
+        if (byCaller) {
+            counter(
+                RequestClass.ONLINE,
+                kind.code,
+            ).increment()
+        } else {
+            count(workspace, RequestClass.ONLINE, false, kind.code)
         }
     }
 
@@ -42,32 +54,16 @@
         code: String,
     ) {
         ledger.record(workspace, requestClass, isGood, clock())
-        registry.counter("agatestream.requests", "class", requestClass.name.lowercase(), "code", code).increment()
+        counter(requestClass, code).increment()
     }
 
     /** Returns the burn report of this VM. */
     public fun report(): List<BurnLine> = ledger.report(clock())
 
-    private fun record(
-        workspace: WorkspaceId,
-        observed: ObservedCall,
-    ) {
-        val status = observed.status ?: return
-        val firstByteAfter = observed.firstByteAfter
-        val byCaller = status in CALLER_ERRORS
-        if (byCaller) {
-            registry.counter("agatestream.requests", "class", "online", "code", status.toString()).increment()
-            return
-        }
-        firstByteAfter?.let { timer.record(it.toJavaDuration()) }
-        val isServed = status < CALLER_ERRORS.first && observed.isWhole
-        count(workspace, RequestClass.ONLINE, isServed && isInTime(firstByteAfter), status.toString())
-    }
-
-    private fun isInTime(firstByteAfter: Duration?): Boolean =
-        firstByteAfter != null && firstByteAfter.inWholeMilliseconds <= ONLINE_OBJECTIVE.firstByteMillis
-
-    private fun isOnline(path: String): Boolean = ONLINE_PATHS.any { path.startsWith(it) }
+    private fun counter(
+        requestClass: RequestClass,
+        code: String,
+    ): Counter = registry.counter("agatestream.requests", "class", requestClass.name.lowercase(), "code", code)
 
     private val timer: Timer =
         Timer
@@ -77,8 +73,7 @@
             .register(registry)
 
     private companion object {
-        val CALLER_ERRORS = 400..499
-        val ONLINE_PATHS = listOf("/v1/completions", "/v1/chat/completions", "/services/")
+        const val STATUS_SERVER_ERROR = 500
         val ONLINE_OBJECTIVE = BurnLedger.OBJECTIVES.first { it.requestClass == RequestClass.ONLINE }
     }
 }
