Run coordination in virtual time with random faults

Cause: the promises on settings and owners have to hold through any order of faults, which sockets on loopback can't bring about at will. The policy's majority, restart wait and takeover wait became parameters.

--- a/core/src/main/kotlin/org/agatestream/core/AppliedTally.kt
+++ b/core/src/main/kotlin/org/agatestream/core/AppliedTally.kt
@@ -1,7 +1,5 @@
 package org.agatestream.core
 
-import kotlin.time.Duration
-
 /**
  * The VMs that confirmed to have applied at least [head], each with the time when it was asked.
  *
@@ -27,12 +25,12 @@
         plan: Plan,
         gone: Set<VmId>,
         now: MonotonicTime,
-        window: Duration,
+        policy: FreshnessPolicy,
     ): Boolean {
-        val counted = askedAt.filterValues { now - it <= window }.keys
+        val counted = askedAt.filterValues { now - it <= policy.ackWindow }.keys
         return plan.epoch <= head.epoch &&
             listOf(plan.vms, plan.previous)
                 .filter { it.isNotEmpty() }
-                .all { vms -> vms.count { it.id in counted || it.id in gone } > vms.size / 2 }
+                .all { vms -> policy.isMajority(vms.count { it.id in counted || it.id in gone }, vms.size) }
     }
 }
--- a/core/src/main/kotlin/org/agatestream/core/CompletionRequest.kt
+++ b/core/src/main/kotlin/org/agatestream/core/CompletionRequest.kt
@@ -78,13 +78,6 @@
     return (element as? JsonObject)?.toOk() ?: malformed("the body must be a JSON object")
 }
 
-private fun JsonElement.isDeeperThan(limit: Int): Boolean {
-    if (this is JsonPrimitive) return false
-    if (limit == 0) return true
-    val children = if (this is JsonObject) values else this as JsonArray
-    return children.any { it.isDeeperThan(limit - 1) }
-}
-
 /** Writes a conversation as a prompt: one line for each message, then the start of the answer. */
 private fun joinMessages(messages: JsonElement?): String? {
     if (messages !is JsonArray || messages.isEmpty()) return null
--- a/core/src/main/kotlin/org/agatestream/core/CoordinationState.kt
+++ b/core/src/main/kotlin/org/agatestream/core/CoordinationState.kt
@@ -69,7 +69,7 @@
         val nextStanding = if (nextConfig.revision >= plan.revision) standing.onPlan(plan) else standing
         if (nextConfig === config && nextStanding === standing) return this
         val next = copy(config = nextConfig, standing = nextStanding)
-        return next.copy(freshness = freshness.onApplied(next.head, next.plan))
+        return next.copy(freshness = freshness.onApplied(next.head, next.plan, policy))
     }
 
     /** Applies the news that the plan of [epoch] is in force. */
--- a/core/src/main/kotlin/org/agatestream/core/Freshness.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Freshness.kt
@@ -63,19 +63,20 @@
         val claimed = evidence.knownSince?.takeIf { it >= floor }
         val told = if (claimed == null) this else onClaim(FreshnessClaim(evidence.head, claimed))
         if (!applied.covers(evidence.head)) return told
-        return told.withContacts(evidence.toContacts().filterValues { it >= floor }).withMajority(plan)
+        return told.withContacts(evidence.toContacts().filterValues { it >= floor }).withMajority(plan, policy)
     }
 
     /** Applies the event that this VM has applied [head], whose plan is [plan]. */
     public fun onApplied(
         head: FleetHead,
         plan: Plan,
+        policy: FreshnessPolicy,
     ): Freshness {
         invariant("applied-head-never-reverts", head.covers(applied)) { "$self went from $applied to $head" }
         val (covered, uncovered) = ahead.partition { head.covers(it.head) }
         val planned = plan.vms.mapTo(HashSet()) { it.id }
         val next = copy(applied = head, ahead = uncovered, contacts = contacts.filterKeys { it in planned })
-        return covered.fold(next) { f, c -> f.withKnownSince(c.at) }.withMajority(plan)
+        return covered.fold(next) { f, c -> f.withKnownSince(c.at) }.withMajority(plan, policy)
     }
 
     private fun onClaim(claim: FreshnessClaim): Freshness {
@@ -94,12 +95,15 @@
         return copy(contacts = merged)
     }
 
-    private fun withMajority(plan: Plan): Freshness {
+    private fun withMajority(
+        plan: Plan,
+        policy: FreshnessPolicy,
+    ): Freshness {
         val selfCounts = knownSince != null && self in plan
-        val needed = plan.vms.size / 2 + 1 - (if (selfCounts) 1 else 0)
-        val times = plan.vms.mapNotNull { contacts[it.id] }
-        if (plan.vms.isEmpty() || needed == 0 || times.size < needed) return this
-        return withKnownSince(times.sortedDescending()[needed - 1])
+        val own = if (selfCounts) 1 else 0
+        val times = plan.vms.mapNotNull { contacts[it.id] }.sortedDescending()
+        val at = times.indices.firstOrNull { policy.isMajority(it + 1 + own, plan.vms.size) } ?: return this
+        return withKnownSince(times[at])
     }
 
     /**
@@ -109,7 +113,7 @@
      * answers don't prove that no change is missing.
      */
     private fun peerFloor(policy: FreshnessPolicy): MonotonicTime =
-        if (knownSince != null) startedAt else startedAt + policy.atLeast(policy.ackWindow)
+        if (knownSince != null) startedAt else startedAt + policy.restartWait
 
     private fun PeerEvidence.toContacts(): Map<VmId, MonotonicTime> =
         if (initialised) contacts + (peer to sentAt) else contacts
--- a/core/src/main/kotlin/org/agatestream/core/FreshnessPolicy.kt
+++ b/core/src/main/kotlin/org/agatestream/core/FreshnessPolicy.kt
@@ -14,10 +14,24 @@
     val ackWindow: Duration = 2.seconds,
     /** How long after its decision an owner's answer may still take effect: the longest timeout of an ask to an owner. */
     val answerMargin: Duration = 250.milliseconds,
+    /** The fraction of the planned VMs that a majority exceeds. */
+    val majority: Double = 0.5,
+    /** How long after the start of its process a VM doesn't rely on what peers confirm. */
+    val restartWait: Duration = onAnyClock(ackWindow, drift),
+    /** How long after a plan became effective its owners wait for the owners before them to stop. */
+    val takeoverWait: Duration = onAnyClock(bound, drift) + answerMargin,
 ) {
-    /** The span on one clock that lasts at least as long as [span] on any other clock. */
-    public fun atLeast(span: Duration): Duration = span * ((1 + drift) / (1 - drift))
+    /** Returns whether [count] of [total] VMs are a majority. */
+    public fun isMajority(
+        count: Int,
+        total: Int,
+    ): Boolean = count > total * majority
 
-    /** How long after a plan became effective its owners wait for the owners before them to stop. */
-    public val takeoverWait: Duration get() = atLeast(bound) + answerMargin
+    private companion object {
+        /** Returns the span on one clock that lasts at least as long as [span] on any other clock. */
+        fun onAnyClock(
+            span: Duration,
+            drift: Double,
+        ): Duration = span * ((1 + drift) / (1 - drift))
+    }
 }
--- a/server/src/main/kotlin/org/agatestream/server/ChangeSpreader.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ChangeSpreader.kt
@@ -62,7 +62,7 @@
             val now = clock()
             val counted = tally.onAnswer(state.self, state.head, now)
             val gone = state.membership.gone
-            if (counted.isInForce(state.plan, gone, now, state.policy.ackWindow)) return true
+            if (counted.isInForce(state.plan, gone, now, state.policy)) return true
             val answer = answers.receive()
             tally = tally.onAnswer(answer.vm, answer.applied.head, answer.sentAt)
         }
--- a/server/src/main/kotlin/org/agatestream/server/CoordinationService.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinationService.kt
@@ -1,5 +1,6 @@
 package org.agatestream.server
 
+import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -8,6 +9,7 @@
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import org.agatestream.core.ConfigLogEntry
+import org.agatestream.core.ConfigState
 import org.agatestream.core.ConfigWrite
 import org.agatestream.core.CoordinationState
 import org.agatestream.core.ErrorKind
@@ -19,6 +21,7 @@
 import org.agatestream.core.Outcome
 import org.agatestream.core.OwnerStanding
 import org.agatestream.core.Plan
+import org.agatestream.core.PlanStanding
 import org.agatestream.core.ReadResult
 import org.agatestream.core.Revision
 import org.agatestream.core.ShareKey
@@ -45,17 +48,18 @@
 
 /** Keeps this VM's knowledge of settings, plan and VMs up to date, through the platform's table and the other VMs. */
 public class CoordinationService(
-    private val network: KtorPeerNetwork,
+    private val network: PeerTransport,
     table: TableService,
     private val vmList: VmList,
     parse: (Map<String, String>, Revision) -> Outcome<FleetView>,
     private val seedPeers: List<String> = emptyList(),
-    policy: FreshnessPolicy = FreshnessPolicy(),
+    public val policy: FreshnessPolicy = FreshnessPolicy(),
     private val random: Random = Random.Default,
     private val clock: () -> MonotonicTime = MonotonicTime::now,
+    dispatcher: CoroutineDispatcher = Dispatchers.Default,
 ) : Coordination,
     AutoCloseable {
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val store = FleetStore(CoordinationState.start(network.self, clock(), policy), parse)
     private val sync = TableSync(table, store, clock)
     private val gossip = PeerGossip(network, store, clock, random)
@@ -72,9 +76,17 @@
 
     override val vms: List<ListedVm> get() = store.state.membership.listed
 
+    /** The replicated settings, by path with their revisions. */
+    public val config: ConfigState get() = store.state.config
+
+    /** What this VM knows of the plan and of the owners before it. */
+    public val planStanding: PlanStanding get() = store.state.standing
+
     /** How far this VM has come. */
     public val head: FleetHead get() = store.state.head
 
+    internal val state: CoordinationState get() = store.state
+
     init {
         network.addHandler(CoordinationHandler(store, gossip, concession, clock, scope))
         store.onChange(::onStoreChange)
--- a/server/src/main/kotlin/org/agatestream/server/KtorPeerNetwork.kt
+++ b/server/src/main/kotlin/org/agatestream/server/KtorPeerNetwork.kt
@@ -52,7 +52,7 @@
     private val random: Random = Random.Default,
     /** True to send messages that wait at the same time in one frame. */
     private val gathers: Boolean = true,
-) : PeerNetwork,
+) : PeerTransport,
     AutoCloseable {
     private val selector = SelectorManager(Dispatchers.IO)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
@@ -71,13 +71,12 @@
     /** The number of open connections to other VMs. */
     internal val connectionCount: Int get() = connections.size
 
-    /** Adds a handler; an ask gets the first answer that is not null, in the order of adding. */
-    public fun addHandler(handler: PeerHandler) {
+    override fun addHandler(handler: PeerHandler) {
         handlers += handler
     }
 
     /** Replaces the addresses of other VMs; connections to VMs that are no more listed stay until they are idle. */
-    public fun updateAddresses(vms: List<ListedVm>) {
+    override fun updateAddresses(vms: List<ListedVm>) {
         for (vm in vms) addresses[vm.id] = vm.peerAddress
         addresses.keys.retainAll(vms.mapTo(HashSet()) { it.id })
     }
@@ -105,12 +104,11 @@
         return askAddress(address, ask, timeout, peer)
     }
 
-    /** Sends [ask] to whichever VM listens at [address]; fails if it is not [expected], where that is given. */
-    public suspend fun askAddress(
+    override suspend fun askAddress(
         address: String,
         ask: PeerAsk,
         timeout: Duration,
-        expected: VmId? = null,
+        expected: VmId?,
     ): PeerAnswer? {
         val startedAt = MonotonicTime.now()
         val connection = withTimeoutOrNull(timeout) { dial(address).await() } ?: return null
--- a/server/src/test/kotlin/org/agatestream/server/CoordinationServiceTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/CoordinationServiceTest.kt
@@ -7,6 +7,8 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
+import org.agatestream.core.ChangeId
+import org.agatestream.core.ConfigLogEntry
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.FailureDomainId
 import org.agatestream.core.Outcome
@@ -23,7 +25,11 @@
                 fleet.start(3)
                 fleet.awaitPlan(3)
                 fleet.vms[0].put("c1", PATH, "{}") shouldBe Outcome.Ok(Revision(1))
-                eventually(4.seconds) { fleet.vms.forEach { it.service.settings shouldBe mapOf(PATH to "{}") } }
+                eventually(4.seconds) { fleet.vms.forEach { it.service.config.values shouldBe mapOf(PATH to "{}") } }
+                fleet.vms[2].service.inForce().values.map { it?.revision } shouldBe List(3) { Revision(1) }
+                val history = fleet.vms[1].service.history(Revision.NONE, 10)
+                val entries = history.shouldBeInstanceOf<Outcome.Ok<List<ConfigLogEntry>>>().value
+                entries.map { it.change } shouldBe listOf(ChangeId("c1"))
             }
         }
 
@@ -66,7 +72,7 @@
                 val fresh = fleet.start(VmId("vm-new"), FailureDomainId("domain-0"), isListed = false, listOf(seed))
                 eventually(10.seconds) {
                     fresh.isCurrent() shouldBe true
-                    fresh.service.settings shouldBe mapOf(PATH to "{}")
+                    fresh.service.config.values shouldBe mapOf(PATH to "{}")
                 }
                 fleet.vms.all { it.isCurrent() } shouldBe true
                 val refused = fleet.vms[0].put("c2", PATH, "2")
