--- a/standins/src/main/kotlin/org/agatestream/standin/ScenarioRunner.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/ScenarioRunner.kt
@@ -16,6 +16,7 @@
 import org.agatestream.core.RouteSetting
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceSetting
+import java.time.Instant
 import kotlin.time.Duration.Companion.seconds
 
 /** How a scenario ended. */
@@ -71,6 +72,7 @@
             throw ScenarioFailure(": ${e.message}")
         }
         val start = MonotonicTime.now()
+        print("started at ${Instant.now()}")
         scenario.steps.forEach { step ->
             step.at?.let { delay(it - (MonotonicTime.now() - start)) }
             runStep(step, start)
@@ -163,10 +165,10 @@
         (1..spec.domains).forEach {
             put("/fleet/failure-domains/d$it", FailureDomainSetting.serializer(), FailureDomainSetting())
         }
+        put("/fleet/models/$MODEL", ModelSetting.serializer(), ModelSetting())
         fleet.servers.values.forEach {
             put("/fleet/backend-servers/${it.name}", BackendServerSetting.serializer(), it.setting())
         }
-        put("/fleet/models/$MODEL", ModelSetting.serializer(), ModelSetting())
         val servers = listOf(BackendServerId(Fleet.SERVICE))
         put(
             "/fleet/routes/spokes",
