Take over at once from VMs that are gone, and mend shares and targets

Cause: a lost holder's chunks waited for its lease although the VM list showed it gone; FairShareTest showed that a workspace which joined later tied with the one before it for ever and was never served if it lost the tie; a target with dot segments passed as a path that may be repeated; a drain with the platform down never ended; a failed search ended the worker's loop for good. Change: a holder that was on the list and no longer is may be followed at once; passes of workspaces are fixed when they join; targets are judged by findOnlineRoute, as online requests are; drains give up after 10 s a part; submits take one request of the workspace's rate, and the key is checked again once the input is read. The lease is 45 s and a renewal is due after 15 s, so that 620 VMs with 6 chunks each write at most 248 rows a second.

--- a/core/src/main/kotlin/org/agatestream/core/BatchAccept.kt
+++ b/core/src/main/kotlin/org/agatestream/core/BatchAccept.kt
@@ -35,12 +35,12 @@
 
 /** Returns whether every run of [target] may be repeated, as a batch item's run must be. */
 public fun FleetView.isBatchTarget(target: String): Boolean {
-    if (target == COMPLETIONS_PATH) return true
-    val rest = target.removePrefix(SERVICES_PREFIX)
-    if (rest == target || '/' !in rest) return false
-    val route = routes[RouteId(rest.substringBefore('/'))] ?: return false
-    val path = rest.substringAfter('/')
-    return route.idempotentPaths.any { path.startsWith(it.removePrefix("/")) }
+    val route = findOnlineRoute("POST", target) ?: return false
+    return when (val found = route.getOrElse { return false }) {
+        is OnlineRoute.Completion -> true
+        is OnlineRoute.Service -> found.idempotent
+        is OnlineRoute.Entries, is OnlineRoute.Models -> false
+    }
 }
 
 /** Makes the transaction that accepts a job. */
@@ -117,8 +117,6 @@
 
 private fun notStored(): Failure = Failure(ErrorKind.PLATFORM_UNAVAILABLE, "the job was not stored")
 
-private const val COMPLETIONS_PATH = "/v1/completions"
-private const val SERVICES_PREFIX = "/services/"
 private const val JOB_ID_BYTES = 16
 private const val MAX_ACCEPT_ATTEMPTS = 4
 private const val MAX_DEADLINE_SECONDS = 366L * 24 * 3600
--- a/core/src/main/kotlin/org/agatestream/core/BatchRules.kt
+++ b/core/src/main/kotlin/org/agatestream/core/BatchRules.kt
@@ -22,9 +22,9 @@
     /** Most items of a chunk that may be started after a checkpoint and so may run again when their holder is lost. */
     val windowItems: Int = 128,
     /** How long a holder may start items after a commit. */
-    val lease: Duration = 30.seconds,
+    val lease: Duration = 45.seconds,
     /** How long after a commit a holder commits again, with results or without. */
-    val renewAfter: Duration = 10.seconds,
+    val renewAfter: Duration = 15.seconds,
     /** Results below which a renewal leaves them for a later checkpoint. */
     val renewItems: Int = 8,
     /** How long results may wait for a checkpoint. */
--- a/core/src/main/kotlin/org/agatestream/core/ChunkClaim.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ChunkClaim.kt
@@ -6,6 +6,20 @@
     val since: MonotonicTime,
 )
 
+/** Why a VM may believe that the holder of a chunk starts no more items. */
+public sealed interface HolderSign {
+    /** Nothing is known of the holder. */
+    public data object None : HolderSign
+
+    /** The holder is no longer on the platform's list of VMs, where it once was. */
+    public data object Gone : HolderSign
+
+    /** The row has not changed since [watch] began. */
+    public data class Unchanged(
+        public val watch: ChunkWatch,
+    ) : HolderSign
+}
+
 /** A chunk that a VM may try to claim. */
 public data class ChunkClaim(
     val spec: JobSpec,
@@ -40,12 +54,12 @@
 /**
  * Returns the claim of the chunk in [row], or null if it is done or held.
  *
- * A chunk that another VM holds may be claimed at [now] if [watch] shows that its row has not changed for longer
- * than the holder's lease can last, by the clock of the VM that watched.
+ * A chunk that another VM holds may be claimed at [now] if [sign] shows that the holder is gone for good, or that
+ * the row has not changed for longer than the holder's lease can last, by the clock of the VM that watched.
  */
 public fun JobSpec.claimExisting(
     row: Row,
-    watch: ChunkWatch?,
+    sign: HolderSign,
     holder: VmId,
     now: MonotonicTime,
     rules: BatchRules,
@@ -54,17 +68,22 @@
     val claimed =
         when (record.state) {
             ChunkState.OPEN -> record.claimedBy(holder, ChunkEvent.CLAIM)
-            ChunkState.HELD if watch.allowsTakeOver(row.version, now, rules) -> record.takenOverBy(holder, rules)
+            ChunkState.HELD if sign.allowsTakeOver(row.version, now, rules) -> record.takenOverBy(holder, rules)
             else -> null
         }
     return claimed?.let { ChunkClaim(this, it, row.version) }
 }
 
-private fun ChunkWatch?.allowsTakeOver(
+private fun HolderSign.allowsTakeOver(
     version: RowVersion,
     now: MonotonicTime,
     rules: BatchRules,
-): Boolean = this != null && this.version == version && now - since > rules.takeOverAfter
+): Boolean =
+    when (this) {
+        is HolderSign.None -> false
+        is HolderSign.Gone -> true
+        is HolderSign.Unchanged -> watch.version == version && now - watch.since > rules.takeOverAfter
+    }
 
 private fun ChunkRecord.claimedBy(
     holder: VmId,
--- a/core/src/main/kotlin/org/agatestream/core/FairShare.kt
+++ b/core/src/main/kotlin/org/agatestream/core/FairShare.kt
@@ -27,7 +27,7 @@
         active: Collection<WorkspaceId>,
     ): FairShare {
         val next = pass(workspace, active) + items.toDouble() / weight.coerceAtLeast(1)
-        return FairShare(passes.filterKeys { it in active } + (workspace to next))
+        return FairShare(active.associateWith { pass(it, active) } + (workspace to next))
     }
 
     /** A workspace that had no work for a while begins where the others are, so that it can't catch up at once. */
--- a/core/src/test/kotlin/org/agatestream/core/BatchAcceptTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/BatchAcceptTest.kt
@@ -9,7 +9,16 @@
 class BatchAcceptTest :
     FunSpec({
         val spec =
-            JobSpec(JobId("j"), WorkspaceId("w"), "d1", "/v1/completions", deadlineMillis = 0, upload = "u1", items = 1, chunks = 1)
+            JobSpec(
+                JobId("j"),
+                WorkspaceId("w"),
+                "d1",
+                "/v1/completions",
+                deadlineMillis = 0,
+                upload = "u1",
+                items = 1,
+                chunks = 1,
+            )
 
         fun conflict(existing: JobSpec): CommitResult =
             CommitResult.Conflict(listOf(Row("k", JobRecord(existing, JobState.OPEN).toRowValue(), RowVersion(1))))
@@ -20,9 +29,19 @@
         }
 
         test("a resend finds the job, another input under the same key does not") {
-            spec.afterAccept(conflict(spec.copy(upload = "u2")), 1).shouldBeInstanceOf<AcceptStep.Accepted>().fresh shouldBe
+            spec
+                .afterAccept(
+                    conflict(spec.copy(upload = "u2")),
+                    1,
+                ).shouldBeInstanceOf<AcceptStep.Accepted>()
+                .fresh shouldBe
                 false
-            val refused = spec.afterAccept(conflict(spec.copy(digest = "d2")), 1).shouldBeInstanceOf<AcceptStep.Refused>()
+            val refused =
+                spec
+                    .afterAccept(
+                        conflict(spec.copy(digest = "d2")),
+                        1,
+                    ).shouldBeInstanceOf<AcceptStep.Refused>()
             refused.failure.kind shouldBe ErrorKind.KEY_REUSED
         }
 
--- a/core/src/test/kotlin/org/agatestream/core/ChunkHoldTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/ChunkHoldTest.kt
@@ -66,7 +66,8 @@
             while (true) {
                 val now = start + 1.seconds * losses
                 val watch = ChunkWatch(row.version, now - RULES.takeOverAfter - 1.milliseconds)
-                val claim = checkNotNull(SPEC.claimExisting(row, watch, VmId("vm-$losses"), now, RULES))
+                val sign = HolderSign.Unchanged(watch)
+                val claim = checkNotNull(SPEC.claimExisting(row, sign, VmId("vm-$losses"), now, RULES))
                 var hold = ChunkHold.begin(claim, ids(6), now, RULES)
                 while (0 !in hold.startable(1, now) && !hold.isDone(0)) {
                     val checkpoint = hold.planCheckpoint(now)
--- a/core/src/test/kotlin/org/agatestream/core/FairShareTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/FairShareTest.kt
@@ -22,7 +22,11 @@
                     served[index]++
                     share = share.served(next, 500, weights[index], ids)
                 }
-                weights.indices.forEach { abs(served[it] - weights[it] * ROUNDS) shouldBeLessThanOrEqualTo weights.max() }
+                weights.indices.forEach {
+                    abs(
+                        served[it] - weights[it] * ROUNDS,
+                    ) shouldBeLessThanOrEqualTo weights.max()
+                }
             }
         }
 
--- a/server/src/main/kotlin/org/agatestream/server/BatchAcceptor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchAcceptor.kt
@@ -39,15 +39,20 @@
     private val uploads = Semaphore(MAX_UPLOADS)
     private val backoff = Backoff()
 
-    /** Reads the job from [call] and stores it; a job that was sent before is found and not stored again. */
+    /**
+     * Reads the job from [call] and stores it; a job that was sent before is found and not stored again.
+     *
+     * [isAllowed] is asked again once the input is read, as the key may be withdrawn during a long upload.
+     */
     suspend fun accept(
         call: HttpCall,
         workspace: WorkspaceId,
+        isAllowed: () -> Outcome<Unit>,
     ): Outcome<JobStatus> {
         val order = parseOrder(call, workspace).getOrElse { return Outcome.Failed(it) }
         if (!uploads.tryAcquire()) return ErrorKind.NO_CAPACITY.toFailed("too many uploads run on this VM")
         try {
-            return accept(call, order)
+            return accept(call, order, isAllowed)
         } finally {
             uploads.release()
         }
@@ -56,6 +61,7 @@
     private suspend fun accept(
         call: HttpCall,
         order: JobOrder,
+        isAllowed: () -> Outcome<Unit>,
     ): Outcome<JobStatus> {
         val existing =
             when (val row = ports.table.read(BatchNames.jobKey(order.workspace, order.id))) {
@@ -71,6 +77,7 @@
         val summary =
             readInput(call, order) { chunk -> existing != null || store(order.id, upload, chunk) }
                 .getOrElse { return Outcome.Failed(it) }
+        isAllowed().getOrElse { return Outcome.Failed(it) }
         val spec = order.toSpec(upload, summary)
         if (existing == null) return commit(spec)
         return if (existing.spec.digest == spec.digest) existing.toAnswer() else Outcome.Failed(reused())
--- a/server/src/main/kotlin/org/agatestream/server/BatchPorts.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchPorts.kt
@@ -1,5 +1,7 @@
 package org.agatestream.server
 
+import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import org.agatestream.core.BatchRules
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.ObjectStore
@@ -19,5 +21,6 @@
     public val random: Random = Random.Default,
     public val clock: () -> MonotonicTime = MonotonicTime::now,
     public val wallClock: () -> Instant = Instant::now,
+    public val registry: MeterRegistry = SimpleMeterRegistry(),
     public val log: (event: String, pairs: Array<out Pair<String, Any?>>) -> Unit = EventLog::info,
 )
--- a/server/src/main/kotlin/org/agatestream/server/BatchRoutes.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchRoutes.kt
@@ -10,15 +10,18 @@
 import org.agatestream.core.JobStatus
 import org.agatestream.core.Outcome
 import org.agatestream.core.WorkspaceId
+import org.agatestream.core.map
 import org.agatestream.http.HttpCall
 import org.agatestream.http.query
 import org.agatestream.http.readBody
 import org.agatestream.http.respondFailure
+import kotlin.time.Duration.Companion.seconds
 
 /** Serves `/v1/batches`: submit, list, status, results and cancel of the batch jobs of a caller's workspace. */
 public class BatchRoutes(
     private val ports: BatchPorts,
     private val authenticate: (HttpCall) -> Outcome<CallerKey>,
+    private val limits: WorkspaceLimits,
 ) : HttpRoutes {
     private val acceptor = BatchAcceptor(ports)
     private val jobs = BatchJobs(ports)
@@ -61,7 +64,9 @@
         call: HttpCall,
         workspace: WorkspaceId,
     ) {
-        when (val outcome = acceptor.accept(call, workspace)) {
+        val admitted = limits.admit(workspace, ports.clock() + ADMISSION_TIMEOUT)
+        if (admitted is Outcome.Failed) return refuse(call, admitted.failure)
+        when (val outcome = acceptor.accept(call, workspace) { authenticate(call).map { } }) {
             is Outcome.Ok -> call.respondJson(STATUS_ACCEPTED, JobStatus.serializer(), outcome.value)
             is Outcome.Failed -> refuse(call, outcome.failure)
         }
@@ -117,6 +122,7 @@
         Failure(ErrorKind.METHOD_NOT_ALLOWED, "the path does not take the method ${call.method}")
 
     private companion object {
+        val ADMISSION_TIMEOUT = 2.seconds
         const val STATUS_OK = 200
         const val MAX_UNREAD_BYTES = 1_048_576
         const val STATUS_ACCEPTED = 202
--- a/server/src/main/kotlin/org/agatestream/server/BatchWorker.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchWorker.kt
@@ -1,5 +1,6 @@
 package org.agatestream.server
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
@@ -45,21 +46,27 @@
         scope.launch { watchCancels() }
     }
 
-    /** Stops claiming, cancels running items and hands every chunk on with its results so far. */
+    /**
+     * Stops claiming, cancels running items and hands every chunk on with its results so far.
+     *
+     * If the platform does not answer in time, the chunks are left to other VMs as they are.
+     */
     public suspend fun drain() {
         draining = true
         wakeUps.trySend(Unit)
-        loop?.join()
+        withTimeoutOrNull(DRAIN_LIMIT) { loop?.join() }
+        loop?.cancel()
         val held = runs.values.toList()
         held.forEach { it.drain() }
-        held.map { it.job }.joinAll()
+        withTimeoutOrNull(DRAIN_LIMIT) { held.map { it.job }.joinAll() }
+        held.forEach { it.job.cancel() }
         ports.log("batch_drained", arrayOf("chunks" to held.size))
     }
 
     private suspend fun findWork(chunks: CoroutineScope) {
         var idleRounds = 0
         while (!draining) {
-            val claimed = if (mayClaim()) search.next(runs.keys) else null
+            val claimed = if (mayClaim()) claimNext() else null
             if (claimed != null) {
                 run(claimed, chunks)
                 idleRounds = 0
@@ -70,6 +77,16 @@
         }
     }
 
+    private suspend fun claimNext(): ClaimedChunk? =
+        try {
+            search.next(runs.keys)
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            EventLog.error("batch_search_failed", e)
+            null
+        }
+
     private fun mayClaim(): Boolean =
         runs.size < MAX_CHUNKS && slots.hasFree() && ports.coordination.isCurrent(ports.clock())
 
@@ -115,11 +132,12 @@
     }
 
     private companion object {
-        const val MAX_CHUNKS = 16
+        const val MAX_CHUNKS = 6
         const val MAX_CANCELLED = 256
         const val MAX_IDLE_ROUNDS = 4
         val IDLE_READ_SPAN = 10.milliseconds
         val MIN_IDLE_DELAY = 200.milliseconds
         val CANCEL_POLL = 2.seconds
+        val DRAIN_LIMIT = 10.seconds
     }
 }
--- a/server/src/main/kotlin/org/agatestream/server/ChunkRun.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ChunkRun.kt
@@ -185,6 +185,7 @@
         signal: ChunkSignal.ItemEnded,
     ): ChunkHold {
         val id = items[signal.position].id
+        countRun(signal.outcome)
         val now = ports.clock()
         return when (val outcome = signal.outcome) {
             is ItemOutcome.Done -> {
@@ -213,6 +214,17 @@
         }
     }
 
+    private fun countRun(outcome: ItemOutcome) {
+        val word =
+            when (outcome) {
+                is ItemOutcome.Done -> "done"
+                is ItemOutcome.Impossible -> "impossible"
+                is ItemOutcome.Failed -> "failed"
+                is ItemOutcome.Yielded -> "yielded"
+            }
+        ports.registry.counter("agatestream.batch.runs", "outcome", word).increment()
+    }
+
     private fun checkpointEnded(
         hold: ChunkHold,
         signal: ChunkSignal.CheckpointEnded,
@@ -225,6 +237,7 @@
     }
 
     private fun ended(event: String): ChunkHold? {
+        ports.registry.counter("agatestream.batch.chunks", "event", event).increment()
         ports.log(event, arrayOf("job" to spec.id, "chunk" to claimed.claim.record.index))
         return null
     }
--- a/server/src/main/kotlin/org/agatestream/server/ChunkSearch.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ChunkSearch.kt
@@ -5,10 +5,11 @@
 import org.agatestream.core.BatchNames
 import org.agatestream.core.ChunkClaim
 import org.agatestream.core.ChunkRecord
-import org.agatestream.core.ChunkState
 import org.agatestream.core.ChunkWatch
 import org.agatestream.core.ClaimStep
 import org.agatestream.core.FairShare
+import org.agatestream.core.GoneVms
+import org.agatestream.core.HolderSign
 import org.agatestream.core.JobId
 import org.agatestream.core.JobSpec
 import org.agatestream.core.MonotonicTime
@@ -43,10 +44,12 @@
     private val busyUntil = BoundedMap<JobId, MonotonicTime>(MAX_WATCHES)
     private val cursors = BoundedMap<JobId, Int>(MAX_WATCHES)
     private var share = FairShare()
+    private var goneVms = GoneVms()
     private var outages = 0
 
     /** Claims a chunk that is not among [held], or returns null. */
     suspend fun next(held: Set<String>): ClaimedChunk? {
+        goneVms = goneVms.afterList(ports.coordination.vms.map { it.id })
         val rows = scan(BatchNames.ACTIVE_PREFIX, "", MAX_WORKSPACES) ?: return null
         val active = rows.map { WorkspaceId(it.key.removePrefix(BatchNames.ACTIVE_PREFIX)) }
         val salt = ports.self.hashCode()
@@ -126,19 +129,19 @@
             when {
                 key in held -> null
                 row == null -> spec.claimFresh(index, ports.self)
-                else -> watched(row).let { spec.claimExisting(row, it, ports.self, now, ports.rules) }
+                else -> spec.claimExisting(row, signOf(row), ports.self, now, ports.rules)
             }
         }
     }
 
-    /** Returns since when this VM has seen the row at its version, and begins to watch it if it is new. */
-    private fun watched(row: Row): ChunkWatch? {
-        if (ChunkRecord.parse(row.value).state != ChunkState.HELD) return null
+    /** Returns what this VM knows of the row's holder, and begins to watch the row if it is new. */
+    private fun signOf(row: Row): HolderSign {
+        val holder = ChunkRecord.parse(row.value).holder ?: return HolderSign.None
+        if (holder in goneVms) return HolderSign.Gone
         val known = watches[row.key]
-        if (known?.version == row.version) return known
-        val begun = ChunkWatch(row.version, ports.clock())
-        watches[row.key] = begun
-        return begun
+        if (known?.version == row.version) return HolderSign.Unchanged(known)
+        watches[row.key] = ChunkWatch(row.version, ports.clock())
+        return HolderSign.None
     }
 
     private suspend fun commit(claim: ChunkClaim): ClaimedChunk? {
--- a/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
@@ -45,7 +45,7 @@
     private val leaving = LeavingVms(coordination)
     private val limits = OwnedLimits(config, coordination, network, scope, registry, client)
     private val runner = BackendItemRunner(coordination, limits.slots, client, scope)
-    private val batch = BatchPorts(config.vm, platform, platform, runner, coordination)
+    private val batch = BatchPorts(config.vm, platform, platform, runner, coordination, registry = registry)
     private val worker = BatchWorker(batch)
     private val server =
         HttpServer.start(
@@ -102,7 +102,7 @@
             listOf(
                 HealthRoutes(registry, ::isReady),
                 online,
-                BatchRoutes(batch, ::authenticate),
+                BatchRoutes(batch, ::authenticate, limits.workspaces),
                 AdminRoutes(store, hasher, operators::authenticate, levels::report),
             ),
             shutdown,
--- a/server/src/test/kotlin/org/agatestream/server/BatchFixture.kt
+++ b/server/src/test/kotlin/org/agatestream/server/BatchFixture.kt
@@ -53,19 +53,30 @@
 }
 
 /** Coordination that is always current and knows one route whose calls may be repeated. */
-internal class FixedCoordination : Coordination {
+internal class FixedCoordination(
+    private val listVms: () -> List<ListedVm> = { emptyList() },
+) : Coordination {
     @Volatile
     var current = true
     override val fleet =
         FleetView(routes = mapOf(RouteId("spokes") to RouteSetting(emptyList(), idempotentPaths = listOf("/length"))))
     override val plan = Plan()
-    override val vms = emptyList<ListedVm>()
+    override val vms: List<ListedVm>
+        get() = listVms()
 
     override fun isCurrent(now: MonotonicTime): Boolean = current
 
     override fun onChange(listener: (Coordination) -> Unit): Unit = Unit
 }
 
+/** Admits every request. */
+internal object OpenLimits : WorkspaceLimits {
+    override suspend fun admit(
+        workspace: WorkspaceId,
+        deadline: MonotonicTime,
+    ): Outcome<Unit> = Unit.toOk()
+}
+
 /** Answers each item with its own body, after what [before] does, and counts the runs. */
 internal class EchoRunner(
     private val before: suspend (ItemCall) -> ItemOutcome? = { null },
@@ -91,7 +102,7 @@
     private val ports =
         BatchPorts(VmId(id), platform, platform, runner, coordination, rules, Random(id.hashCode()))
     val worker = BatchWorker(ports)
-    private val routes = BatchRoutes(ports, ::authenticate)
+    private val routes = BatchRoutes(ports, ::authenticate, OpenLimits)
     private val server =
         HttpServer.start(loops, InetSocketAddress("127.0.0.1", 0), HttpLimits(), scope) { routes.handle(it) }
     private val client = HttpClient(loops, maxIdlePerAddress = 0)
--- a/server/src/test/kotlin/org/agatestream/server/BatchSimulation.kt
+++ b/server/src/test/kotlin/org/agatestream/server/BatchSimulation.kt
@@ -11,8 +11,10 @@
 import org.agatestream.core.BatchRules
 import org.agatestream.core.ChunkRecord
 import org.agatestream.core.ChunkState
+import org.agatestream.core.FailureDomainId
 import org.agatestream.core.Invariants
 import org.agatestream.core.JobId
+import org.agatestream.core.ListedVm
 import org.agatestream.core.VmId
 import org.agatestream.core.invariant
 import kotlin.random.Random
@@ -46,6 +48,8 @@
     private val violations = linkedMapOf<String, SimViolation>()
     private val repeats = mutableMapOf<String, Int>()
     private var vmCount = 0
+    private val listLag = LIST_LAG * random.nextDouble()
+    private var listed = emptyList<ListedVm>()
     private var down = false
     private var openCallers = 0
 
@@ -115,7 +119,24 @@
         val rate = 1 + (random.nextDouble() - 0.5) * (maxOf(0.0, rules.clockDrift) * CLOCK_SPREAD + faults.extraDrift)
         val id = VmId("vm${++vmCount}")
         note("$id starts")
-        vms += SimVm(id, scheduler.process(rate), rules, Random(random.nextLong()), ::platformOf, ::runnerOf, ::note)
+        vms +=
+            SimVm(
+                id,
+                scheduler.process(rate),
+                rules,
+                Random(random.nextLong()),
+                ::platformOf,
+                ::runnerOf,
+                { listed },
+                ::note,
+            )
+        listSoon()
+    }
+
+    /** Puts the VMs that live now on the platform's list, after its lag. */
+    private fun listSoon() {
+        val now = vms.map { ListedVm(it.id, FailureDomainId("d"), "", "") }
+        after(listLag) { listed = now }
     }
 
     private fun platformOf(vm: SimVm): SimPlatform {
@@ -282,6 +303,7 @@
         val SPREAD = 30.seconds
         val CANCEL_BOUND = 5.seconds
         val QUIET_LIMIT = 20.minutes
+        val LIST_LAG = 4.seconds
     }
 }
 
--- a/server/src/test/kotlin/org/agatestream/server/BatchSimulationTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/BatchSimulationTest.kt
@@ -68,7 +68,7 @@
 private fun brokenBy(
     rules: BatchRules = SIM_RULES,
     faults: () -> SimFaults,
-): Set<String> = (1L..10L).flatMap { BatchSimulation(it, faults(), rules).findBroken(STEPS) }.toSet()
+): Set<String> = (1L..20L).flatMap { BatchSimulation(it, faults(), rules).findBroken(STEPS) }.toSet()
 
 private fun Transaction.without(prefix: String): Transaction =
     copy(conditions = conditions.filter { !it.key.startsWith(prefix) })
--- a/server/src/test/kotlin/org/agatestream/server/MemoryPlatform.kt
+++ b/server/src/test/kotlin/org/agatestream/server/MemoryPlatform.kt
@@ -2,6 +2,8 @@
 
 import kotlinx.coroutines.delay
 import org.agatestream.core.CommitResult
+import org.agatestream.core.JobId
+import org.agatestream.core.JobRecord
 import org.agatestream.core.ObjectStore
 import org.agatestream.core.ReadResult
 import org.agatestream.core.Row
@@ -60,6 +62,18 @@
         return CommitResult.Committed
     }
 
+    /** An estimate of what the rows and objects take in memory. */
+    fun storedBytes(): Long =
+        objects.values.sumOf { it.size + OVERHEAD_BYTES } +
+            synchronized(rows) { rows.values.sumOf { it.key.length + it.value.length + OVERHEAD_BYTES } }
+
+    fun stateOf(job: JobId): String? =
+        synchronized(rows) { rows.values.firstOrNull { it.key.startsWith("batch/job/") && it.key.endsWith(job.value) } }
+            ?.let { JobRecord.parse(it.value) }
+            ?.state
+            ?.name
+            ?.lowercase()
+
     fun peek(key: String): Row? = synchronized(rows) { rows[key] }
 
     override suspend fun put(
@@ -112,4 +126,8 @@
             rows[key] = Row(key, value, RowVersion((rows[key]?.version?.value ?: 0) + 1))
         }
     }
+
+    private companion object {
+        const val OVERHEAD_BYTES = 100L
+    }
 }
--- a/server/src/test/kotlin/org/agatestream/server/SimCaller.kt
+++ b/server/src/test/kotlin/org/agatestream/server/SimCaller.kt
@@ -22,7 +22,7 @@
     suspend fun use() {
         while (!submit()) delay(3.seconds * random.nextDouble())
         if (random.nextInt(4) == 0) sendAnother()
-        val cancelAfter = if (random.nextInt(3) == 0) random.nextInt(6) else Int.MAX_VALUE
+        val cancelAfter = if (random.nextBoolean()) random.nextInt(4) else Int.MAX_VALUE
         var polls = 0
         var looksAfterEnd = 0
         while (looksAfterEnd < LOOKS_AFTER_END) {
--- a/server/src/test/kotlin/org/agatestream/server/SimVm.kt
+++ b/server/src/test/kotlin/org/agatestream/server/SimVm.kt
@@ -13,6 +13,7 @@
 import org.agatestream.core.Invariants
 import org.agatestream.core.JobId
 import org.agatestream.core.KeyId
+import org.agatestream.core.ListedVm
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.ReadResult
 import org.agatestream.core.Row
@@ -33,6 +34,7 @@
     random: Random,
     makePlatform: (SimVm) -> SimPlatform,
     makeRunner: (SimVm) -> ItemRunner,
+    listVms: () -> List<ListedVm>,
     log: (String) -> Unit,
 ) {
     var cut = false
@@ -52,7 +54,7 @@
             table = CancelWatch(platform),
             objects = platform,
             runner = makeRunner(this),
-            coordination = FixedCoordination(),
+            coordination = FixedCoordination(listVms),
             rules = rules,
             random = random,
             clock = { MonotonicTime.ZERO + process.clock },
@@ -61,7 +63,11 @@
         )
     private val worker = BatchWorker(ports).also { it.start(scope) }
     private val routes =
-        BatchRoutes(ports) { CallerKey(KeyId("k"), WorkspaceId(checkNotNull(it.header("authorization")))).toOk() }
+        BatchRoutes(
+            ports,
+            { CallerKey(KeyId("k"), WorkspaceId(checkNotNull(it.header("authorization")))).toOk() },
+            OpenLimits,
+        )
 
     /** Lets this VM answer [call]; returns null if no answer came. */
     suspend fun answer(call: SimCall): CallerAnswer? {
