--- a/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
@@ -47,7 +47,7 @@
     private val once = OnceCalls(platform, network, coordination, scope)
     private val items = BackendItemRunner(coordination, limits.slots, client, once, scope)
     private val runner = ObservedItemRunner(items, levels)
-    private val batch = BatchPorts(config.vm, platform, platform, runner, coordination)
+    private val batch = BatchPorts(config.vm, platform, platform, runner, coordination, registry = registry)
     private val worker = BatchWorker(batch)
     private val server =
         HttpServer.start(
@@ -108,7 +108,7 @@
             listOf(
                 HealthRoutes(registry, ::isReady),
                 online,
-                BatchRoutes(batch, ::authenticate),
+                BatchRoutes(batch, ::authenticate, limits.workspaces),
                 AdminRoutes(store, hasher, operators::authenticate, levels::report),
             ),
             shutdown,
