Report service-level burn over all VMs in one call

Cause: the administration call gave one VM's counts, so the quickstart showed part of them and the command line had to ask every VM.

--- a/cli/src/main/kotlin/org/agatestream/cli/ReportCommand.kt
+++ b/cli/src/main/kotlin/org/agatestream/cli/ReportCommand.kt
@@ -3,13 +3,11 @@
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
-import kotlinx.serialization.Serializable
-import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
 import org.agatestream.core.BurnLedger
 import org.agatestream.core.BurnLine
 import org.agatestream.core.RequestClass
-import org.agatestream.core.mergeBurnLines
+import org.agatestream.server.BurnReport
 
 /** Prints reports on the fleet. */
 @OptIn(ExperimentalCli::class)
@@ -34,20 +32,12 @@
     }
 
     private suspend fun report(api: ApiClient): ExitStatus {
-        val entries = api.call("GET", "/v1/entries")
-        if (entries !is ApiReply.Answer || entries.status != 200) return entries.print()
-        val addresses = lenientJson.decodeFromString(EntryList.serializer(), entries.text).addresses
-        val reports = mutableListOf<List<BurnLine>>()
-        for (address in addresses.map { it.address }) {
-            val reply = api.callAddress(address, "GET", "/admin/v1/burn")
-            if (reply is ApiReply.Answer && reply.status == 200) {
-                reports += lenientJson.decodeFromString(ListSerializer(BurnLine.serializer()), reply.text)
-            } else {
-                System.err.println("address=$address answered=false")
-            }
-        }
-        printTable(mergeBurnLines(reports))
-        return if (reports.size == addresses.size) ExitStatus.DONE else ExitStatus.FAILED
+        val reply = api.call("GET", "/admin/v1/burn")
+        if (reply !is ApiReply.Answer || reply.status != STATUS_OK) return reply.print()
+        val report = lenientJson.decodeFromString(BurnReport.serializer(), reply.text)
+        printTable(report.lines)
+        report.unanswered.forEach { System.err.println("vm=$it answered=false") }
+        return if (report.unanswered.isEmpty()) ExitStatus.DONE else ExitStatus.FAILED
     }
 
     private fun printTable(lines: List<BurnLine>) {
@@ -73,21 +63,11 @@
             RequestClass.ONLINE -> "online"
             RequestClass.BATCH -> "batch"
         }
-}
-
-/** The answer of the entry addresses. */
-@Serializable
-internal data class EntryList(
-    val addresses: List<EntryAddress>,
-    val ttlSeconds: Int,
-)
 
-/** One address on which callers may connect. */
-@Serializable
-internal data class EntryAddress(
-    val address: String,
-    val failureDomain: String,
-)
+    private companion object {
+        const val STATUS_OK = 200
+    }
+}
 
 /** Reads answers that may have fields this version doesn't know. */
 internal val lenientJson: Json = Json { ignoreUnknownKeys = true }
--- a/server/src/main/kotlin/org/agatestream/server/AdminRoutes.kt
+++ b/server/src/main/kotlin/org/agatestream/server/AdminRoutes.kt
@@ -7,7 +7,6 @@
 import kotlinx.serialization.builtins.serializer
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonElement
-import org.agatestream.core.BurnLine
 import org.agatestream.core.CALLER_KEY_PREFIX
 import org.agatestream.core.CallerKeySetting
 import org.agatestream.core.ChangeId
@@ -42,7 +41,7 @@
     private val store: SettingsStore,
     private val hasher: KeyHasher,
     private val authenticate: (HttpCall) -> Outcome<OperatorKey>,
-    private val burn: () -> List<BurnLine>,
+    private val burn: suspend () -> BurnReport,
 ) : HttpRoutes {
     private val random = SecureRandom()
 
@@ -70,7 +69,7 @@
             "POST keys" -> call.respondOutcome(NewKeyAnswer.serializer(), newKey(call, operator))
             "GET history" -> call.respondOutcome(HISTORY, history(operator, target))
             "GET in-force" -> call.respondOutcome(IN_FORCE, store.inForce().toOk())
-            "GET burn" -> call.respondOutcome(BURN, burn().toOk())
+            "GET burn" -> call.respondOutcome(BurnReport.serializer(), burn().toOk())
             else -> call.respondOutcome(SETTINGS, ErrorKind.UNKNOWN_ROUTE.toFailed("no such administration call"))
         }
     }
@@ -264,7 +263,6 @@
         val SETTINGS = ListSerializer(SettingAnswer.serializer())
         val HISTORY = ListSerializer(ConfigLogEntry.serializer())
         val IN_FORCE = ListSerializer(VmInForce.serializer())
-        val BURN = ListSerializer(BurnLine.serializer())
     }
 }
 
--- a/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
@@ -41,6 +41,7 @@
     private val coordination = CoordinationService(network, platform, platform, ::parseView, config.seedPeers)
     private val hasher = KeyHasher(secrets.fleetSecret)
     private val levels = ServiceLevels(registry)
+    private val burn = BurnCollector(network, coordination, levels)
     private val shutdown = GracefulShutdown(config.entryTtlSeconds.seconds, config.shutdownGraceSeconds.seconds)
     private val leaving = LeavingVms(coordination)
     private val limits = OwnedLimits(config, coordination, network, scope, registry, client)
@@ -68,6 +69,7 @@
         val address = parseAddress(config.peerAddress)
         network.addHandler { _, ask -> if (ask is LeavingNotice) leaving.take(ask) else null }
         network.addHandler { _, ask -> if (ask is ClaimAsk) once.answer(ask) else null }
+        network.addHandler { _, ask -> burn.answer(ask) }
         network.listen(address.hostString, address.port)
         coordination.start()
         limits.start(scope)
@@ -109,7 +111,7 @@
                 HealthRoutes(registry, ::isReady),
                 online,
                 BatchRoutes(batch, ::authenticate, limits.workspaces),
-                AdminRoutes(store, hasher, operators::authenticate, levels::report),
+                AdminRoutes(store, hasher, operators::authenticate, burn::collect),
             ),
             shutdown,
         )
