Count planned VMs that left the list as gone on every VM

Change: a VM of the plan that is absent from a list read sent after the plan was known is gone, because whoever planned it saw it listed and the list never goes back; a list that doesn't show the reader proves nothing.

--- a/core/src/main/kotlin/org/agatestream/core/CoordinationState.kt
+++ b/core/src/main/kotlin/org/agatestream/core/CoordinationState.kt
@@ -49,9 +49,12 @@
         sentAt: MonotonicTime,
     ): CoordinationState = copy(membership = membership.onSilence(peer, sentAt))
 
-    /** Applies a read of the platform's VM list. */
-    public fun onList(vms: List<ListedVm>): CoordinationState {
-        val next = membership.onList(vms)
+    /** Applies a read of the platform's VM list that was sent while [plan] was known. */
+    public fun onList(
+        vms: List<ListedVm>,
+        plan: Plan,
+    ): CoordinationState {
+        val next = membership.onList(vms, (plan.vms + plan.previous).mapTo(HashSet()) { it.id })
         return copy(membership = next, standing = standing.copy(gone = next.gone))
     }
 
--- a/core/src/main/kotlin/org/agatestream/core/Membership.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Membership.kt
@@ -11,7 +11,7 @@
 public data class Membership(
     val self: VmId,
     val listed: List<ListedVm> = emptyList(),
-    /** VMs that the list showed once and shows no more. */
+    /** VMs that the list showed once, to this VM or to one that planned them, and shows no more. */
     val gone: Set<VmId> = emptySet(),
     /** When the last ask that each VM answered was sent. */
     val answered: Map<VmId, MonotonicTime> = emptyMap(),
@@ -21,10 +21,19 @@
     /** The listed VMs other than this one, in a fixed order. */
     public val peers: List<VmId> get() = listed.map { it.id }.filter { it != self }.sortedBy { it.value }
 
-    /** Applies a read of the platform's list. */
-    public fun onList(vms: List<ListedVm>): Membership {
+    /**
+     * Applies a read of the platform's list.
+     *
+     * [planned] are the VMs of the plan that was known before the read was sent. Whoever planned them saw them in the
+     * list, which never goes back, so those absent are gone. A list that does not show this VM proves nothing.
+     */
+    public fun onList(
+        vms: List<ListedVm>,
+        planned: Set<VmId>,
+    ): Membership {
         val ids = vms.mapTo(HashSet()) { it.id }
-        val absent = listed.map { it.id }.filter { it !in ids }
+        val known = if (self in ids) listed.map { it.id } + planned else emptyList()
+        val absent = known.filter { it !in ids }
         return copy(
             listed = vms.sortedBy { it.id.value },
             gone = (gone + absent - ids).toList().takeLast(MAX_GONE).toSet(),
--- a/core/src/main/kotlin/org/agatestream/core/OwnerLease.kt
+++ b/core/src/main/kotlin/org/agatestream/core/OwnerLease.kt
@@ -55,7 +55,7 @@
     val plan: Plan = Plan(),
     /** When this VM learned that a majority had applied the plan, or null if it hasn't. */
     val effectiveSince: MonotonicTime? = null,
-    /** VMs that the platform's list showed once and shows no more. */
+    /** VMs that the platform's list showed and shows no more. */
     val gone: Set<VmId> = emptySet(),
     /** Shares that their owners under the plan before handed over under this plan. */
     val conceded: Set<ShareKey> = emptySet(),
--- a/server/src/main/kotlin/org/agatestream/server/CoordinationService.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinationService.kt
@@ -183,9 +183,10 @@
     private suspend fun listLoop() {
         while (scope.isActive) {
             val isFirst = vms.isEmpty()
+            val planBefore = plan
             val read = vmList.list()
             if (read is ReadResult.Found) {
-                onList(read.value)
+                onList(read.value, planBefore)
             } else if (isFirst) {
                 fetchVms()
             }
@@ -198,12 +199,15 @@
     private suspend fun fetchVms() {
         for (seed in seedPeers) {
             val answer = network.askAddress(seed, CoordinationAsk.FetchVms, SEED_TIMEOUT)
-            if (answer is CoordinationAnswer.FetchedVms && answer.vms.isNotEmpty()) return onList(answer.vms)
+            if (answer is CoordinationAnswer.FetchedVms && answer.vms.isNotEmpty()) return onList(answer.vms, Plan())
         }
     }
 
-    private fun onList(list: List<ListedVm>) {
+    private fun onList(
+        list: List<ListedVm>,
+        planBefore: Plan,
+    ) {
         network.updateAddresses(list)
-        store.update { it.onList(list) }
+        store.update { it.onList(list, planBefore) }
     }
 }
--- a/server/src/test/kotlin/org/agatestream/server/CoordinationRunTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/CoordinationRunTest.kt
@@ -1,12 +1,10 @@
 package org.agatestream.server
 
-import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeIn
 import io.kotest.matchers.comparables.shouldBeGreaterThan
-import io.kotest.matchers.shouldBe
 import org.agatestream.core.FreshnessPolicy
 import org.agatestream.core.InvariantViolation
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -27,8 +25,26 @@
             done.sumOf { it.acceptedCount } shouldBeGreaterThan 0
             done.sumOf { it.ownedChecks } shouldBeGreaterThan 0L
         }
+
+        listOf(
+            "owners that don't wait for the lease of the owner before" to FreshnessPolicy(takeoverWait = 200.milliseconds),
+            "VMs that stay current for a minute" to FreshnessPolicy(bound = 60.seconds, takeoverWait = 3.4.seconds),
+            "changes accepted without a majority" to FreshnessPolicy(majority = 0.0),
+        ).forEach { (name, weakened) ->
+            test("a weakened guard breaks an invariant: $name") {
+                val broken =
+                    (1..WEAKENED_SEEDS).firstNotNullOfOrNull { seed ->
+                        val run = CoordinationRun(seed, weakened)
+                        runCatching { run.run(span) }.exceptionOrNull()?.let { seed to it as InvariantViolation }
+                    }
+                println("event=weakened_guard guard=\"$name\" seed=${broken?.first} cause=\"${broken?.second?.message}\"")
+                broken?.second?.invariant shouldBeIn listOf("one-owner-of-a-share", "accepted-change-in-force")
+            }
+        }
     })
 
+private const val WEAKENED_SEEDS = 20
+
 private fun CoordinationRun.runTraced(seed: Int) {
     try {
         run(span)
