--- a/core/src/main/kotlin/org/agatestream/core/QuotaLedger.kt
+++ b/core/src/main/kotlin/org/agatestream/core/QuotaLedger.kt
@@ -82,11 +82,15 @@
     val opensAt: MonotonicTime,
     val leases: Map<VmId, QuotaLease> = emptyMap(),
     val waiting: WaitingOnline? = null,
+    /** Requests that run but that no holder has reported. */
+    val unaccounted: Int = 0,
+    /** Until when a new owner grants nothing without a load report, or null if it doesn't need one. */
+    val awaitsReportUntil: MonotonicTime? = null,
 ) {
     val held: ClassCounts get() = leases.values.fold(ClassCounts.NONE) { sum, lease -> sum + lease.counts }
 
     /**
-     * Applies [ask] and grants what [cap] leaves; [floor] is the least number known to run by other reports.
+     * Applies [ask] and grants what [cap] leaves.
      *
      * Batch items get nothing while online requests wait.
      */
@@ -95,22 +99,25 @@
         cap: QuotaCap,
         times: QuotaTimes,
         now: MonotonicTime,
-        floor: Int = 0,
     ): Pair<QuotaLedger, QuotaAnswer> {
         val before = leases[ask.holder]
         if (before != null && before.sequence >= ask.sequence) return this to QuotaAnswer(ClassCounts.NONE)
-        val kept = expire(times, now).withLease(ask, ask.keeps, now + times.lease)
-        val granted = kept.room(ask.wants, cap, floor, now)
+        val known = expire(times, now).takeDown(ask, before)
+        val kept = known.withLease(ask, ask.keeps, now + times.lease)
+        val granted = kept.room(ask.wants, cap, now)
         val missed = ask.wants.online - granted.online
         val after =
             kept
                 .withLease(ask, ask.keeps + granted, now + times.lease)
                 .waitFor(missed, now + times.onlineWait, now)
+        invariant("quota-granted", granted.total == 0 || after.held.total <= cap.total) {
+            "granted $granted, so that ${after.held} are held of $cap"
+        }
         val answer =
             QuotaAnswer(
                 granted = granted,
                 mayKeepBatch = ask.keeps.batch - min(ask.keeps.batch, after.excessBatch(cap, now)),
-                scarce = cap.total - after.held.total <= cap.total * SCARCE_PART,
+                scarce = cap.total - after.held.total - unaccounted <= cap.total * SCARCE_PART,
             )
         return after to answer
     }
@@ -140,6 +147,22 @@
         return keeps
     }
 
+    /**
+     * Compares the account with a report that [running] requests ran at [takenAt].
+     *
+     * The first report after the opening shows the requests of holders that are paused and so can't report them;
+     * such requests only end, so a later report can only lower their number.
+     */
+    public fun report(
+        running: Int,
+        takenAt: MonotonicTime,
+    ): QuotaLedger =
+        when {
+            takenAt < opensAt -> this
+            awaitsReportUntil != null -> copy(unaccounted = max(0, running - held.total), awaitsReportUntil = null)
+            else -> copy(unaccounted = min(unaccounted, running))
+        }
+
     /** Drops what [vm] held, because the VM list no longer shows it. */
     public fun gone(vm: VmId): QuotaLedger = copy(leases = leases - vm)
 
@@ -155,12 +178,11 @@
     private fun room(
         wants: ClassCounts,
         cap: QuotaCap,
-        floor: Int,
         now: MonotonicTime,
     ): ClassCounts {
-        if (now < opensAt) return ClassCounts.NONE
+        if (now < opensAt || (awaitsReportUntil != null && now < awaitsReportUntil)) return ClassCounts.NONE
         val sum = held
-        val free = (cap.total - max(sum.total, floor)).coerceAtLeast(0)
+        val free = (cap.total - sum.total - unaccounted).coerceAtLeast(0)
         val online = min(wants.online, free)
         val batchFree =
             if (waitingAt(now) > 0 ||
@@ -173,6 +195,12 @@
         return ClassCounts(online, min(wants.batch, batchFree).coerceAtLeast(0))
     }
 
+    /** Counts what a holder reports for the first time no longer as unaccounted. */
+    private fun takeDown(
+        ask: QuotaAsk,
+        before: QuotaLease?,
+    ): QuotaLedger = if (before != null) this else copy(unaccounted = max(0, unaccounted - ask.keeps.total))
+
     private fun waitingAt(now: MonotonicTime): Int = waiting?.takeIf { now < it.until }?.count ?: 0
 
     private fun waitFor(
--- a/core/src/main/kotlin/org/agatestream/core/TokenShare.kt
+++ b/core/src/main/kotlin/org/agatestream/core/TokenShare.kt
@@ -2,6 +2,7 @@
 
 import kotlin.math.ceil
 import kotlin.math.floor
+import kotlin.math.max
 import kotlin.math.min
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -29,13 +30,15 @@
 /**
  * Returns how many shares the workspace's rate and burst are split into.
  *
- * A share bears a burst of at least one request, so a small burst makes fewer shares.
+ * A share has a burst of at least two requests, one of which may be on its way; so a small burst makes fewer shares.
  */
 public fun WorkspaceSetting.shareCount(split: ShareSplit = ShareSplit()): Int {
     val byRate = ceil(ratePerSecond / split.mostRatePerShare).toInt()
-    return byRate.coerceIn(split.fewest, split.most).coerceAtMost(burst.coerceAtLeast(1))
+    return byRate.coerceIn(split.fewest, split.most).coerceAtMost((burst / LEAST_SHARE_BURST).coerceAtLeast(1))
 }
 
+private const val LEAST_SHARE_BURST = 2
+
 /** Returns one of [count] equal shares of the workspace's rate and burst. */
 public fun WorkspaceSetting.toShare(count: Int): ShareSetting =
     ShareSetting(ratePerSecond / count, burst.toDouble() / count)
@@ -78,15 +81,9 @@
     /** The number of needed tokens that were granted. */
     val granted: Int get() = ready + delayed
 
-    /** Returns how long the token at [index] of the granted ones has to wait. */
+    /** Returns how long the token at [index] of the granted ones has to wait, by a clock that may be fast. */
     public fun waitOf(index: Int): Duration =
-        if (index <
-            ready
-        ) {
-            Duration.ZERO
-        } else {
-            firstWait + spacing * (index - ready)
-        }
+        if (index < ready) Duration.ZERO else (firstWait + spacing * (index - ready)) * CLOCK_DRIFT
 
     /** Returns when the token at [index] lapses, by the clock of the VM that sent the ask at [sentAt]. */
     public fun lapseOf(
@@ -108,7 +105,7 @@
  * The level may fall below zero: such a token counts only once the level is back at zero, so tokens count at no more
  * than the rate and burst over any interval. Granted tokens keep their room in the bucket until they must have been
  * used or lost, so that a late use can't add to a refilled bucket. The room that answers on their way keep is at most
- * half of the burst, so with a burst of less than twice the rate times the longest way it bounds the excess only.
+ * half of the burst or one token, so it is exact if the burst is at least one and twice what accrues on the longest way.
  */
 public data class TokenShare(
     val setting: ShareSetting,
@@ -142,7 +139,7 @@
             afterReady
                 .copy(level = afterReady.level - delayed - ahead)
                 .hold(ahead, now + take.hold * CLOCK_DRIFT)
-                .sent(ready + delayed, now + lastWait + take.answerWithin * CLOCK_DRIFT)
+                .sent(ready + delayed, now + (lastWait * CLOCK_DRIFT + take.answerWithin) * CLOCK_DRIFT)
         val grant =
             TokenGrant(
                 ready = ready,
@@ -173,7 +170,7 @@
     }
 
     private fun step(to: MonotonicTime): TokenShare {
-        val room = setting.burst - held.total() - min(recent.total().toDouble(), setting.burst * MOST_RECENT)
+        val room = setting.burst - held.total() - min(recent.total().toDouble(), max(setting.burst * MOST_RECENT, 1.0))
         val gained = setting.ratePerSecond * (to - at).toDouble(DurationUnit.SECONDS)
         val filled = if (level >= room) level else min(room, level + gained)
         val raised = raise?.takeIf { it.at <= to }
@@ -237,9 +234,6 @@
         // The part of the burst that tokens on their way may occupy.
         private const val MOST_RECENT = 0.5
 
-        // A span on one clock that lasts as long as one of the same length on the slowest other clock.
-        private const val CLOCK_DRIFT = 1.02
-
         /** Returns a share that has granted nothing and holds nothing, as a new owner must start. */
         public fun empty(
             setting: ShareSetting,
@@ -263,3 +257,6 @@
     } else {
         (1 / ratePerSecond).seconds
     }
+
+// A span on one clock that lasts as long as one of the same length on the slowest other clock.
+private const val CLOCK_DRIFT = 1.02
--- a/server/src/main/kotlin/org/agatestream/server/BackendLoadPoller.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BackendLoadPoller.kt
@@ -26,10 +26,11 @@
     val incarnation: String,
 )
 
-/** Reads the load of the engines that this VM uses; their number is bounded, so the work is constant. */
+/** Reads the load of the engines that this VM uses or owns; their number is bounded, so the work is constant. */
 public class BackendLoadPoller(
     private val client: HttpClient,
     private val slots: OwnedBackendSlots,
+    private val owner: LimitOwner,
     private val interval: Duration = 1.seconds,
     private val timeout: Duration = 500.milliseconds,
 ) {
@@ -44,7 +45,7 @@
     /** Reads the load of each engine once. */
     public suspend fun pollOnce() {
         coroutineScope {
-            slots.watchedServers().map { (id, setting) -> async { poll(id, setting.address) } }.awaitAll()
+            slots.watchedServers(owner.ownedEngines()).map { (id, setting) -> async { poll(id, setting.address) } }.awaitAll()
         }
     }
 
@@ -54,6 +55,7 @@
     ) {
         val report = withTimeoutOrNull(timeout) { read(address) } ?: return
         slots.onLoad(id, report)
+        owner.onLoad(id, report)
     }
 
     private suspend fun read(address: String): LoadReport? {
--- a/server/src/main/kotlin/org/agatestream/server/LimitOwner.kt
+++ b/server/src/main/kotlin/org/agatestream/server/LimitOwner.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.agatestream.core.BackendChart
+import org.agatestream.core.BackendServerId
 import org.agatestream.core.FleetView
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.VmId
@@ -42,6 +43,17 @@
         tokens.learn(context.now())
     }
 
+    /** Engines whose load this VM should read because it owns their slots. */
+    public fun ownedEngines(): Set<BackendServerId> = quotas.engines()
+
+    /** Takes down a load report of an engine. */
+    public fun onLoad(
+        server: BackendServerId,
+        report: LoadReport,
+    ) {
+        quotas.onLoad(server, report)
+    }
+
     /** Answers [ask] of the VM [from]. */
     public suspend fun handle(
         from: VmId,
--- a/server/src/main/kotlin/org/agatestream/server/LimitTimes.kt
+++ b/server/src/main/kotlin/org/agatestream/server/LimitTimes.kt
@@ -21,6 +21,10 @@
     val clockDrift: Double = 0.01,
     /** Within this span every current VM knows an accepted setting. */
     val settingSpread: Duration = 3.seconds,
+    /** How old the load is that an engine reports. */
+    val loadLag: Duration = 1.seconds,
+    /** How long a new owner waits for an engine's load report before it grants slots without one. */
+    val loadReportWait: Duration = 3.seconds,
     /** How long before a window of quiet hours the running requests are counted. */
     val capLead: Duration = 15.seconds,
 )
--- a/server/src/main/kotlin/org/agatestream/server/OwnedBackendSlots.kt
+++ b/server/src/main/kotlin/org/agatestream/server/OwnedBackendSlots.kt
@@ -73,10 +73,11 @@
         }
     }
 
-    /** Returns the engines whose load this VM reads. */
-    public fun watchedServers(): Map<BackendServerId, BackendServerSetting> {
+    /** Returns the engines whose load this VM reads: those it uses and those it owns. */
+    public fun watchedServers(owned: Set<BackendServerId>): Map<BackendServerId, BackendServerSetting> {
         val engines = context.fleet().backendServers.filterValues { it.kind == BackendKind.ENGINE }
-        return engines.filterKeys(engines.keys.subsetFor(context.self, SUBSET)::contains)
+        val watched = engines.keys.subsetFor(context.self, SUBSET) + owned
+        return engines.filterKeys { it in watched }
     }
 
     /** Renews all that is held, until cancelled. */
--- a/server/src/main/kotlin/org/agatestream/server/OwnedWorkspaceLimits.kt
+++ b/server/src/main/kotlin/org/agatestream/server/OwnedWorkspaceLimits.kt
@@ -10,6 +10,7 @@
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.Outcome
 import org.agatestream.core.ShareOwner
+import org.agatestream.core.TokenGrant
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
 import org.agatestream.core.WorkspaceSetting
@@ -65,14 +66,23 @@
                 }
 
                 is AdmissionStep.Ask -> {
-                    val wait = ask(workspace, entry, step)
-                    if (wait != null) return awaitToken(wait)
-                    attempt = attempt.refused(step.owner, step.maxWait)
+                    val token = ask(workspace, entry, step)
+                    if (token == null) {
+                        attempt = attempt.refused(step.owner, step.maxWait)
+                    } else if (token.counts()) {
+                        return Unit.toOk()
+                    }
                 }
             }
         }
     }
 
+    /** Waits until the token counts; returns false if this VM was paused meanwhile and the token has lapsed. */
+    private suspend fun WaitingToken.counts(): Boolean {
+        if (wait > Duration.ZERO) delay(wait)
+        return context.now() <= lapsesAt
+    }
+
     private fun ownersOf(
         workspace: WorkspaceId,
         setting: WorkspaceSetting,
@@ -81,11 +91,6 @@
             .owners(workspace.toLimitKey(), setting.shareCount())
             .mapIndexed { share, vm -> ShareOwner(share, vm) }
 
-    private suspend fun awaitToken(wait: Duration): Outcome<Unit> {
-        if (wait > Duration.ZERO) delay(wait)
-        return Unit.toOk()
-    }
-
     private fun AdmissionStep.Refuse.toOutcome(): Outcome<Unit> {
         val text =
             if (kind ==
@@ -98,12 +103,12 @@
         return kind.toFailed(text, retryAfter)
     }
 
-    /** Returns how long the token that was granted has to wait, or null if none was granted. */
+    /** Asks for one token; returns null if none was granted. */
     private suspend fun ask(
         workspace: WorkspaceId,
         entry: Entry,
         step: AdmissionStep.Ask,
-    ): Duration? {
+    ): WaitingToken? {
         val queued = QueuedTake(workspace, step, entry)
         gatherers.computeIfAbsent(step.owner.vm) { TakeGatherer(it) }.add(queued)
         return queued.result.await()
@@ -132,7 +137,7 @@
         val step: AdmissionStep.Ask,
         val entry: Entry,
     ) {
-        val result = CompletableDeferred<Duration?>()
+        val result = CompletableDeferred<WaitingToken?>()
     }
 
     /** Gathers the takes that arrive while an ask to [owner] is in flight, and sends them together. */
@@ -200,10 +205,30 @@
             }
             val grant = message.toGrant()
             first.entry.update { it.answered(first.step.owner, grant, sentAt, times, now) }
-            forEachIndexed { i, take -> take.result.complete(if (i < grant.granted) grant.waitOf(i) else null) }
+            forEachIndexed { i, take ->
+                take.result.complete(
+                    if (i <
+                        grant.granted
+                    ) {
+                        grant.tokenAt(i, sentAt)
+                    } else {
+                        null
+                    },
+                )
+            }
         }
     }
 
+    private fun TokenGrant.tokenAt(
+        index: Int,
+        sentAt: MonotonicTime,
+    ) = WaitingToken(waitOf(index), lapseOf(index, sentAt, times.askTimeout))
+
+    private class WaitingToken(
+        val wait: Duration,
+        val lapsesAt: MonotonicTime,
+    )
+
     private companion object {
         val LEAST_PAUSE: Duration = 5.milliseconds
     }
--- a/server/src/main/kotlin/org/agatestream/server/QuotaClient.kt
+++ b/server/src/main/kotlin/org/agatestream/server/QuotaClient.kt
@@ -82,10 +82,12 @@
     ) {
         synchronized(this) {
             batchLeases -= revoked
-            val scarce = news?.scarce ?: true
-            use = use.end(requestClass, keep = !scarce && !revoked.isCompleted)
+            val suspect = seen.failed > 0 || seen.restarted
+            val scarce = suspect || revoked.isCompleted || news?.scarce ?: true
+            use = use.end(requestClass, keep = !scarce)
+            if (suspect) use = use.dropIdle()
             results += seen
-            if (scarce || revoked.isCompleted || seen.failed > 0 || seen.restarted) flush()
+            if (scarce) flush()
         }
     }
 
--- a/server/src/main/kotlin/org/agatestream/server/QuotaOwner.kt
+++ b/server/src/main/kotlin/org/agatestream/server/QuotaOwner.kt
@@ -1,6 +1,8 @@
 package org.agatestream.server
 
 import org.agatestream.core.BackendChart
+import org.agatestream.core.BackendKind
+import org.agatestream.core.BackendServerId
 import org.agatestream.core.BackendServerSetting
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.QuotaAnswer
@@ -36,7 +38,7 @@
         accounts.compute(ask.key) { _, old ->
             val account = (old?.takeIf { it.since == since } ?: open(ask.key, since, now)).dropGone()
             val (changed, answer) = account.apply(from, ask, now) ?: return@compute old
-            decision = QuotaDecision(answer.toMessage(changed), changed.ledger.quota.giveWay(changed.cap, now) - from)
+            decision = QuotaDecision(answer.toMessage(changed), changed.giveWay(account, now) - from)
             changed
         }
         return decision
@@ -50,8 +52,37 @@
     ): Account {
         val counted = if (key is QuotaKey.Server) since else now + context.times.settingSpread
         val opensAt = counted + context.times.leaseOver()
+        val awaitsReportUntil = (opensAt + context.times.loadReportWait).takeIf { key.isEngine() }
         EventLog.info("quota_opened", "quota" to key.toText(), "opens_in_ms" to (opensAt - now).inWholeMilliseconds)
-        return Account(since, SlotLedger(QuotaLedger(opensAt)), UNLIMITED)
+        return Account(since, SlotLedger(QuotaLedger(opensAt, awaitsReportUntil = awaitsReportUntil)), UNLIMITED)
+    }
+
+    private fun QuotaKey.isEngine(): Boolean =
+        this is QuotaKey.Server && context.fleet().backendServers[id]?.kind == BackendKind.ENGINE
+
+    /** The engines whose slots this VM accounts for; it reads their load to find what nobody reports. */
+    fun engines(): Set<BackendServerId> = accounts.keys.filter { it.isEngine() }.mapTo(HashSet()) { (it as QuotaKey.Server).id }
+
+    /** Compares the account of [server] with its load report. */
+    fun onLoad(
+        server: BackendServerId,
+        report: LoadReport,
+    ) {
+        val takenAt = context.now() - context.times.loadLag
+        accounts.computeIfPresent(QuotaKey.Server(server)) { _, account ->
+            val quota = account.ledger.quota.report(report.running + report.waiting, takenAt)
+            account.copy(ledger = account.ledger.copy(quota = quota))
+        }
+    }
+
+    /** After a relapse of a backend server every holder gives its idle slots back. */
+    private fun Account.giveWay(
+        before: Account,
+        now: MonotonicTime,
+    ): Map<VmId, Int> {
+        val giveWay = ledger.quota.giveWay(cap, now)
+        if (cap.total >= before.cap.total || before.cap == UNLIMITED) return giveWay
+        return ledger.quota.leases.mapValues { (vm, lease) -> giveWay[vm] ?: lease.counts.batch }
     }
 
     private fun Account.dropGone(): Account {
--- a/server/src/test/kotlin/org/agatestream/server/OwnedBackendSlotsTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/OwnedBackendSlotsTest.kt
@@ -36,6 +36,7 @@
         quota = QuotaTimes(lease = 300.milliseconds, longestRequest = 10.minutes, onlineWait = 200.milliseconds),
         renewal = 100.milliseconds,
         settingSpread = 100.milliseconds,
+        loadReportWait = 100.milliseconds,
     )
 
 private fun request(
