--- a/http/src/main/kotlin/org/agatestream/http/HttpCall.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpCall.kt
@@ -65,6 +65,7 @@
     /** The body stopped before its end. */
     public data class Broken(
         public val reason: String,
+        public val kind: ErrorKind = ErrorKind.MALFORMED_REQUEST,
     ) : BodyPart
 }
 
@@ -98,7 +99,7 @@
             }
 
             is BodyPart.Broken -> {
-                return ErrorKind.MALFORMED_REQUEST.toFailed("the body broke off: ${part.reason}")
+                return part.kind.toFailed("the body broke off: ${part.reason}")
             }
         }
     }
--- a/server/src/main/kotlin/org/agatestream/server/ServiceLevels.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ServiceLevels.kt
@@ -1,5 +1,6 @@
 package org.agatestream.server
 
+import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
 import org.agatestream.core.BurnLedger
@@ -19,48 +20,60 @@
 ) {
     private val ledger = BurnLedger()
 
-    /** Counts a request that was answered; [firstByteAfter] counts from its arrival. */
+    /** Counts an online request that was answered; [firstByteAfter] counts from its arrival. */
     public fun answered(
         workspace: WorkspaceId,
-        requestClass: RequestClass,
         firstByteAfter: Duration,
     ) {
-        val objective = BurnLedger.OBJECTIVES.first { it.requestClass == requestClass }
-        val good = firstByteAfter.inWholeMilliseconds <= objective.firstByteMillis
-        ledger.record(workspace, requestClass, good, clock())
-        timer(requestClass).record(firstByteAfter.toJavaDuration())
-        count(requestClass, "ok")
+        timer.record(firstByteAfter.toJavaDuration())
+        val isInTime = firstByteAfter.inWholeMilliseconds <= ONLINE_OBJECTIVE.firstByteMillis
+        count(workspace, RequestClass.ONLINE, isInTime, "ok")
     }
 
-    /** Counts a request that ended in an error; what the caller caused is not counted against the objective. */
+    /** Counts an online request that ended in an error; what the caller caused does not burn the budget. */
     public fun failed(
         workspace: WorkspaceId,
-        requestClass: RequestClass,
         kind: ErrorKind,
     ) {
-        count(requestClass, kind.code)
         val byCaller = kind.status < STATUS_SERVER_ERROR && kind.run != RunState.UNKNOWN
-        if (!byCaller) ledger.record(workspace, requestClass, good = false, clock())
+        if (byCaller) {
+            counter(
+                RequestClass.ONLINE,
+                kind.code,
+            ).increment()
+        } else {
+            count(workspace, RequestClass.ONLINE, false, kind.code)
+        }
+    }
+
+    /** Counts one request. */
+    public fun count(
+        workspace: WorkspaceId,
+        requestClass: RequestClass,
+        isGood: Boolean,
+        code: String,
+    ) {
+        ledger.record(workspace, requestClass, isGood, clock())
+        counter(requestClass, code).increment()
     }
 
     /** Returns the burn report of this VM. */
     public fun report(): List<BurnLine> = ledger.report(clock())
 
-    private fun timer(requestClass: RequestClass): Timer =
+    private fun counter(
+        requestClass: RequestClass,
+        code: String,
+    ): Counter = registry.counter("agatestream.requests", "class", requestClass.name.lowercase(), "code", code)
+
+    private val timer: Timer =
         Timer
             .builder("agatestream.first.byte")
-            .tag("class", requestClass.name.lowercase())
+            .tag("class", "online")
             .publishPercentileHistogram()
             .register(registry)
 
-    private fun count(
-        requestClass: RequestClass,
-        code: String,
-    ) {
-        registry.counter("agatestream.requests", "class", requestClass.name.lowercase(), "code", code).increment()
-    }
-
     private companion object {
         const val STATUS_SERVER_ERROR = 500
+        val ONLINE_OBJECTIVE = BurnLedger.OBJECTIVES.first { it.requestClass == RequestClass.ONLINE }
     }
 }
