--- a/server/src/main/kotlin/org/agatestream/server/BatchWorker.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchWorker.kt
@@ -10,31 +10,14 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.agatestream.core.BatchNames
-import org.agatestream.core.BatchRules
 import org.agatestream.core.JobId
 import org.agatestream.core.MonotonicTime
-import org.agatestream.core.ObjectStore
 import org.agatestream.core.ReadResult
-import org.agatestream.core.TableService
-import org.agatestream.core.VmId
 import java.util.concurrent.ConcurrentHashMap
-import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** The means by which a VM works on batch jobs. */
-public class BatchPorts(
-    public val self: VmId,
-    public val table: TableService,
-    public val objects: ObjectStore,
-    public val runner: ItemRunner,
-    public val coordination: Coordination,
-    public val rules: BatchRules = BatchRules(),
-    public val random: Random = Random.Default,
-    public val clock: () -> MonotonicTime = MonotonicTime::now,
-)
-
 /** Finds chunks of batch jobs, claims them and runs their items until it is drained. */
 public class BatchWorker(
     private val ports: BatchPorts,
@@ -42,6 +25,7 @@
     private val search = ChunkSearch(ports)
     private val slots = ItemSlots()
     private val runs = ConcurrentHashMap<String, ChunkRun>()
+    private val cancelledJobs = BoundedMap<JobId, Unit>(MAX_CANCELLED)
     private val wakeUps = Channel<Unit>(Channel.CONFLATED)
 
     @Volatile
@@ -69,7 +53,7 @@
         val held = runs.values.toList()
         held.forEach { it.drain() }
         held.map { it.job }.joinAll()
-        EventLog.info("batch_drained", "chunks" to held.size)
+        ports.log("batch_drained", arrayOf("chunks" to held.size))
     }
 
     private suspend fun findWork(chunks: CoroutineScope) {
@@ -102,6 +86,8 @@
     ) {
         val run = ChunkRun(ports, slots, claimed)
         runs[claimed.key] = run
+        // The cancel may have been seen while the claim was under way.
+        if (synchronized(cancelledJobs) { claimed.claim.spec.id in cancelledJobs }) run.cancelled()
         run.job =
             chunks.launch {
                 try {
@@ -124,11 +110,13 @@
 
     private suspend fun checkCancelled(job: JobId) {
         if (ports.table.read(BatchNames.cancelKey(job)) !is ReadResult.Found) return
+        synchronized(cancelledJobs) { cancelledJobs[job] = Unit }
         runs.values.filter { it.spec.id == job }.forEach { it.cancelled() }
     }
 
     private companion object {
         const val MAX_CHUNKS = 16
+        const val MAX_CANCELLED = 256
         const val MAX_IDLE_ROUNDS = 4
         val IDLE_READ_SPAN = 10.milliseconds
         val MIN_IDLE_DELAY = 200.milliseconds
