--- a/server/src/main/kotlin/org/agatestream/server/CompletionCalls.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CompletionCalls.kt
@@ -9,7 +9,6 @@
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.Failure
 import org.agatestream.core.FleetView
-import org.agatestream.core.MonotonicTime
 import org.agatestream.core.Outcome
 import org.agatestream.core.RequestClass
 import org.agatestream.core.checkLimits
@@ -43,7 +42,6 @@
 internal class CompletionCalls(
     private val forwarder: Forwarder,
     private val client: HttpClient,
-    private val clock: () -> MonotonicTime,
 ) {
     /** Answers [call] with the completion; returns the failure that the caller got, or null. */
     suspend fun answer(
@@ -82,7 +80,6 @@
     ): Failure? {
         val attempt = runUnless(withdrawn) { runWhole(request) } ?: return WITHDRAWN_FAILURE
         if (attempt !is Attempt.Finished) return attempt.toFailure()
-        context.firstByteAt = clock()
         call.respondWhole(if (chat) attempt.value.toChatAnswer() else attempt.value, context)
         return null
     }
@@ -94,7 +91,7 @@
         chat: Boolean,
         withdrawn: Job,
     ): Failure? {
-        val relay = StreamRelay(call, chat, client) { context.firstByteAt = clock() }
+        val relay = StreamRelay(call, chat, client)
         var refusal: WholeAnswer? = null
         val attempt =
             runUnless(withdrawn) {
--- a/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
@@ -14,6 +14,7 @@
 import org.agatestream.core.Outcome
 import org.agatestream.core.ParsedSettings
 import org.agatestream.core.Revision
+import org.agatestream.core.WorkspaceId
 import org.agatestream.core.authenticate
 import org.agatestream.core.map
 import org.agatestream.core.parseFleet
@@ -50,13 +51,14 @@
     private val runner = ObservedItemRunner(items, levels)
     private val batch = BatchPorts(config.vm, platform, platform, runner, coordination, registry = registry)
     private val worker = BatchWorker(batch)
+    private val router = router()
     private val server =
         HttpServer.start(
             loops,
             parseAddress(config.callerAddress),
             HttpLimits(),
             scope,
-            router()::handle,
+            ::answer,
         )
 
     /** The port on which callers are served. */
@@ -90,6 +92,16 @@
         loops.close()
     }
 
+    private suspend fun answer(call: HttpCall) {
+        levels.observe(call, ::workspaceOf, router::handle)
+    }
+
+    private fun workspaceOf(call: HttpCall): WorkspaceId? =
+        when (val key = authenticate(call)) {
+            is Outcome.Ok -> key.value.workspace
+            is Outcome.Failed -> null
+        }
+
     private fun router(): Router {
         val store = CoordinationSettingsStore(coordination)
         val operators = OperatorAuthentication(coordination, hasher, secrets.bootstrapOperatorKey)
@@ -101,7 +113,6 @@
                 client,
                 hasher,
                 once,
-                levels,
                 leaving,
                 config.entryTtlSeconds,
                 scope,
@@ -130,10 +141,6 @@
         }
     }
 
-    private companion object {
-        val FLUSH_LIMIT = 5.seconds
-    }
-
     private fun parseView(
         settings: Map<String, String>,
         revision: Revision,
@@ -142,4 +149,8 @@
             is ParsedSettings.Valid -> parsed.value.toOk()
             is ParsedSettings.Invalid -> ErrorKind.INVALID_SETTING.toFailed(parsed.faults.joinToString("; "))
         }
+
+    private companion object {
+        val FLUSH_LIMIT = 5.seconds
+    }
 }
--- a/server/src/main/kotlin/org/agatestream/server/OnlineRoutes.kt
+++ b/server/src/main/kotlin/org/agatestream/server/OnlineRoutes.kt
@@ -44,7 +44,6 @@
     client: HttpClient,
     private val keyHasher: KeyHasher,
     once: OnceCalls,
-    private val levels: ServiceLevels,
     private val leavingVms: LeavingVms,
     private val entryTtlSeconds: Int,
     scope: CoroutineScope,
@@ -52,7 +51,7 @@
 ) : HttpRoutes {
     private val running = RunningCalls(coordination)
     private val forwarder = Forwarder(client, slots, scope, clock)
-    private val completions = CompletionCalls(forwarder, client, clock)
+    private val completions = CompletionCalls(forwarder, client)
     private val services = ServiceCalls(forwarder, once)
 
     override suspend fun handle(call: HttpCall): Boolean {
@@ -77,7 +76,7 @@
         val now = clock()
         val context = CallContext(RequestId(UUID.randomUUID().toString()), caller, now, now + timeout)
         val failure = running.track(caller) { withdrawn -> answer(call, fleet, route, context, withdrawn) }
-        count(context, failure)
+        log(context, failure)
         return failure
     }
 
@@ -95,23 +94,15 @@
             is OnlineRoute.Service -> answerService(call, route, context)
         }
 
-    private fun count(
+    private fun log(
         context: CallContext,
         failure: Failure?,
     ) {
-        val workspace = context.workspace ?: return
-        val firstByteAfter = context.firstByteAt?.let { it - context.arrivedAt }
-        if (failure != null) {
-            levels.failed(workspace, failure.kind)
-        } else if (firstByteAfter != null) {
-            levels.answered(workspace, firstByteAfter)
-        }
         EventLog.info(
             "request",
             "id" to context.id,
-            "workspace" to workspace,
+            "workspace" to context.workspace,
             "result" to (failure?.kind?.code ?: "ok"),
-            "first_byte_ms" to firstByteAfter?.inWholeMilliseconds,
             "total_ms" to (clock() - context.arrivedAt).inWholeMilliseconds,
         )
     }
@@ -178,7 +169,6 @@
         context.workspace?.let { limits.admit(it, context.deadline).getOrElse { failure -> return failure } }
         val attempt = services.run(service, context, RequestClass.ONLINE)
         if (attempt !is Attempt.Finished) return attempt.toFailure()
-        context.firstByteAt = clock()
         call.respondWhole(attempt.value, context)
         return null
     }
--- a/server/src/main/kotlin/org/agatestream/server/OwnedLimits.kt
+++ b/server/src/main/kotlin/org/agatestream/server/OwnedLimits.kt
@@ -23,7 +23,7 @@
     private val owner = LimitOwner(context, loadBackendChart())
     val workspaces = OwnedWorkspaceLimits(context)
     val slots = OwnedBackendSlots(context, config.failureDomain, Random.Default)
-    private val poller = BackendLoadPoller(client, slots)
+    private val poller = BackendLoadPoller(client, slots, owner)
 
     /** Answers asks of other VMs and starts the loops. */
     fun start(scope: CoroutineScope) {
