--- a/server/src/main/kotlin/org/agatestream/server/CoordinationService.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinationService.kt
@@ -1,5 +1,6 @@
 package org.agatestream.server
 
+import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -47,7 +48,7 @@
 
 /** Keeps this VM's knowledge of settings, plan and VMs up to date, through the platform's table and the other VMs. */
 public class CoordinationService(
-    private val network: KtorPeerNetwork,
+    private val network: PeerTransport,
     table: TableService,
     private val vmList: VmList,
     parse: (Map<String, String>, Revision) -> Outcome<FleetView>,
@@ -55,9 +56,10 @@
     public val policy: FreshnessPolicy = FreshnessPolicy(),
     private val random: Random = Random.Default,
     private val clock: () -> MonotonicTime = MonotonicTime::now,
+    dispatcher: CoroutineDispatcher = Dispatchers.Default,
 ) : Coordination,
     AutoCloseable {
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val store = FleetStore(CoordinationState.start(network.self, clock(), policy), parse)
     private val sync = TableSync(table, store, clock)
     private val gossip = PeerGossip(network, store, clock, random)
@@ -83,6 +85,8 @@
     /** How far this VM has come. */
     public val head: FleetHead get() = store.state.head
 
+    internal val state: CoordinationState get() = store.state
+
     init {
         network.addHandler(CoordinationHandler(store, gossip, concession, clock, scope))
         store.onChange(::onStoreChange)
