--- a/standins/src/main/kotlin/org/agatestream/standin/ScenarioChecks.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/ScenarioChecks.kt
@@ -121,9 +121,18 @@
 
     private suspend fun countFault(check: Check.Counted): String? {
         val found = count(check.quantity)
-        if (check.comparison.holds(found, check.number)) return null
-        val load = check.quantity as? Quantity.LoadCount
-        return "found $found" + load?.let { " (${calls.load(it.load)})" }.orEmpty()
+        return if (check.comparison.holds(found, check.number)) null else "found $found" + detail(check)
+    }
+
+    /** Returns the counts of the load that [check] is about, if any. */
+    suspend fun detail(check: Check): String {
+        val load =
+            when (check) {
+                is Check.WithinRate -> check.load
+                is Check.Counted -> (check.quantity as? Quantity.LoadCount)?.load
+                else -> null
+            }
+        return if (load == null) "" else " (${calls.load(load)})"
     }
 
     private suspend fun count(quantity: Quantity): Long =
--- a/standins/src/main/kotlin/org/agatestream/standin/ScenarioRunner.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/ScenarioRunner.kt
@@ -124,7 +124,7 @@
 
     private suspend fun expect(action: Action.Expect): String {
         checks.expect(action.check, action.within)
-        return "holds"
+        return "holds" + checks.detail(action.check)
     }
 
     private suspend fun kill(name: String) {
