Repeat a concession until the next owner takes it

Cause: a new test saw 10 of the moved shares handed over and the others not: a next owner that had not applied the plan yet answered that it did not take the share, and the old owner gave up on any answer. Change: the old owner repeats up to five times until the share is taken; a repeat of a concession that was taken is answered so and applied once.

--- a/server/src/main/kotlin/org/agatestream/server/ShareConcession.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ShareConcession.kt
@@ -1,6 +1,7 @@
 package org.agatestream.server
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.Plan
@@ -9,9 +10,11 @@
 import org.agatestream.core.toShareOwners
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-private const val MAX_ATTEMPTS = 3
+private const val MAX_ATTEMPTS = 5
+private val CONCEDE_DELAY: Duration = 200.milliseconds
 private val CONCEDE_TIMEOUT: Duration = 1.seconds
 
 /** Hands shares over to their next owners, so that these need not wait for this VM's lease to run out. */
@@ -43,6 +46,7 @@
     }
 
     /** Takes a share over from [from]; returns false if it is not this VM's to take. */
+    @Synchronized
     fun onConcede(
         from: VmId,
         ask: CoordinationAsk.Concede,
@@ -52,7 +56,8 @@
         val isFromOwner =
             isInTime && state.plan.toShareOwners(ask.share).let { it.before == from && it.owner == state.self }
         val owner = owners.firstOrNull { it.owns(ask.share.key) }
-        if (!isFromOwner || owner == null || ask.share in state.standing.conceded) return false
+        if (!isFromOwner || owner == null) return false
+        if (ask.share in state.standing.conceded) return true
         owner.takeOver(ask.share, ask.state)
         store.update { it.copy(standing = it.standing.onConcession(ask.share, ask.epoch, from)) }
         return true
@@ -66,7 +71,8 @@
     ) {
         repeat(MAX_ATTEMPTS) {
             val answer = network.ask(next, CoordinationAsk.Concede(share, plan.epoch, state), CONCEDE_TIMEOUT)
-            if (answer is CoordinationAnswer.Conceded) return
+            if (answer == CoordinationAnswer.Conceded(isTaken = true)) return
+            delay(CONCEDE_DELAY)
         }
     }
 }
--- a/server/src/test/kotlin/org/agatestream/server/CoordinationServiceTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/CoordinationServiceTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.engine.concurrency.TestExecutionMode
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.coroutines.async
@@ -11,15 +12,21 @@
 import org.agatestream.core.ConfigLogEntry
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.FailureDomainId
+import org.agatestream.core.MonotonicTime
 import org.agatestream.core.Outcome
+import org.agatestream.core.OwnerStanding
 import org.agatestream.core.Revision
+import org.agatestream.core.ShareKey
 import org.agatestream.core.VmId
+import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.Duration.Companion.seconds
 
 private const val PATH = "/teams/a/workspaces/w"
 
 class CoordinationServiceTest :
     FunSpec({
+        testExecutionMode = TestExecutionMode.Concurrent
+
         test("VMs agree on a plan and a change is in force on all of them") {
             CoordinationFleet().use { fleet ->
                 fleet.start(3)
@@ -91,6 +98,22 @@
             }
         }
 
+        test("a VM whose plan moves a share concedes it with its state") {
+            CoordinationFleet().use { fleet ->
+                fleet.start(2)
+                fleet.awaitPlan(2)
+                val shares = List(32) { ShareKey("test/$it", 0, 1) }
+                val owners = fleet.vms.map { RecordingOwner(shares).also(it.service::addShareOwner) }
+                val third = fleet.start(VmId("vm-third"), FailureDomainId("domain-2"))
+                val taking = RecordingOwner(emptyList()).also(third.service::addShareOwner)
+                fleet.awaitPlan(3)
+                val moved = shares.filter { third.service.ownerOf(it) == third.id }
+                eventually(4.seconds) { taking.taken.toSet() shouldBe moved.toSet() }
+                owners.flatMap { it.released }.toSet() shouldBe shares.toSet()
+                moved.forEach { third.service.mayOwn(it, MonotonicTime.now()).shouldBeInstanceOf<OwnerStanding.Owner>() }
+            }
+        }
+
         test("a VM that left the list leaves the plan, and one that is silent is taken out after probes") {
             CoordinationFleet().use { fleet ->
                 fleet.start(4)
@@ -104,3 +127,30 @@
             }
         }
     })
+
+/** An area that believes to own [shares] and records what it releases and takes over. */
+private class RecordingOwner(
+    shares: List<ShareKey>,
+) : ShareOwner {
+    private val owned = CopyOnWriteArrayList(shares)
+    val released = CopyOnWriteArrayList<ShareKey>()
+    val taken = CopyOnWriteArrayList<ShareKey>()
+
+    override fun owns(key: String): Boolean = key.startsWith("test/")
+
+    override fun shares(): Collection<ShareKey> = owned
+
+    override fun release(share: ShareKey): ByteArray {
+        owned -= share
+        released += share
+        return share.key.encodeToByteArray()
+    }
+
+    override fun takeOver(
+        share: ShareKey,
+        state: ByteArray,
+    ) {
+        check(state.decodeToString() == share.key)
+        taken += share
+    }
+}
--- /dev/null
+++ b/server/src/test/kotlin/org/agatestream/server/KtorPeerNetworkTest.kt
@@ -0,0 +1,117 @@
+package org.agatestream.server
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import org.agatestream.core.FailureDomainId
+import org.agatestream.core.ListedVm
+import org.agatestream.core.VmId
+import java.io.EOFException
+import java.net.Socket
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val probe = CoordinationAsk.Probe(VmId("x"))
+
+class KtorPeerNetworkTest :
+    FunSpec({
+        test("two VMs ask each other over one connection") {
+            withPair { a, b ->
+                a.ask(b.self, probe, 5.seconds) shouldBe CoordinationAnswer.Probed(true)
+                b.ask(a.self, probe, 5.seconds) shouldBe CoordinationAnswer.Probed(true)
+                a.connectionCount shouldBe 1
+                b.connectionCount shouldBe 1
+            }
+        }
+
+        test("a VM with another secret gets and gives no answer") {
+            withPair(secret = "another secret".encodeToByteArray()) { a, b ->
+                a.ask(b.self, probe, 1.seconds) shouldBe null
+                b.ask(a.self, probe, 1.seconds) shouldBe null
+                a.connectionCount + b.connectionCount shouldBe 0
+            }
+        }
+
+        test("an answer after the timeout reaches no other ask") {
+            val release = CompletableDeferred<Unit>()
+            withPair { a, b ->
+                b.addHandler { _, ask ->
+                    if (ask == CoordinationAsk.FetchVms) release.await()
+                    CoordinationAnswer.FetchedVms(emptyList())
+                }
+                a.ask(b.self, CoordinationAsk.FetchVms, 100.milliseconds) shouldBe null
+                release.complete(Unit)
+                a.ask(b.self, probe, 5.seconds) shouldBe CoordinationAnswer.Probed(true)
+            }
+        }
+
+        test("an oversized or malformed first frame closes the connection") {
+            withPair { a, b ->
+                for (bytes in listOf(byteArrayOf(0x7f, 0, 0, 0), byteArrayOf(0, 0, 0, 2, 1, 1))) {
+                    Socket("127.0.0.1", b.port).use { socket ->
+                        socket.soTimeout = 5_000
+                        socket.getOutputStream().write(bytes)
+                        runCatching { while (socket.getInputStream().read() >= 0) Unit }
+                            .exceptionOrNull()
+                            ?.let { (it is EOFException || it.message?.contains("reset") == true) shouldBe true }
+                    }
+                }
+                a.ask(b.self, probe, 5.seconds) shouldBe CoordinationAnswer.Probed(true)
+            }
+        }
+
+        test("a VM that comes back is dialled again") {
+            val back = KtorPeerNetwork(VmId("b"), testSecret)
+            withPair { a, b ->
+                a.ask(b.self, probe, 5.seconds) shouldBe CoordinationAnswer.Probed(true)
+                b.close()
+                eventually(5.seconds) { a.connectionCount shouldBe 0 }
+                back.addHandler { _, _ -> CoordinationAnswer.Probed(false) }
+                back.listen("127.0.0.1", b.port)
+                eventually(10.seconds) { a.ask(b.self, probe, 1.seconds) shouldBe CoordinationAnswer.Probed(false) }
+            }
+            back.close()
+        }
+
+        test("messages that wait at the same time share a frame") {
+            withPair { a, b ->
+                coroutineScope {
+                    List(500) { async { a.ask(b.self, probe, 5.seconds) } }.awaitAll().forEach {
+                        it.shouldBeInstanceOf<CoordinationAnswer.Probed>()
+                    }
+                }
+                a.traffic.sentMessages.sum() shouldBe 500
+                500L shouldBeGreaterThan a.traffic.sentFrames.sum()
+            }
+        }
+    })
+
+private val KtorPeerNetwork.port: Int get() = ports.getValue(this)
+private val ports = HashMap<KtorPeerNetwork, Int>()
+
+private suspend fun withPair(
+    secret: ByteArray = testSecret,
+    block: suspend (KtorPeerNetwork, KtorPeerNetwork) -> Unit,
+) {
+    val networks = listOf(KtorPeerNetwork(VmId("a"), testSecret), KtorPeerNetwork(VmId("b"), secret))
+    networks.forEach { network ->
+        network.addHandler { _, ask -> if (ask == probe) CoordinationAnswer.Probed(true) else null }
+        ports[network] = network.listen("127.0.0.1", 0)
+    }
+    val vms =
+        networks.map {
+            ListedVm(it.self, FailureDomainId("d"), "127.0.0.1:${it.port}", "127.0.0.1:${it.port}")
+        }
+    networks.forEach { it.updateAddresses(vms) }
+    try {
+        block(networks[0], networks[1])
+    } finally {
+        networks.forEach { it.close() }
+    }
+}
