--- a/server/src/test/kotlin/org/agatestream/server/CoordinationRunTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/CoordinationRunTest.kt
@@ -27,7 +27,8 @@
         }
 
         listOf(
-            "owners that don't wait for the lease of the owner before" to FreshnessPolicy(takeoverWait = 200.milliseconds),
+            "owners that don't wait for the lease of the owner before" to
+                FreshnessPolicy(takeoverWait = 200.milliseconds),
             "VMs that stay current for a minute" to FreshnessPolicy(bound = 60.seconds, takeoverWait = 3.4.seconds),
             "changes accepted without a majority" to FreshnessPolicy(majority = 0.0),
         ).forEach { (name, weakened) ->
@@ -37,7 +38,9 @@
                         val run = CoordinationRun(seed, weakened)
                         runCatching { run.run(span) }.exceptionOrNull()?.let { seed to it as InvariantViolation }
                     }
-                println("event=weakened_guard guard=\"$name\" seed=${broken?.first} cause=\"${broken?.second?.message}\"")
+                println(
+                    "event=weakened_guard guard=\"$name\" seed=${broken?.first} cause=\"${broken?.second?.message}\"",
+                )
                 broken?.second?.invariant shouldBeIn listOf("one-owner-of-a-share", "accepted-change-in-force")
             }
         }
