--- a/http/src/main/kotlin/org/agatestream/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientExchange.kt
@@ -47,8 +47,9 @@
         if (bytes.isNotEmpty()) parts.trySend(BodyPart.Chunk(bytes))
         if (content is LastHttpContent) {
             ended = true
-            parts.trySend(BodyPart.End)
+            // Frees the connection first, so that the reader's next request finds it.
             onEnd(this)
+            parts.trySend(BodyPart.End)
         } else if (bytes.isEmpty()) {
             connection.requestBody()
         }
--- a/server/src/main/kotlin/org/agatestream/server/CallContext.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CallContext.kt
@@ -13,10 +13,6 @@
     val arrivedAt: MonotonicTime,
     val deadline: MonotonicTime,
 ) {
-    /** When the first byte of an answer was ready for the caller, or null if none was yet. */
-    @Volatile
-    var firstByteAt: MonotonicTime? = null
-
     val workspace: WorkspaceId?
         get() = caller?.workspace?.id
 }
--- a/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
@@ -14,6 +14,7 @@
 import org.agatestream.core.Outcome
 import org.agatestream.core.ParsedSettings
 import org.agatestream.core.Revision
+import org.agatestream.core.WorkspaceId
 import org.agatestream.core.authenticate
 import org.agatestream.core.map
 import org.agatestream.core.parseFleet
@@ -41,6 +42,7 @@
     private val coordination = CoordinationService(network, platform, platform, ::parseView, config.seedPeers)
     private val hasher = KeyHasher(secrets.fleetSecret)
     private val levels = ServiceLevels(registry)
+    private val burn = BurnCollector(network, coordination, levels)
     private val shutdown = GracefulShutdown(config.entryTtlSeconds.seconds, config.shutdownGraceSeconds.seconds)
     private val leaving = LeavingVms(coordination)
     private val limits = OwnedLimits(config, coordination, network, scope, registry, client)
@@ -49,13 +51,14 @@
     private val runner = ObservedItemRunner(items, levels)
     private val batch = BatchPorts(config.vm, platform, platform, runner, coordination, registry = registry)
     private val worker = BatchWorker(batch)
+    private val router = router()
     private val server =
         HttpServer.start(
             loops,
             parseAddress(config.callerAddress),
             HttpLimits(),
             scope,
-            router()::handle,
+            ::answer,
         )
 
     /** The port on which callers are served. */
@@ -68,6 +71,7 @@
         val address = parseAddress(config.peerAddress)
         network.addHandler { _, ask -> if (ask is LeavingNotice) leaving.take(ask) else null }
         network.addHandler { _, ask -> if (ask is ClaimAsk) once.answer(ask) else null }
+        network.addHandler { _, ask -> burn.answer(ask) }
         network.listen(address.hostString, address.port)
         coordination.start()
         limits.start(scope)
@@ -88,6 +92,16 @@
         loops.close()
     }
 
+    private suspend fun answer(call: HttpCall) {
+        levels.observe(call, ::workspaceOf, router::handle)
+    }
+
+    private fun workspaceOf(call: HttpCall): WorkspaceId? =
+        when (val key = authenticate(call)) {
+            is Outcome.Ok -> key.value.workspace
+            is Outcome.Failed -> null
+        }
+
     private fun router(): Router {
         val store = CoordinationSettingsStore(coordination)
         val operators = OperatorAuthentication(coordination, hasher, secrets.bootstrapOperatorKey)
@@ -99,7 +113,6 @@
                 client,
                 hasher,
                 once,
-                levels,
                 leaving,
                 config.entryTtlSeconds,
                 scope,
@@ -109,7 +122,7 @@
                 HealthRoutes(registry, ::isReady),
                 online,
                 BatchRoutes(batch, ::authenticate, limits.workspaces),
-                AdminRoutes(store, hasher, operators::authenticate, levels::report),
+                AdminRoutes(store, hasher, operators::authenticate, burn::collect),
             ),
             shutdown,
         )
@@ -128,10 +141,6 @@
         }
     }
 
-    private companion object {
-        val FLUSH_LIMIT = 5.seconds
-    }
-
     private fun parseView(
         settings: Map<String, String>,
         revision: Revision,
@@ -140,4 +149,8 @@
             is ParsedSettings.Valid -> parsed.value.toOk()
             is ParsedSettings.Invalid -> ErrorKind.INVALID_SETTING.toFailed(parsed.faults.joinToString("; "))
         }
+
+    private companion object {
+        val FLUSH_LIMIT = 5.seconds
+    }
 }
--- a/server/src/test/kotlin/org/agatestream/server/OnlineFixture.kt
+++ b/server/src/test/kotlin/org/agatestream/server/OnlineFixture.kt
@@ -1,12 +1,13 @@
 package org.agatestream.server
 
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.coroutines.CompletableJob
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.cancel
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.job
+import kotlinx.coroutines.runBlocking
 import org.agatestream.core.BackendKind
 import org.agatestream.core.BackendServerId
 import org.agatestream.core.BackendServerSetting
@@ -153,10 +154,9 @@
     val once = OnceCalls(fixture.table, this, fixture.coordination, fixture.scope)
     val leavingVms = LeavingVms(fixture.coordination)
     val shutdown = GracefulShutdown(300.milliseconds, 5.seconds)
-    private val levels = ServiceLevels(SimpleMeterRegistry())
     private val online =
         with(fixture) {
-            OnlineRoutes(coordination, limits, slots, client, hasher, once, levels, leavingVms, 10, scope)
+            OnlineRoutes(coordination, limits, slots, client, hasher, once, leavingVms, 10, scope)
         }
     val items = with(fixture) { BackendItemRunner(coordination, slots, client, once, scope) }
     private val router = Router(listOf(online), shutdown)
@@ -265,7 +265,7 @@
     ): Reply = send("POST", path, completionBody(stream, chat = "chat" in path), *headers)
 
     override fun close() {
-        scope.cancel()
+        runBlocking { scope.coroutineContext.job.cancelAndJoin() }
         vms.forEach { it.server.closeNow() }
         first.close()
         second.close()
