Order engines to load their models under fencing numbers

Cause: engines take orders; some refuse an old fencing number, others ignore it, so an owner that was paused could undo its successor's order. Ways weighed: a lease in the table for each engine (3,100 rows to renew), orders by any VM (no order among them), and the chosen one: the engine's owner orders, numbered by plan epoch and revision, asks for its standing before each order and repeats confirmed ones every 30 s, so that an engine without the check ends right too.

--- a/core/src/main/kotlin/org/agatestream/core/Backoff.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Backoff.kt
@@ -14,10 +14,16 @@
     public fun delay(
         failures: Int,
         random: Random,
+    ): Duration = delay(failures, random.nextDouble())
+
+    /** Returns how long to wait before the repeat after [failures] failures; [jitter] is from 0 to 1. */
+    public fun delay(
+        failures: Int,
+        jitter: Double,
     ): Duration {
         val doublings = (failures - 1).coerceIn(0, MAX_DOUBLINGS)
         val span = minOf(first * (1 shl doublings), longest)
-        return span / 2 + span * random.nextDouble() / 2
+        return span / 2 + span * jitter / 2
     }
 
     private companion object {
--- /dev/null
+++ b/core/src/test/kotlin/org/agatestream/core/EngineOrderTest.kt
@@ -0,0 +1,128 @@
+package org.agatestream.core
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class EngineOrderTest :
+    FunSpec({
+        val times = EngineOrderTimes()
+        val small = ModelId("small")
+
+        fun numberOf(
+            epoch: Long,
+            revision: Long,
+        ) = FleetHead(Revision(revision), PlanEpoch(epoch)).toFencingNumber()
+
+        fun EngineOrderMemory.step(
+            number: FencingNumber,
+            now: MonotonicTime,
+        ) = next(listOf(small), number, times, now)
+
+        test("numbers grow with the epoch first, then with the revision") {
+            checkAll(500, Arb.long(0L..1_000_000L), Arb.long(0L..1_000_000L)) { epoch, revision ->
+                (numberOf(epoch + 1, 0) > numberOf(epoch, revision)) shouldBe true
+                (numberOf(epoch, revision + 1) > numberOf(epoch, revision)) shouldBe true
+            }
+        }
+
+        test("a confirmed order rests until its repeat is due or the epoch changes") {
+            val first = EngineOrderMemory().step(numberOf(1, 5), MonotonicTime.ZERO) as EngineOrderStep.Load
+            val memory = EngineOrderMemory().after(first, EngineOrderResult.DONE, times, 0.0, MonotonicTime.ZERO)
+            memory.step(numberOf(1, 6), MonotonicTime.ZERO + 29.seconds) shouldBe EngineOrderStep.Rest
+            memory.step(numberOf(1, 6), MonotonicTime.ZERO + 30.seconds) shouldBe
+                EngineOrderStep.Load(small, numberOf(1, 6))
+            memory.step(numberOf(2, 6), MonotonicTime.ZERO) shouldBe EngineOrderStep.Load(small, numberOf(2, 6))
+        }
+
+        test("an owner whose order was refused as old gives none until it knows a later head") {
+            val step = EngineOrderStep.Load(small, numberOf(3, 1))
+            val memory =
+                EngineOrderMemory().after(
+                    step,
+                    EngineOrderResult.REFUSED_AS_OLD,
+                    times,
+                    0.5,
+                    MonotonicTime.ZERO,
+                )
+            memory.step(numberOf(3, 1), MonotonicTime.ZERO + 600.seconds) shouldBe EngineOrderStep.Rest
+            memory.step(numberOf(3, 2), MonotonicTime.ZERO) shouldBe EngineOrderStep.Load(small, numberOf(3, 2))
+        }
+
+        test("a failed order is repeated with growing delays") {
+            var memory = EngineOrderMemory()
+            val step = EngineOrderStep.Load(small, numberOf(1, 1))
+            val waits =
+                List(8) {
+                    memory = memory.after(step, EngineOrderResult.FAILED, times, 1.0, MonotonicTime.ZERO)
+                    memory.notBefore!! - MonotonicTime.ZERO
+                }
+            waits shouldBe waits.sorted()
+            waits.last() shouldBe 30.seconds
+        }
+
+        test("engines end with the last owner's order, with and without a check of numbers, under late orders") {
+            for (seed in 1..200) {
+                for (checks in listOf(true, false)) {
+                    withClue(seed, checks) { OrderRun(Random(seed), checks).run() }
+                }
+            }
+        }
+    })
+
+private fun withClue(
+    seed: Int,
+    checks: Boolean,
+    run: () -> Unit,
+) {
+    try {
+        run()
+    } catch (e: AssertionError) {
+        throw AssertionError("seed $seed, engine checks numbers: $checks", e)
+    }
+}
+
+/** Two owners in turn order one engine to load their own model; orders of the first arrive late. */
+private class OrderRun(
+    private val random: Random,
+    private val checks: Boolean,
+) {
+    private val times = EngineOrderTimes()
+    private var loaded: ModelId? = null
+    private var highest = FencingNumber(0)
+    private val late = mutableListOf<Pair<MonotonicTime, EngineOrderStep.Load>>()
+
+    fun run() {
+        val old = FleetHead(Revision(9), PlanEpoch(1)).toFencingNumber()
+        val new = FleetHead(Revision(3), PlanEpoch(2)).toFencingNumber()
+        repeat(3) { late += MonotonicTime.ZERO + random.nextInt(60_000).milliseconds to EngineOrderStep.Load(OLD, old) }
+        var memory = EngineOrderMemory()
+        var now = MonotonicTime.ZERO
+        while (now < MonotonicTime.ZERO + 120.seconds) {
+            late.filter { it.first <= now }.forEach { take(it.second) }
+            late.removeAll { it.first <= now }
+            val step = memory.next(listOf(NEW), new, times, now)
+            if (step is EngineOrderStep.Load) memory = memory.after(step, take(step), times, random.nextDouble(), now)
+            if (checks) loaded shouldBe NEW
+            now += 500.milliseconds
+        }
+        loaded shouldBe NEW
+    }
+
+    private fun take(step: EngineOrderStep.Load): EngineOrderResult {
+        if (checks && step.number < highest) return EngineOrderResult.REFUSED_AS_OLD
+        highest = maxOf(highest, step.number)
+        loaded = step.model
+        return EngineOrderResult.DONE
+    }
+
+    private companion object {
+        val OLD = ModelId("old")
+        val NEW = ModelId("new")
+    }
+}
--- a/server/src/main/kotlin/org/agatestream/server/OwnedLimits.kt
+++ b/server/src/main/kotlin/org/agatestream/server/OwnedLimits.kt
@@ -3,8 +3,12 @@
 import io.micrometer.core.instrument.MeterRegistry
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
+import org.agatestream.core.FencingNumber
 import org.agatestream.core.MonotonicTime
+import org.agatestream.core.OwnerStanding
+import org.agatestream.core.ShareKey
 import org.agatestream.core.loadBackendChart
+import org.agatestream.core.toFencingNumber
 import org.agatestream.http.HttpClient
 import kotlin.random.Random
 
@@ -23,6 +27,7 @@
     private val owner = LimitOwner(context, loadBackendChart())
     val workspaces = OwnedWorkspaceLimits(context)
     val slots = OwnedBackendSlots(context, config.failureDomain, Random.Default)
+    private val orders = EngineOrders(client, EngineOrderContext(::mayOrder, coordination::fleet, ::fencingNumber))
     private val poller = BackendLoadPoller(client, slots, owner)
 
     /** Answers asks of other VMs and starts the loops. */
@@ -32,5 +37,13 @@
         network.addHandler { from, ask -> if (ask is LimitAsk) owner.handle(from, ask) else null }
         scope.launch { slots.renewForever() }
         scope.launch { poller.pollForever() }
+        scope.launch { orders.runForever() }
     }
+
+    private fun mayOrder(
+        share: ShareKey,
+        now: MonotonicTime,
+    ): Boolean = coordination.mayOwn(share, now) is OwnerStanding.Owner
+
+    private fun fencingNumber(): FencingNumber = coordination.head.toFencingNumber()
 }
