--- a/server/src/main/kotlin/org/agatestream/server/BackendLoadPoller.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BackendLoadPoller.kt
@@ -45,7 +45,11 @@
     /** Reads the load of each engine once. */
     public suspend fun pollOnce() {
         coroutineScope {
-            slots.watchedServers(owner.ownedEngines()).map { (id, setting) -> async { poll(id, setting.address) } }.awaitAll()
+            slots
+                .watchedServers(owner.ownedEngines())
+                .map { (id, setting) ->
+                    async { poll(id, setting.address) }
+                }.awaitAll()
         }
     }
 
--- a/server/src/main/kotlin/org/agatestream/server/OwnedLimits.kt
+++ b/server/src/main/kotlin/org/agatestream/server/OwnedLimits.kt
@@ -23,12 +23,15 @@
     private val owner = LimitOwner(context, loadBackendChart())
     val workspaces = OwnedWorkspaceLimits(context)
     val slots = OwnedBackendSlots(context, config.failureDomain, Random.Default)
-    private val poller = BackendLoadPoller(client, slots)
+    private val poller = BackendLoadPoller(client, slots, owner)
 
     /** Answers asks of other VMs and starts the loops. */
     fun start(scope: CoroutineScope) {
         owner.onGiveWay = slots::giveWay
-        coordination.onChange { rights.onPlan(it.plan, MonotonicTime.now()) }
+        coordination.onChange {
+            rights.onPlan(it.plan, MonotonicTime.now())
+            owner.onFleetChange()
+        }
         network.addHandler { from, ask -> if (ask is LimitAsk) owner.handle(from, ask) else null }
         scope.launch { slots.renewForever() }
         scope.launch { poller.pollForever() }
--- a/server/src/main/kotlin/org/agatestream/server/QuotaClient.kt
+++ b/server/src/main/kotlin/org/agatestream/server/QuotaClient.kt
@@ -28,6 +28,7 @@
 ) {
     private var use = QuotaUse()
     private var results = ServerResults.NONE
+    private var incarnation: String? = null
     private val waiting = ArrayList<Waiter>()
     private val batchLeases = LinkedHashSet<CompletableJob>()
     private var inFlight = false
@@ -87,10 +88,16 @@
             use = use.end(requestClass, keep = !scarce)
             if (suspect) use = use.dropIdle()
             results += seen
-            if (scarce) flush()
+            if (scarce || isNewIncarnation(seen)) flush()
         }
     }
 
+    private fun isNewIncarnation(seen: ServerResults): Boolean {
+        if (seen.incarnation == null || seen.incarnation == incarnation) return false
+        incarnation = seen.incarnation
+        return true
+    }
+
     /** Ends a request of a cap that isn't in force. */
     fun endUncounted(
         requestClass: RequestClass,
--- a/server/src/main/kotlin/org/agatestream/server/QuotaOwner.kt
+++ b/server/src/main/kotlin/org/agatestream/server/QuotaOwner.kt
@@ -61,7 +61,11 @@
         this is QuotaKey.Server && context.fleet().backendServers[id]?.kind == BackendKind.ENGINE
 
     /** The engines whose slots this VM accounts for; it reads their load to find what nobody reports. */
-    fun engines(): Set<BackendServerId> = accounts.keys.filter { it.isEngine() }.mapTo(HashSet()) { (it as QuotaKey.Server).id }
+    fun engines(): Set<BackendServerId> =
+        accounts.keys
+            .filter {
+                it.isEngine()
+            }.mapTo(HashSet()) { (it as QuotaKey.Server).id }
 
     /** Compares the account of [server] with its load report. */
     fun onLoad(
