--- a/server/src/main/kotlin/org/agatestream/server/OwnedLimits.kt
+++ b/server/src/main/kotlin/org/agatestream/server/OwnedLimits.kt
@@ -33,7 +33,10 @@
     /** Answers asks of other VMs and starts the loops. */
     fun start(scope: CoroutineScope) {
         owner.onGiveWay = slots::giveWay
-        coordination.onChange { rights.onPlan(it.plan, MonotonicTime.now()) }
+        coordination.onChange {
+            rights.onPlan(it.plan, MonotonicTime.now())
+            owner.onFleetChange()
+        }
         network.addHandler { from, ask -> if (ask is LimitAsk) owner.handle(from, ask) else null }
         scope.launch { slots.renewForever() }
         scope.launch { poller.pollForever() }
