--- a/core/src/main/kotlin/org/agatestream/core/CompletionEvent.kt
+++ b/core/src/main/kotlin/org/agatestream/core/CompletionEvent.kt
@@ -1,27 +1,24 @@
 package org.agatestream.core
 
+import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonNull
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
-import kotlinx.serialization.json.contentOrNull
 
 /** One server-sent event of a completion stream. */
 public sealed interface CompletionEvent {
-    /** A piece of the answer, as a JSON object in the prompt form. */
+    /** A piece of the answer. */
     public data class Piece(
-        val body: JsonObject,
-    ) : CompletionEvent {
-        /** The text of the first choice; empty for an event without text. */
-        public val text: String
-            get() = body.firstChoice()["text"].contentOrEmpty()
-
+        /** The JSON object of the event, in the prompt form. */
+        val data: String,
         /** The id of the answer, or null. */
-        public val id: String?
-            get() = (body["id"] as? JsonPrimitive)?.contentOrNull
-    }
+        val id: String?,
+        /** The text of the first choice; empty for an event without text. */
+        val text: String,
+    ) : CompletionEvent
 
     /** The end of a whole stream. */
     public data object Done : CompletionEvent
@@ -35,19 +32,48 @@
     public companion object {
         /** Parses one event, without the blank line that ends it. */
         public fun parse(frame: String): CompletionEvent {
-            val lines = frame.lineSequence().filter { it.startsWith("data:") }
-            val data = lines.joinToString("\n") { it.removePrefix("data:").removePrefix(" ") }
+            val data = frame.dataLines()
             if (data.isEmpty()) return Ignored
             if (data == DONE_MARK) return Done
-            val body = runCatching { Json.parseToJsonElement(data) }.getOrNull() as? JsonObject ?: return Invalid
-            return if (body["choices"] is JsonArray) Piece(body) else Invalid
+            val fields =
+                runCatching { json.decodeFromString(PieceFields.serializer(), data) }.getOrNull() ?: return Invalid
+            return Piece(
+                data,
+                fields.id,
+                fields.choices
+                    .firstOrNull()
+                    ?.text
+                    .orEmpty(),
+            )
         }
+
+        private fun String.dataLines(): String {
+            if (startsWith(DATA_FIELD) && '\n' !in this) return substring(DATA_FIELD.length).removePrefix(" ")
+            val lines = lineSequence().filter { it.startsWith(DATA_FIELD) }
+            return lines.joinToString("\n") { it.removePrefix(DATA_FIELD).removePrefix(" ") }
+        }
+
+        private const val DATA_FIELD = "data:"
+        private val json = Json { ignoreUnknownKeys = true }
     }
 }
 
+/** The fields of an event that the relay looks at. */
+@Serializable
+private class PieceFields(
+    val id: String? = null,
+    val choices: List<PieceChoice>,
+)
+
+@Serializable
+private class PieceChoice(
+    val text: String? = null,
+)
+
 /** Converts a piece in the prompt form to the data of an event in the form that the caller used. */
 public fun CompletionEvent.Piece.toEventData(chat: Boolean): String {
-    if (!chat) return body.toString()
+    if (!chat) return data
+    val body = Json.parseToJsonElement(data) as JsonObject
     val choice = body.firstChoice()
     val delta = JsonObject(if (text.isEmpty()) emptyMap() else mapOf("content" to JsonPrimitive(text)))
     val converted = choice - "text" + ("delta" to delta)
--- a/server/src/main/kotlin/org/agatestream/server/StreamRelay.kt
+++ b/server/src/main/kotlin/org/agatestream/server/StreamRelay.kt
@@ -159,5 +159,5 @@
 }
 
 private fun StringBuilder.appendEvent(data: String) {
-    append("data: ").append(data).append("\n\n")
+    append("data: ").append(data.replace("\n", "\ndata: ")).append("\n\n")
 }
