Remember the owners of shares under the latest plan

Cause: each ask worked the owners out anew by hashing every VM of a failure domain, at the entry VM once and at the owner twice; coordination had a cache, the rights of the limits had none. Ruled out: a second cache; both use one class now.

--- a/server/src/main/kotlin/org/agatestream/server/CoordinationService.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinationService.kt
@@ -68,7 +68,7 @@
     private val concession = ShareConcession(network, store, clock)
     private val planKeeper = PlanKeeper(table, store, sync, spreader, gossip, clock, random)
     private val listeners = CopyOnWriteArrayList<(Coordination) -> Unit>()
-    private val shareOwners = ConcurrentHashMap<Pair<Long, ShareKey>, ShareOwners>()
+    private val owners = OwnerCache()
 
     override val fleet: FleetView get() = store.view
 
@@ -122,11 +122,11 @@
         now: MonotonicTime,
     ): OwnerStanding {
         val state = store.state
-        return state.standing(share, now, state.plan.cachedOwners(share))
+        return state.standing(share, now, owners.shareOwners(state.plan, share))
     }
 
     /** Returns the owner of [share] under this VM's plan, or null if the plan has no VM. */
-    public fun ownerOf(share: ShareKey): VmId? = plan.cachedOwners(share).owner
+    public fun ownerOf(share: ShareKey): VmId? = owners.shareOwners(plan, share).owner
 
     /** Makes a change of the settings and returns its revision once it is in force; [at] is the time in history. */
     public suspend fun put(
@@ -156,15 +156,11 @@
 
     private fun onStoreChange() {
         val state = store.state
-        shareOwners.keys.removeIf { it.first < state.plan.epoch.number }
         concession.onPlan(state.plan, scope)
         gossip.announce(scope)
         listeners.forEach { it(this) }
     }
 
-    private fun Plan.cachedOwners(share: ShareKey): ShareOwners =
-        shareOwners.computeIfAbsent(epoch.number to share) { toShareOwners(share) }
-
     private suspend fun headLoop() {
         while (scope.isActive) {
             sync.readHead()
--- a/server/src/main/kotlin/org/agatestream/server/PlannedShareRights.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlannedShareRights.kt
@@ -9,7 +9,6 @@
 import org.agatestream.core.ShareKey
 import org.agatestream.core.VmId
 import org.agatestream.core.ownerOf
-import org.agatestream.core.owners
 import java.util.concurrent.ConcurrentHashMap
 
 /**
@@ -23,6 +22,7 @@
     private val isCurrent: (MonotonicTime) -> Boolean,
     private val policy: FreshnessPolicy,
 ) : ShareRights {
+    private val cache = OwnerCache()
     private val tenures = ConcurrentHashMap<OwnedShare, Tenure>()
 
     @Volatile
@@ -43,14 +43,16 @@
     override fun owners(
         key: String,
         count: Int,
-    ): List<VmId> = standing().plan.owners(key, count).map { it.id }
+    ): List<VmId> = cache.owners(standing().plan, key, count)
 
     override fun ownedSince(
         share: OwnedShare,
         now: MonotonicTime,
     ): MonotonicTime? {
         val present = standing()
-        return when (val right = present.standing(self, share.toShareKey(), isCurrent(now), now, policy)) {
+        val key = share.toShareKey()
+        val owners = cache.shareOwners(present.plan, key)
+        return when (val right = present.standing(self, key, isCurrent(now), now, policy, owners)) {
             is OwnerStanding.Owner -> {
                 tenure(share, present, right.origin, now).since
             }
