Hold engine streams whose tokens were all made before the reader left

Cause: broken-streams-resumed failed once in four runs on a busy machine. The stand-in engine had made all tokens before its writer came to the break, so the stream was out of the batch and cancel did not hold it: the resume got 404. A second race: the watcher of the broken connection could take the resumed stream out again. The relay of the system was ruled out: it asked for the right token. Change: a stream whose reader is gone is held in any case, a complete one takes no room when it is resumed, and the watcher ends before the connection is broken.

--- a/standins/src/main/kotlin/org/agatestream/standin/EngineBatch.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/EngineBatch.kt
@@ -65,8 +65,9 @@
     /** Returns how long the next step takes. */
     fun stepDuration(): Duration = limits.stepBase + limits.stepPerRequest * running
 
-    /** Takes a new or a resumed stream in. */
+    /** Takes a new or a resumed stream in; a complete one takes no room. */
     fun admit(stream: EngineStream): EngineAdmission {
+        if (stream.complete) return EngineAdmission.ACCEPTED
         if (cold && running + waiting >= bearable) {
             fallOvers++
             restart()
@@ -92,10 +93,17 @@
 
     /** Takes a stream out of the batch and holds it for a resume; returns false if it is unknown. */
     fun cancel(id: String): Boolean {
-        val stream = runningStreams.remove(id) ?: waitingStreams.remove(id)
-        if (stream != null) hold(stream)
+        (runningStreams[id] ?: waitingStreams[id])?.let { leave(it) }
+        return id in held
+    }
+
+    /** Holds a stream whose reader is gone, whether or not it is still in the batch. */
+    fun leave(stream: EngineStream) {
+        runningStreams.remove(stream.id)
+        waitingStreams.remove(stream.id)
+        held[stream.id] = stream
+        if (held.size > limits.heldStreams) held.remove(held.keys.first())
         fill()
-        return stream != null || id in held
     }
 
     /** Returns the held stream [id] and forgets it, or null. */
@@ -129,9 +137,4 @@
             runningStreams[next.id] = next
         }
     }
-
-    private fun hold(stream: EngineStream) {
-        held[stream.id] = stream
-        if (held.size > limits.heldStreams) held.remove(held.keys.first())
-    }
 }
--- a/standins/src/main/kotlin/org/agatestream/standin/EngineStandIn.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/EngineStandIn.kt
@@ -103,13 +103,16 @@
         val watcher =
             server.scope.launch {
                 call.call.callerGone.join()
-                synchronized(batch) { batch.cancel(stream.id) }
+                synchronized(batch) { batch.leave(stream) }
             }
-        try {
-            if (streamed) answerStream(call, stream, from) else answerWhole(call, stream)
-        } finally {
-            watcher.cancel()
-        }
+        val broken =
+            try {
+                if (streamed) answerStream(call, stream, from) else answerWhole(call, stream)
+            } finally {
+                // Only the reader of this answer takes the stream out, not one that follows after a resume.
+                watcher.cancel()
+            }
+        broken?.abort()
     }
 
     private fun admit(stream: EngineStream): Boolean =
@@ -126,43 +129,41 @@
     private suspend fun answerWhole(
         call: StandInCall,
         stream: EngineStream,
-    ) {
+    ): BodyWriter? {
         while (!stream.complete) {
             awaitProduced(stream, stream.maxTokens) ?: call.dropAnswer()
         }
         val text = EngineTokens(stream.prompt).text(stream.maxTokens)
         val completion = completion(stream, text, FINISHED)
         call.respondJson(STATUS_OK, Completion.serializer(), completion, incarnationHeader())
+        return null
     }
 
+    /** Streams the answer; returns the writer if it has to break off. */
     private suspend fun answerStream(
         call: StandInCall,
         stream: EngineStream,
         from: Int,
-    ) {
+    ): BodyWriter? {
         val tokens = EngineTokens(stream.prompt)
         val breakAt = breakAfter.getAndSet(0)
         val writer = call.call.startStream(STATUS_OK, "text/event-stream", incarnationHeader())
         var next = from
         while (next < stream.maxTokens) {
-            val produced = awaitProduced(stream, next + 1) ?: return writer.abort()
+            val produced = awaitProduced(stream, next + 1) ?: return writer
             while (next < produced) {
                 writer.writeEvent(completion(stream, tokens.token(next), null))
                 next++
-                if (next == breakAt) return breakOff(writer, stream)
+                if (next == breakAt) {
+                    synchronized(batch) { batch.leave(stream) }
+                    return writer
+                }
             }
         }
         writer.writeEvent(completion(stream, "", FINISHED))
         writer.write("data: [DONE]\n\n".encodeToByteArray())
         writer.finish()
-    }
-
-    private fun breakOff(
-        writer: BodyWriter,
-        stream: EngineStream,
-    ) {
-        synchronized(batch) { batch.cancel(stream.id) }
-        writer.abort()
+        return null
     }
 
     /** Waits until [stream] has [count] tokens and returns how many it has, or null once it is out of the batch. */
--- a/standins/src/test/kotlin/org/agatestream/standin/EngineBatchTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/EngineBatchTest.kt
@@ -51,6 +51,19 @@
             batch.takeHeld("1") shouldBe null
         }
 
+        test("a stream whose tokens are all made before its reader is gone is held as well") {
+            val batch = EngineBatch(limits, cold = false)
+            val stream = stream(1, tokens = 1)
+            batch.admit(stream)
+            batch.step()
+            batch.leave(stream)
+            val held = batch.takeHeld("1")
+            held shouldBe stream
+            batch.admit(stream) shouldBe EngineAdmission.ACCEPTED
+            batch.step()
+            stream.produced to batch.running shouldBe (1 to 0)
+        }
+
         test("a cached prefix saves the time to read the prompt") {
             val batch = EngineBatch(limits.copy(prefill = 20.milliseconds), cold = false)
             val first = stream(1)
