Read settings files in one place on the command line

Cause: three commands parsed a file and printed its faults with the same lines, and a missing file ended in a stack trace.

--- a/cli/src/main/kotlin/org/agatestream/cli/CapacityReportCommand.kt
+++ b/cli/src/main/kotlin/org/agatestream/cli/CapacityReportCommand.kt
@@ -8,9 +8,7 @@
 import org.agatestream.core.CapacityLine
 import org.agatestream.core.CapacitySlopes
 import org.agatestream.core.FleetSize
-import org.agatestream.core.ParsedSettings
 import org.agatestream.core.capacityOf
-import org.agatestream.core.parseSettings
 
 /** Prints the figures of the capacity page from a file of measured slopes. */
 @OptIn(ExperimentalCli::class)
@@ -24,18 +22,11 @@
     }
 
     private fun report(): ExitStatus =
-        when (val parsed = parseSettings(CapacityFile.serializer(), file, readInput(file).decodeToString())) {
-            is ParsedSettings.Invalid -> {
-                parsed.faults.forEach { System.err.println(it) }
-                ExitStatus.BAD_USE
-            }
-
-            is ParsedSettings.Valid -> {
-                println("| role | quantity | value | unit | limit |")
-                println("| --- | --- | ---: | --- | ---: |")
-                parsed.value.toLines().forEach { println(it.toRow()) }
-                ExitStatus.DONE
-            }
+        withSettings(CapacityFile.serializer(), file) { capacity ->
+            println("| role | quantity | value | unit | limit |")
+            println("| --- | --- | ---: | --- | ---: |")
+            capacity.toLines().forEach { println(it.toRow()) }
+            ExitStatus.DONE
         }
 }
 
--- a/cli/src/main/kotlin/org/agatestream/cli/JobCommand.kt
+++ b/cli/src/main/kotlin/org/agatestream/cli/JobCommand.kt
@@ -41,7 +41,8 @@
         val due = deadline?.let { "&deadline=${URLEncoder.encode(it, Charsets.UTF_8)}" }.orEmpty()
         val path = "/v1/batches?target=${URLEncoder.encode(target, Charsets.UTF_8)}$due"
         val headers = listOf("idempotency-key" to key, "content-type" to "application/jsonl")
-        return api.call("POST", path, readInput(file), headers).print()
+        val items = readInput(file) ?: return ExitStatus.BAD_USE
+        return api.call("POST", path, items, headers).print()
     }
 }
 
--- a/cli/src/main/kotlin/org/agatestream/cli/LoadCommand.kt
+++ b/cli/src/main/kotlin/org/agatestream/cli/LoadCommand.kt
@@ -4,8 +4,6 @@
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
-import org.agatestream.core.ParsedSettings
-import org.agatestream.core.parseSettings
 import java.io.File
 import kotlin.time.Duration.Companion.seconds
 
@@ -24,19 +22,7 @@
         selected.action = { load() }
     }
 
-    private suspend fun load(): ExitStatus {
-        val text = readInput(mix).decodeToString()
-        return when (val parsed = parseSettings(LoadMix.serializer(), mix, text)) {
-            is ParsedSettings.Invalid -> {
-                parsed.faults.forEach { System.err.println(it) }
-                ExitStatus.BAD_USE
-            }
-
-            is ParsedSettings.Valid -> {
-                run(parsed.value)
-            }
-        }
-    }
+    private suspend fun load(): ExitStatus = withSettings(LoadMix.serializer(), mix) { run(it) }
 
     private suspend fun run(mix: LoadMix): ExitStatus {
         val text = entry ?: System.getenv(ENTRY_VARIABLE) ?: "127.0.0.1:8080"
--- a/cli/src/main/kotlin/org/agatestream/cli/ServeCommand.kt
+++ b/cli/src/main/kotlin/org/agatestream/cli/ServeCommand.kt
@@ -5,8 +5,6 @@
 import kotlinx.cli.Subcommand
 import kotlinx.cli.required
 import kotlinx.coroutines.CompletableDeferred
-import org.agatestream.core.ParsedSettings
-import org.agatestream.core.parseSettings
 import org.agatestream.server.EntryVm
 import org.agatestream.server.EventLog
 import org.agatestream.server.FleetSecrets
@@ -25,19 +23,7 @@
         selected.action = { serve() }
     }
 
-    private suspend fun serve(): ExitStatus {
-        val text = readInput(config).decodeToString()
-        return when (val parsed = parseSettings(VmConfig.serializer(), config, text)) {
-            is ParsedSettings.Invalid -> {
-                parsed.faults.forEach { System.err.println(it) }
-                ExitStatus.BAD_USE
-            }
-
-            is ParsedSettings.Valid -> {
-                run(parsed.value)
-            }
-        }
-    }
+    private suspend fun serve(): ExitStatus = withSettings(VmConfig.serializer(), config) { run(it) }
 
     private suspend fun run(config: VmConfig): ExitStatus {
         val secret = System.getenv(config.fleetSecretVariable)
--- a/cli/src/main/kotlin/org/agatestream/cli/SettingsCommand.kt
+++ b/cli/src/main/kotlin/org/agatestream/cli/SettingsCommand.kt
@@ -7,12 +7,9 @@
 import kotlinx.serialization.builtins.MapSerializer
 import kotlinx.serialization.builtins.serializer
 import kotlinx.serialization.json.JsonElement
-import org.agatestream.core.FleetView
 import org.agatestream.core.ParsedSettings
 import org.agatestream.core.Revision
 import org.agatestream.core.parseFleet
-import org.agatestream.core.parseSettings
-import java.io.File
 import java.util.UUID
 
 /** Reads, checks and changes the settings of a fleet. */
@@ -60,7 +57,7 @@
     }
 
     private suspend fun put(api: ApiClient): ExitStatus {
-        val body = if (delete) ByteArray(0) else readInput(file)
+        val body = (if (delete) ByteArray(0) else readInput(file)) ?: return ExitStatus.BAD_USE
         val id = change ?: UUID.randomUUID().toString()
         val headers =
             buildList {
@@ -84,16 +81,19 @@
         selected.action = { check(file) }
     }
 
-    private fun check(file: String): ExitStatus {
-        val faults =
-            when (val parsed = parseSettingsFile(file)) {
-                is ParsedSettings.Invalid -> parsed.faults
-                is ParsedSettings.Valid -> emptyList()
+    private fun check(file: String): ExitStatus =
+        withSettings(MapSerializer(String.serializer(), JsonElement.serializer()), file) { settings ->
+            when (val parsed = parseFleet(settings.mapValues { it.value.toString() }, Revision.NONE)) {
+                is ParsedSettings.Invalid -> {
+                    parsed.printFaults()
+                }
+
+                is ParsedSettings.Valid -> {
+                    println("valid")
+                    ExitStatus.DONE
+                }
             }
-        faults.forEach { System.err.println("$file: $it") }
-        if (faults.isEmpty()) println("valid")
-        return if (faults.isEmpty()) ExitStatus.DONE else ExitStatus.BAD_USE
-    }
+        }
 }
 
 @OptIn(ExperimentalCli::class)
@@ -107,16 +107,3 @@
         selected.action = { withApi(entry) { it.call("GET", "/admin/v1/history$path").print() } }
     }
 }
-
-/** Parses a file that holds an object from path to setting. */
-internal fun parseSettingsFile(file: String): ParsedSettings<FleetView> {
-    val serializer = MapSerializer(String.serializer(), JsonElement.serializer())
-    val text = readInput(file).decodeToString()
-    return when (val parsed = parseSettings(serializer, file, text)) {
-        is ParsedSettings.Invalid -> parsed
-        is ParsedSettings.Valid -> parseFleet(parsed.value.mapValues { it.value.toString() }, Revision.NONE)
-    }
-}
-
-/** Reads a file, or standard input for `-`. */
-internal fun readInput(file: String): ByteArray = if (file == "-") System.`in`.readBytes() else File(file).readBytes()
