--- a/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
@@ -6,6 +6,8 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.FleetView
 import org.agatestream.core.Invariants
@@ -26,6 +28,7 @@
 import org.agatestream.http.HttpLimits
 import org.agatestream.http.HttpServer
 import org.agatestream.http.parseAddress
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** One entry VM: joins the areas of the server and runs them until shutdown. */
@@ -85,6 +88,8 @@
     public suspend fun stop() {
         shutdown.run { server.runningCalls }
         server.stopAccepting()
+        // Refusals that are still being written go out whole.
+        withTimeoutOrNull(LAST_ANSWERS_LIMIT) { while (server.runningCalls > 0) delay(LAST_ANSWERS_POLL) }
         once.flush(FLUSH_LIMIT)
         coordination.close()
         network.close()
@@ -152,5 +157,7 @@
 
     private companion object {
         val FLUSH_LIMIT = 5.seconds
+        val LAST_ANSWERS_LIMIT = 1.seconds
+        val LAST_ANSWERS_POLL = 10.milliseconds
     }
 }
--- a/server/src/main/kotlin/org/agatestream/server/Forwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/Forwarder.kt
@@ -10,11 +10,17 @@
 import org.agatestream.core.Failure
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.RequestId
+import org.agatestream.core.RetryBudget
+import org.agatestream.core.RetryDecision
+import org.agatestream.core.RetryLimits
+import org.agatestream.core.RunState
 import org.agatestream.core.getOrElse
 import org.agatestream.http.ExchangeResult
 import org.agatestream.http.HttpAnswer
 import org.agatestream.http.HttpClient
 import org.agatestream.http.HttpRequestSpec
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Runs requests on backend servers and repeats those that have not run, or that may run twice. */
@@ -24,6 +30,8 @@
     private val scope: CoroutineScope,
     private val clock: () -> MonotonicTime,
 ) {
+    private val budget = AtomicReference(RetryBudget(RETRY_LIMITS.most))
+
     /** Runs [request] and hands its answer to [use]; an answer that was not used whole is cancelled at its server. */
     suspend fun <T : Any> forward(
         request: BackendRequest,
@@ -31,20 +39,33 @@
     ): Attempt<T> {
         val failed = mutableSetOf<BackendServerId>()
         var last: Attempt<T>? = null
+        budget.updateAndGet { it.earn(RETRY_LIMITS) }
         repeat(MAX_ATTEMPTS) { number ->
             val slot = request.slot.copy(excluded = request.slot.excluded + failed)
             val lease = slots.acquire(slot).getOrElse { return last ?: Attempt.NotRun(it) }
             val attempt = attempt(request, RequestId("${request.id}.$number"), lease, use)
-            val again =
-                attempt is Attempt.NotRun || (attempt is Attempt.Lost && attempt.repeatable && request.idempotent)
-            if (!again || clock() >= request.slot.deadline) return attempt
-            failed += lease.server
             // An earlier loss stays the answer: a later refusal does not prove that nothing ran.
-            last = if (last is Attempt.Lost) last else attempt
+            val result = last.takeIf { it is Attempt.Lost && attempt is Attempt.NotRun } ?: attempt
+            if (!attempt.isRepeatable(request) || !takeRetry(request)) return result
+            failed += lease.server
+            last = result
         }
         return checkNotNull(last)
     }
 
+    private fun Attempt<*>.isRepeatable(request: BackendRequest): Boolean =
+        this is Attempt.NotRun || (this is Attempt.Lost && repeatable && request.idempotent)
+
+    /** Takes a retry from the budget; what is repeated here has not run or may run twice. */
+    private fun takeRetry(request: BackendRequest): Boolean {
+        while (true) {
+            val now = budget.get()
+            val (next, decision) = now.retry(RunState.NOT_RUN, RETRY_LIMITS, request.slot.deadline, clock())
+            if (decision != RetryDecision.Retry) return false
+            if (budget.compareAndSet(now, next)) return true
+        }
+    }
+
     private suspend fun <T : Any> attempt(
         request: BackendRequest,
         id: RequestId,
@@ -166,6 +187,7 @@
 
     private companion object {
         const val MAX_ATTEMPTS = 3
+        val RETRY_LIMITS = RetryLimits(leastTime = 10.milliseconds)
         const val STATUS_UNAVAILABLE = 503
         const val MAX_REFUSAL_BYTES = 65_536
         val REFUSAL_CODES = setOf("reloading", "refused")
--- a/server/src/test/kotlin/org/agatestream/server/FakeBackend.kt
+++ b/server/src/test/kotlin/org/agatestream/server/FakeBackend.kt
@@ -70,6 +70,8 @@
 
     fun close() = server.closeNow()
 
+    fun completions(): Int = recorded.count { it.target == "/v1/completions" }
+
     fun requestId(index: Int): String = recorded[index].headers.toMap().getValue("x-request-id")
 
     private suspend fun handle(call: HttpCall) {
--- a/server/src/test/kotlin/org/agatestream/server/OnlineRoutesTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/OnlineRoutesTest.kt
@@ -134,6 +134,21 @@
             }
         }
 
+        test("retries stay within their budget, and a refusal after a lost answer does not say not run") {
+            OnlineFixture().use {
+                repeat(30) { _ -> it.first.scripts += Script.DropBeforeHead }
+                repeat(30) { _ -> it.second.scripts += Script.Refuse }
+                repeat(20) { _ ->
+                    val reply = it.complete(stream = false)
+                    reply.status shouldBe 502
+                    reply.head.header("x-agatestream-run") shouldBe "unknown"
+                }
+                // 10 saved up and one earned by each ten of 20 requests; the first servers fail once for each request.
+                it.first.completions() shouldBe 20
+                (it.second.completions() <= 12) shouldBe true
+            }
+        }
+
         test("a refused connection leads to another server") {
             OnlineFixture().use {
                 it.first.close()
