--- a/core/src/main/kotlin/org/agatestream/core/BatchNames.kt
+++ b/core/src/main/kotlin/org/agatestream/core/BatchNames.kt
@@ -22,6 +22,9 @@
     /** The row that exists once the job is cancelled. */
     public fun cancelKey(job: JobId): String = "batch/cancel/$job"
 
+    /** The row that holds the [RecentCancels]. */
+    public const val RECENT_CANCELS: String = "batch/cancels"
+
     /** The row that exists while [workspace] may have open jobs. */
     public fun activeKey(workspace: WorkspaceId): String = ACTIVE_PREFIX + workspace
 
--- a/core/src/main/kotlin/org/agatestream/core/JobCancel.kt
+++ b/core/src/main/kotlin/org/agatestream/core/JobCancel.kt
@@ -14,17 +14,30 @@
     ) : CancelStep
 }
 
-/** Decides how to cancel the job whose row is at [version]; no claim and no checkpoint succeeds afterwards. */
-public fun JobRecord.planCancel(version: RowVersion): CancelStep {
+/**
+ * Decides how to cancel the job whose row is at [version]; no claim and no checkpoint succeeds afterwards.
+ *
+ * [recent] is the row of the cancels before, or null if there is none.
+ */
+public fun JobRecord.planCancel(
+    version: RowVersion,
+    recent: Row?,
+): CancelStep {
     val next = afterCancel() ?: return CancelStep.Ended(this)
     val key = BatchNames.jobKey(spec.workspace, spec.id)
+    val cancels = recent?.let { RecentCancels.parse(it.value) } ?: RecentCancels()
     val transaction =
         Transaction(
-            conditions = listOf(RowCondition(key, version)),
+            conditions =
+                listOf(
+                    RowCondition(key, version),
+                    RowCondition(BatchNames.RECENT_CANCELS, recent?.version ?: RowVersion.ABSENT),
+                ),
             writes =
                 listOf(
                     RowWrite(key, next.toRowValue()),
                     RowWrite(BatchNames.cancelKey(spec.id), "{}"),
+                    RowWrite(BatchNames.RECENT_CANCELS, (cancels + spec.id).toRowValue()),
                     RowWrite(BatchNames.openKey(spec), null),
                 ),
         )
--- a/server/src/main/kotlin/org/agatestream/server/BatchJobs.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchJobs.kt
@@ -69,7 +69,7 @@
         repeat(MAX_CANCELS) { failures ->
             val row = readRow(workspace, job).getOrElse { return if (maySucceed) pending() else Outcome.Failed(it) }
             val commit =
-                when (val step = JobRecord.parse(row.value).planCancel(row.version)) {
+                when (val step = JobRecord.parse(row.value).planCancel(row.version, recentCancels())) {
                     is CancelStep.Ended -> return status(workspace, job)
                     is CancelStep.Commit -> step
                 }
@@ -83,6 +83,10 @@
         return if (maySucceed) pending() else notReached()
     }
 
+    /** Reads the row of recent cancels; if it can't be read, the commit that follows meets a conflict. */
+    private suspend fun recentCancels(): Row? =
+        (ports.table.read(BatchNames.RECENT_CANCELS) as? ReadResult.Found)?.value
+
     private suspend fun cancelled(record: JobRecord): Outcome<JobStatus> {
         ports.log("batch_cancelled", arrayOf("job" to record.spec.id, "workspace" to record.spec.workspace))
         val chunks = readChunks(record.spec.id).getOrElse { emptyList() }
--- a/server/src/main/kotlin/org/agatestream/server/BatchWorker.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchWorker.kt
@@ -14,6 +14,7 @@
 import org.agatestream.core.JobId
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.ReadResult
+import org.agatestream.core.RecentCancels
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -116,17 +117,33 @@
             }
     }
 
-    /** Reads the cancel row of each job that this VM works on. */
+    /** Reads the recent cancels while this VM holds chunks: one row, whatever the number of jobs. */
     private suspend fun watchCancels() {
+        var seen: Long? = null
         while (kotlin.coroutines.coroutineContext.isActive) {
             delay(CANCEL_POLL / 2 + CANCEL_POLL * ports.random.nextDouble())
-            val jobs = runs.values.map { it.spec.id }.toSet()
-            jobs.forEach { checkCancelled(it) }
+            if (runs.isEmpty()) continue
+            val row = ports.table.read(BatchNames.RECENT_CANCELS) as? ReadResult.Found ?: continue
+            val recent = RecentCancels.parse(row.value.value)
+            recent.jobs.forEach { noteCancelled(it) }
+            val coversAll = seen?.let { recent.coversSince(it) } ?: false
+            if (coversAll || checkHeldJobs()) seen = recent.total
         }
     }
 
-    private suspend fun checkCancelled(job: JobId) {
-        if (ports.table.read(BatchNames.cancelKey(job)) !is ReadResult.Found) return
+    /** Reads the cancel row of each job that this VM works on; returns false if one could not be read. */
+    private suspend fun checkHeldJobs(): Boolean {
+        for (job in runs.values.map { it.spec.id }.toSet()) {
+            when (ports.table.read(BatchNames.cancelKey(job))) {
+                is ReadResult.Found -> noteCancelled(job)
+                is ReadResult.Absent -> Unit
+                is ReadResult.Unavailable -> return false
+            }
+        }
+        return true
+    }
+
+    private fun noteCancelled(job: JobId) {
         synchronized(cancelledJobs) { cancelledJobs[job] = Unit }
         runs.values.filter { it.spec.id == job }.forEach { it.cancelled() }
     }
--- a/server/src/test/kotlin/org/agatestream/server/SimVm.kt
+++ b/server/src/test/kotlin/org/agatestream/server/SimVm.kt
@@ -16,6 +16,7 @@
 import org.agatestream.core.ListedVm
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.ReadResult
+import org.agatestream.core.RecentCancels
 import org.agatestream.core.Row
 import org.agatestream.core.TableService
 import org.agatestream.core.VmId
@@ -92,8 +93,9 @@
     ) : TableService by table {
         override suspend fun read(key: String): ReadResult<Row> {
             val result = table.read(key)
-            val prefix = BatchNames.cancelKey(JobId(""))
-            if (result is ReadResult.Found && key.startsWith(prefix)) cancelsSeen += JobId(key.removePrefix(prefix))
+            if (result is ReadResult.Found && key == BatchNames.RECENT_CANCELS) {
+                cancelsSeen += RecentCancels.parse(result.value.value).jobs
+            }
             return result
         }
     }
