--- a/core/src/main/kotlin/org/agatestream/core/FleetView.kt
+++ b/core/src/main/kotlin/org/agatestream/core/FleetView.kt
@@ -41,6 +41,13 @@
     val callerKeys: Map<KeyHash, CallerKey> = emptyMap(),
     val operatorKeys: Map<KeyHash, OperatorKey> = emptyMap(),
 ) {
+    /** The engines of each model that any engine serves. */
+    public val enginesByModel: Map<ModelId, Set<BackendServerId>> by lazy {
+        val engines = backendServers.filterValues { it.kind == BackendKind.ENGINE }
+        val models = engines.values.flatMapTo(mutableSetOf()) { it.models }
+        models.associateWith { model -> engines.filterValues { model in it.models }.keys }
+    }
+
     /** Returns whether the failure domain takes new work; one without a setting does. */
     public fun isInService(domain: FailureDomainId): Boolean = failureDomains[domain]?.state != ServiceState.OUT
 
--- a/core/src/main/kotlin/org/agatestream/core/OnlineRoute.kt
+++ b/core/src/main/kotlin/org/agatestream/core/OnlineRoute.kt
@@ -49,10 +49,7 @@
 ): Outcome<Set<BackendServerId>> {
     val permitted = workspace.models.isEmpty() || model in workspace.models
     if (!permitted || model !in models) return ErrorKind.UNKNOWN_MODEL.toFailed("the workspace has no such model")
-    return backendServers
-        .filterValues { it.kind == BackendKind.ENGINE && model in it.models }
-        .keys
-        .toOk()
+    return enginesByModel[model].orEmpty().toOk()
 }
 
 /** Returns the models that a caller of [workspace] may use, in order of id. */
