Count a cancel as seen where the worker notes it

The trace shows why: the VM had just served the cancel's own HTTP call, which now reads the row of recent cancels, and the check took that read for the worker's. Before that row existed, only the worker read cancels, so the check was right then. Change: the worker logs batch_cancel_seen in the same step in which it stops its chunks, and the check counts from there, as strictly as before. Ruled out: a fault of the worker; its poll came after the start. Conclusion: the VM that serves a cancel stops its own chunks with its next poll, as all others do.

--- a/server/src/main/kotlin/org/agatestream/server/BatchWorker.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchWorker.kt
@@ -144,7 +144,8 @@
     }
 
     private fun noteCancelled(job: JobId) {
-        synchronized(cancelledJobs) { cancelledJobs[job] = Unit }
+        val known = synchronized(cancelledJobs) { cancelledJobs.put(job, Unit) != null }
+        if (!known) ports.log("batch_cancel_seen", arrayOf("job" to job))
         runs.values.filter { it.spec.id == job }.forEach { it.cancelled() }
     }
 
--- a/server/src/test/kotlin/org/agatestream/server/SimVm.kt
+++ b/server/src/test/kotlin/org/agatestream/server/SimVm.kt
@@ -7,7 +7,6 @@
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import org.agatestream.core.BatchNames
 import org.agatestream.core.BatchRules
 import org.agatestream.core.CallerKey
 import org.agatestream.core.Invariants
@@ -15,10 +14,6 @@
 import org.agatestream.core.KeyId
 import org.agatestream.core.ListedVm
 import org.agatestream.core.MonotonicTime
-import org.agatestream.core.ReadResult
-import org.agatestream.core.RecentCancels
-import org.agatestream.core.Row
-import org.agatestream.core.TableService
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
 import org.agatestream.core.toOk
@@ -52,7 +47,7 @@
     private val ports =
         BatchPorts(
             self = id,
-            table = CancelWatch(platform),
+            table = platform,
             objects = platform,
             runner = makeRunner(this),
             coordination = FixedCoordination(listVms),
@@ -60,7 +55,10 @@
             random = random,
             clock = { MonotonicTime.ZERO + process.clock },
             wallClock = { Instant.EPOCH },
-            log = { event, pairs -> log("$id $event ${pairs.joinToString { "${it.first}=${it.second}" }}") },
+            log = { event, pairs ->
+                if (event == "batch_cancel_seen") cancelsSeen += pairs.single().second as JobId
+                log("$id $event ${pairs.joinToString { "${it.first}=${it.second}" }}")
+            },
         )
     private val worker = BatchWorker(ports).also { it.start(scope) }
     private val routes =
@@ -87,19 +85,6 @@
         }
     }
 
-    /** Notes from when on this VM knows that a job is cancelled. */
-    private inner class CancelWatch(
-        private val table: TableService,
-    ) : TableService by table {
-        override suspend fun read(key: String): ReadResult<Row> {
-            val result = table.read(key)
-            if (result is ReadResult.Found && key == BatchNames.RECENT_CANCELS) {
-                cancelsSeen += RecentCancels.parse(result.value.value).jobs
-            }
-            return result
-        }
-    }
-
     private companion object {
         val CALL_TIMEOUT = 15.seconds
     }
