--- a/server/src/main/kotlin/org/agatestream/server/StreamRelay.kt
+++ b/server/src/main/kotlin/org/agatestream/server/StreamRelay.kt
@@ -30,7 +30,6 @@
     private val call: HttpCall,
     private val chat: Boolean,
     private val client: HttpClient,
-    private val onFirstByte: () -> Unit,
 ) {
     private var writer: BodyWriter? = null
     private var passedTokens = 0
@@ -121,10 +120,10 @@
         return open.write(text.encodeToByteArray())
     }
 
-    private suspend fun begin(): BodyWriter {
-        onFirstByte()
-        return call.startStream(STATUS_OK, "text/event-stream", STREAM_HEADERS).also { writer = it }
-    }
+    private suspend fun begin(): BodyWriter =
+        call.startStream(STATUS_OK, "text/event-stream", STREAM_HEADERS).also {
+            writer = it
+        }
 
     private suspend fun resume(exchange: BackendExchange): HttpAnswer? {
         val id = exchange.id
@@ -160,5 +159,5 @@
 }
 
 private fun StringBuilder.appendEvent(data: String) {
-    append("data: ").append(data).append("\n\n")
+    append("data: ").append(data.replace("\n", "\ndata: ")).append("\n\n")
 }
