--- a/server/src/main/kotlin/org/agatestream/server/BackendItemRunner.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BackendItemRunner.kt
@@ -27,7 +27,7 @@
     private val clock: () -> MonotonicTime = MonotonicTime::now,
 ) : ItemRunner {
     private val forwarder = Forwarder(client, slots, scope, clock)
-    private val completions = CompletionCalls(forwarder, client, clock)
+    private val completions = CompletionCalls(forwarder, client)
     private val services = ServiceCalls(forwarder, once)
 
     override suspend fun run(call: ItemCall): ItemOutcome {
--- a/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
@@ -6,6 +6,8 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.FleetView
 import org.agatestream.core.Invariants
@@ -14,6 +16,7 @@
 import org.agatestream.core.Outcome
 import org.agatestream.core.ParsedSettings
 import org.agatestream.core.Revision
+import org.agatestream.core.WorkspaceId
 import org.agatestream.core.authenticate
 import org.agatestream.core.map
 import org.agatestream.core.parseFleet
@@ -25,6 +28,7 @@
 import org.agatestream.http.HttpLimits
 import org.agatestream.http.HttpServer
 import org.agatestream.http.parseAddress
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** One entry VM: joins the areas of the server and runs them until shutdown. */
@@ -41,6 +45,7 @@
     private val coordination = CoordinationService(network, platform, platform, ::parseView, config.seedPeers)
     private val hasher = KeyHasher(secrets.fleetSecret)
     private val levels = ServiceLevels(registry)
+    private val burn = BurnCollector(network, coordination, levels)
     private val shutdown = GracefulShutdown(config.entryTtlSeconds.seconds, config.shutdownGraceSeconds.seconds)
     private val leaving = LeavingVms(coordination)
     private val limits = OwnedLimits(config, coordination, network, scope, registry, client)
@@ -49,13 +54,14 @@
     private val runner = ObservedItemRunner(items, levels)
     private val batch = BatchPorts(config.vm, platform, platform, runner, coordination, registry = registry)
     private val worker = BatchWorker(batch)
+    private val router = router()
     private val server =
         HttpServer.start(
             loops,
             parseAddress(config.callerAddress),
             HttpLimits(),
             scope,
-            router()::handle,
+            ::answer,
         )
 
     /** The port on which callers are served. */
@@ -68,6 +74,7 @@
         val address = parseAddress(config.peerAddress)
         network.addHandler { _, ask -> if (ask is LeavingNotice) leaving.take(ask) else null }
         network.addHandler { _, ask -> if (ask is ClaimAsk) once.answer(ask) else null }
+        network.addHandler { _, ask -> burn.answer(ask) }
         network.listen(address.hostString, address.port)
         coordination.start()
         limits.start(scope)
@@ -81,6 +88,8 @@
     public suspend fun stop() {
         shutdown.run { server.runningCalls }
         server.stopAccepting()
+        // Refusals that are still being written go out whole.
+        withTimeoutOrNull(LAST_ANSWERS_LIMIT) { while (server.runningCalls > 0) delay(LAST_ANSWERS_POLL) }
         once.flush(FLUSH_LIMIT)
         coordination.close()
         network.close()
@@ -88,6 +97,16 @@
         loops.close()
     }
 
+    private suspend fun answer(call: HttpCall) {
+        levels.observe(call, ::workspaceOf, router::handle)
+    }
+
+    private fun workspaceOf(call: HttpCall): WorkspaceId? =
+        when (val key = authenticate(call)) {
+            is Outcome.Ok -> key.value.workspace
+            is Outcome.Failed -> null
+        }
+
     private fun router(): Router {
         val store = CoordinationSettingsStore(coordination)
         val operators = OperatorAuthentication(coordination, hasher, secrets.bootstrapOperatorKey)
@@ -99,7 +118,6 @@
                 client,
                 hasher,
                 once,
-                levels,
                 leaving,
                 config.entryTtlSeconds,
                 scope,
@@ -109,7 +127,7 @@
                 HealthRoutes(registry, ::isReady),
                 online,
                 BatchRoutes(batch, ::authenticate, limits.workspaces),
-                AdminRoutes(store, hasher, operators::authenticate, levels::report),
+                AdminRoutes(store, hasher, operators::authenticate, burn::collect),
             ),
             shutdown,
         )
@@ -121,16 +139,13 @@
     private fun isReady(): Boolean = !shutdown.refusesRequests() && coordination.isCurrent(MonotonicTime.now())
 
     private fun reportInvariants() {
+        Invariants.strict = false
         Invariants.onViolation = { name, message ->
             registry.counter("agatestream.invariant.violations", "name", name).increment()
             EventLog.warn("invariant_violated", "name" to name, "detail" to message)
         }
     }
 
-    private companion object {
-        val FLUSH_LIMIT = 5.seconds
-    }
-
     private fun parseView(
         settings: Map<String, String>,
         revision: Revision,
@@ -139,4 +154,10 @@
             is ParsedSettings.Valid -> parsed.value.toOk()
             is ParsedSettings.Invalid -> ErrorKind.INVALID_SETTING.toFailed(parsed.faults.joinToString("; "))
         }
+
+    private companion object {
+        val FLUSH_LIMIT = 5.seconds
+        val LAST_ANSWERS_LIMIT = 1.seconds
+        val LAST_ANSWERS_POLL = 10.milliseconds
+    }
 }
