Show the restart wait and the drift that the takeover wait bears

Change: a test builds the order of events that the restart wait is for, and one states the drift up to which the takeover wait outlasts the bound. Result: without the wait a VM takes itself to be current without an accepted change, with it not; the takeover wait holds to 4.9% and not at 5%.

--- a/core/src/test/kotlin/org/agatestream/core/FreshnessTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/FreshnessTest.kt
@@ -7,6 +7,7 @@
 import io.kotest.property.arbitrary.int
 import io.kotest.property.arbitrary.list
 import io.kotest.property.checkAll
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -98,4 +99,36 @@
             (shortest >= policy.ackWindow / (1 - policy.drift) - 1.milliseconds) shouldBe true
             policy.bound shouldBe 3.seconds
         }
+
+        test("the takeover wait holds for clocks that err by 4.9% and no longer for 5%") {
+            fun holds(drift: Double) = policy.takeoverWait / (1 + drift) >= policy.bound / (1 - drift)
+            holds(0.049) shouldBe true
+            holds(0.05) shouldBe false
+        }
+
+        test("without the restart wait a VM would be current without an accepted change") {
+            isCurrentWithoutChange(policy.copy(restartWait = Duration.ZERO)) shouldBe true
+            isCurrentWithoutChange(policy) shouldBe false
+        }
     })
+
+/**
+ * Has `c` confirm a change, restart and forget it before a majority has applied it; returns whether `d`, which asks
+ * `c` and `e` after the change was accepted, takes itself to be current without it.
+ */
+private fun isCurrentWithoutChange(policy: FreshnessPolicy): Boolean {
+    val next = head.copy(revision = Revision(2))
+    val confirmed = AppliedTally(next).onAnswer(VmId("a"), next, at(1000)).onAnswer(VmId("c"), next, at(1000))
+    val restarted =
+        listOf("b", "d", "e").fold(Freshness(VmId("c"), at(1100)).onApplied(head, plan, policy)) { f, peer ->
+            f.onPeer(answer(peer, at(1200)), plan, policy)
+        }
+    val accepted = confirmed.onAnswer(VmId("b"), next, at(1300))
+    accepted.isInForce(plan, emptySet(), at(1300), policy) shouldBe true
+    val asking = Freshness(VmId("d"), start - 60.seconds).onApplied(head, plan, policy)
+    return asking
+        .onTableHead(head, start - 10.seconds)
+        .onPeer(answer("c", at(1400), isInitialised = restarted.knownSince != null), plan, policy)
+        .onPeer(answer("e", at(1400)), plan, policy)
+        .isCurrent(at(1500), policy)
+}
