--- a/http/src/main/kotlin/org/agatestream/http/ServerCall.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ServerCall.kt
@@ -172,6 +172,7 @@
     }
 
     override fun abort() {
+        if (!ctx.channel().isActive) return
         ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
         ctx.executor().schedule({ ctx.close() }, limits.readerTimeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
--- a/server/src/main/kotlin/org/agatestream/server/BatchRoutes.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchRoutes.kt
@@ -8,25 +8,29 @@
 import org.agatestream.core.JobId
 import org.agatestream.core.JobList
 import org.agatestream.core.JobStatus
-import org.agatestream.core.MonotonicTime
 import org.agatestream.core.Outcome
 import org.agatestream.core.WorkspaceId
+import org.agatestream.core.map
 import org.agatestream.http.HttpCall
 import org.agatestream.http.query
+import org.agatestream.http.readBody
 import org.agatestream.http.respondFailure
+import kotlin.time.Duration.Companion.seconds
 
 /** Serves `/v1/batches`: submit, list, status, results and cancel of the batch jobs of a caller's workspace. */
 public class BatchRoutes(
-    private val coordination: Coordination,
+    private val ports: BatchPorts,
     private val authenticate: (HttpCall) -> Outcome<CallerKey>,
-    private val acceptor: BatchAcceptor,
-    private val jobs: BatchJobs,
-    private val results: BatchResults,
+    private val limits: WorkspaceLimits,
 ) : HttpRoutes {
+    private val acceptor = BatchAcceptor(ports)
+    private val jobs = BatchJobs(ports)
+    private val results = BatchResults(ports)
+
     override suspend fun handle(call: HttpCall): Boolean {
         val segments = call.path.trim('/').split('/')
         if (segments.size < 2 || segments[0] != "v1" || segments[1] != "batches") return false
-        if (!coordination.isCurrent(MonotonicTime.now())) {
+        if (!ports.coordination.isCurrent(ports.clock())) {
             call.respondFailure(Failure(ErrorKind.NOT_CURRENT, "this VM has lost touch with the fleet"))
             return true
         }
@@ -60,12 +64,23 @@
         call: HttpCall,
         workspace: WorkspaceId,
     ) {
-        when (val outcome = acceptor.accept(call, workspace)) {
+        val admitted = limits.admit(workspace, ports.clock() + ADMISSION_TIMEOUT)
+        if (admitted is Outcome.Failed) return refuse(call, admitted.failure)
+        when (val outcome = acceptor.accept(call, workspace) { authenticate(call).map { } }) {
             is Outcome.Ok -> call.respondJson(STATUS_ACCEPTED, JobStatus.serializer(), outcome.value)
-            is Outcome.Failed -> call.respondFailure(outcome.failure)
+            is Outcome.Failed -> refuse(call, outcome.failure)
         }
     }
 
+    /** Reads on for a while before it refuses, so that the answer is not lost with the rest of the input. */
+    private suspend fun refuse(
+        call: HttpCall,
+        failure: Failure,
+    ) {
+        call.readBody(MAX_UNREAD_BYTES)
+        call.respondFailure(failure)
+    }
+
     private suspend fun list(
         call: HttpCall,
         workspace: WorkspaceId,
@@ -107,7 +122,9 @@
         Failure(ErrorKind.METHOD_NOT_ALLOWED, "the path does not take the method ${call.method}")
 
     private companion object {
+        val ADMISSION_TIMEOUT = 2.seconds
         const val STATUS_OK = 200
+        const val MAX_UNREAD_BYTES = 1_048_576
         const val STATUS_ACCEPTED = 202
         val OPERATIONS = setOf("results", "cancel")
     }
--- a/server/src/main/kotlin/org/agatestream/server/BatchWorker.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchWorker.kt
@@ -1,5 +1,6 @@
 package org.agatestream.server
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
@@ -10,31 +11,15 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.agatestream.core.BatchNames
-import org.agatestream.core.BatchRules
 import org.agatestream.core.JobId
 import org.agatestream.core.MonotonicTime
-import org.agatestream.core.ObjectStore
 import org.agatestream.core.ReadResult
-import org.agatestream.core.TableService
-import org.agatestream.core.VmId
+import org.agatestream.core.RecentCancels
 import java.util.concurrent.ConcurrentHashMap
-import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** The means by which a VM works on batch jobs. */
-public class BatchPorts(
-    public val self: VmId,
-    public val table: TableService,
-    public val objects: ObjectStore,
-    public val runner: ItemRunner,
-    public val coordination: Coordination,
-    public val rules: BatchRules = BatchRules(),
-    public val random: Random = Random.Default,
-    public val clock: () -> MonotonicTime = MonotonicTime::now,
-)
-
 /** Finds chunks of batch jobs, claims them and runs their items until it is drained. */
 public class BatchWorker(
     private val ports: BatchPorts,
@@ -42,6 +27,7 @@
     private val search = ChunkSearch(ports)
     private val slots = ItemSlots()
     private val runs = ConcurrentHashMap<String, ChunkRun>()
+    private val cancelledJobs = BoundedMap<JobId, Unit>(MAX_CANCELLED)
     private val wakeUps = Channel<Unit>(Channel.CONFLATED)
 
     @Volatile
@@ -61,21 +47,27 @@
         scope.launch { watchCancels() }
     }
 
-    /** Stops claiming, cancels running items and hands every chunk on with its results so far. */
+    /**
+     * Stops claiming, cancels running items and hands every chunk on with its results so far.
+     *
+     * If the platform does not answer in time, the chunks are left to other VMs as they are.
+     */
     public suspend fun drain() {
         draining = true
         wakeUps.trySend(Unit)
-        loop?.join()
+        withTimeoutOrNull(DRAIN_LIMIT) { loop?.join() }
+        loop?.cancel()
         val held = runs.values.toList()
         held.forEach { it.drain() }
-        held.map { it.job }.joinAll()
-        EventLog.info("batch_drained", "chunks" to held.size)
+        withTimeoutOrNull(DRAIN_LIMIT) { held.map { it.job }.joinAll() }
+        held.forEach { it.job.cancel() }
+        ports.log("batch_drained", arrayOf("chunks" to held.size))
     }
 
     private suspend fun findWork(chunks: CoroutineScope) {
         var idleRounds = 0
         while (!draining) {
-            val claimed = if (mayClaim()) search.next(runs.keys) else null
+            val claimed = if (mayClaim()) claimNext() else null
             if (claimed != null) {
                 run(claimed, chunks)
                 idleRounds = 0
@@ -86,6 +78,16 @@
         }
     }
 
+    private suspend fun claimNext(): ClaimedChunk? =
+        try {
+            search.next(runs.keys)
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            EventLog.error("batch_search_failed", e)
+            null
+        }
+
     private fun mayClaim(): Boolean =
         runs.size < MAX_CHUNKS && slots.hasFree() && ports.coordination.isCurrent(ports.clock())
 
@@ -102,6 +104,8 @@
     ) {
         val run = ChunkRun(ports, slots, claimed)
         runs[claimed.key] = run
+        // The cancel may have been seen while the claim was under way.
+        if (synchronized(cancelledJobs) { claimed.claim.spec.id in cancelledJobs }) run.cancelled()
         run.job =
             chunks.launch {
                 try {
@@ -113,25 +117,45 @@
             }
     }
 
-    /** Reads the cancel row of each job that this VM works on. */
+    /** Reads the recent cancels while this VM holds chunks: one row, whatever the number of jobs. */
     private suspend fun watchCancels() {
+        var seen: Long? = null
         while (kotlin.coroutines.coroutineContext.isActive) {
             delay(CANCEL_POLL / 2 + CANCEL_POLL * ports.random.nextDouble())
-            val jobs = runs.values.map { it.spec.id }.toSet()
-            jobs.forEach { checkCancelled(it) }
+            if (runs.isEmpty()) continue
+            val row = ports.table.read(BatchNames.RECENT_CANCELS) as? ReadResult.Found ?: continue
+            val recent = RecentCancels.parse(row.value.value)
+            recent.jobs.forEach { noteCancelled(it) }
+            val coversAll = seen?.let { recent.coversSince(it) } ?: false
+            if (coversAll || checkHeldJobs()) seen = recent.total
+        }
+    }
+
+    /** Reads the cancel row of each job that this VM works on; returns false if one could not be read. */
+    private suspend fun checkHeldJobs(): Boolean {
+        for (job in runs.values.map { it.spec.id }.toSet()) {
+            when (ports.table.read(BatchNames.cancelKey(job))) {
+                is ReadResult.Found -> noteCancelled(job)
+                is ReadResult.Absent -> Unit
+                is ReadResult.Unavailable -> return false
+            }
         }
+        return true
     }
 
-    private suspend fun checkCancelled(job: JobId) {
-        if (ports.table.read(BatchNames.cancelKey(job)) !is ReadResult.Found) return
+    private fun noteCancelled(job: JobId) {
+        val known = synchronized(cancelledJobs) { cancelledJobs.put(job, Unit) != null }
+        if (!known) ports.log("batch_cancel_seen", arrayOf("job" to job))
         runs.values.filter { it.spec.id == job }.forEach { it.cancelled() }
     }
 
     private companion object {
-        const val MAX_CHUNKS = 16
+        const val MAX_CHUNKS = 6
+        const val MAX_CANCELLED = 256
         const val MAX_IDLE_ROUNDS = 4
         val IDLE_READ_SPAN = 10.milliseconds
         val MIN_IDLE_DELAY = 200.milliseconds
         val CANCEL_POLL = 2.seconds
+        val DRAIN_LIMIT = 10.seconds
     }
 }
--- a/server/src/main/kotlin/org/agatestream/server/CallContext.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CallContext.kt
@@ -10,6 +10,7 @@
     val id: RequestId,
     /** The caller, or null on a route that is open to all. */
     val caller: Caller?,
+    val arrivedAt: MonotonicTime,
     val deadline: MonotonicTime,
 ) {
     val workspace: WorkspaceId?
--- a/server/src/main/kotlin/org/agatestream/server/CompletionCalls.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CompletionCalls.kt
@@ -52,9 +52,9 @@
     ): Failure? {
         val request = plan.toBackendRequest(context, RequestClass.ONLINE)
         return if (plan.completion.stream) {
-            answerStream(call, request, plan.completion.chat, withdrawn)
+            answerStream(call, context, request, plan.completion.chat, withdrawn)
         } else {
-            answerWhole(call, request, plan.completion.chat, withdrawn)
+            answerWhole(call, context, request, plan.completion.chat, withdrawn)
         }
     }
 
@@ -73,18 +73,20 @@
 
     private suspend fun answerWhole(
         call: HttpCall,
+        context: CallContext,
         request: BackendRequest,
         chat: Boolean,
         withdrawn: Job,
     ): Failure? {
         val attempt = runUnless(withdrawn) { runWhole(request) } ?: return WITHDRAWN_FAILURE
         if (attempt !is Attempt.Finished) return attempt.toFailure()
-        call.respondWhole(if (chat) attempt.value.toChatAnswer() else attempt.value, request)
+        call.respondWhole(if (chat) attempt.value.toChatAnswer() else attempt.value, context)
         return null
     }
 
     private suspend fun answerStream(
         call: HttpCall,
+        context: CallContext,
         request: BackendRequest,
         chat: Boolean,
         withdrawn: Job,
@@ -100,7 +102,7 @@
                 }
             }
         refusal?.takeIf { attempt is Attempt.Finished }?.let {
-            call.respondWhole(it, request)
+            call.respondWhole(it, context)
             return null
         }
         val failure = if (attempt == null) WITHDRAWN_FAILURE else attempt.toFailure()
@@ -162,8 +164,8 @@
 /** Answers with what a backend server answered. */
 internal suspend fun HttpCall.respondWhole(
     answer: WholeAnswer,
-    request: BackendRequest,
+    context: CallContext,
 ) {
-    val own = mapOf(REQUEST_ID_HEADER to request.id.value)
+    val own = mapOf(REQUEST_ID_HEADER to context.id.value)
     respond(answer.status, answer.contentType, answer.body, answer.headers + own)
 }
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
@@ -0,0 +1,163 @@
+package org.agatestream.server
+
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import org.agatestream.core.ErrorKind
+import org.agatestream.core.FleetView
+import org.agatestream.core.Invariants
+import org.agatestream.core.KeyHasher
+import org.agatestream.core.MonotonicTime
+import org.agatestream.core.Outcome
+import org.agatestream.core.ParsedSettings
+import org.agatestream.core.Revision
+import org.agatestream.core.WorkspaceId
+import org.agatestream.core.authenticate
+import org.agatestream.core.map
+import org.agatestream.core.parseFleet
+import org.agatestream.core.toFailed
+import org.agatestream.core.toOk
+import org.agatestream.http.EventLoops
+import org.agatestream.http.HttpCall
+import org.agatestream.http.HttpClient
+import org.agatestream.http.HttpLimits
+import org.agatestream.http.HttpServer
+import org.agatestream.http.parseAddress
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** One entry VM: joins the areas of the server and runs them until shutdown. */
+public class EntryVm(
+    private val config: VmConfig,
+    private val secrets: FleetSecrets,
+) {
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val loops = EventLoops()
+    private val client = HttpClient(loops)
+    private val platform = HttpPlatform(client, config.platformAddress, config.vm)
+    private val network = KtorPeerNetwork(config.vm, secrets.fleetSecret, registry)
+    private val coordination = CoordinationService(network, platform, platform, ::parseView, config.seedPeers)
+    private val hasher = KeyHasher(secrets.fleetSecret)
+    private val levels = ServiceLevels(registry)
+    private val burn = BurnCollector(network, coordination, levels)
+    private val shutdown = GracefulShutdown(config.entryTtlSeconds.seconds, config.shutdownGraceSeconds.seconds)
+    private val leaving = LeavingVms(coordination)
+    private val limits = OwnedLimits(config, coordination, network, scope, registry, client)
+    private val once = OnceCalls(platform, network, coordination, scope)
+    private val items = BackendItemRunner(coordination, limits.slots, client, once, scope)
+    private val runner = ObservedItemRunner(items, levels)
+    private val batch = BatchPorts(config.vm, platform, platform, runner, coordination, registry = registry)
+    private val worker = BatchWorker(batch)
+    private val router = router()
+    private val server =
+        HttpServer.start(
+            loops,
+            parseAddress(config.callerAddress),
+            HttpLimits(),
+            scope,
+            ::answer,
+        )
+
+    /** The port on which callers are served. */
+    public val callerPort: Int
+        get() = server.port
+
+    /** Joins the fleet and serves until [stop] is called. */
+    public suspend fun start() {
+        reportInvariants()
+        val address = parseAddress(config.peerAddress)
+        network.addHandler { _, ask -> if (ask is LeavingNotice) leaving.take(ask) else null }
+        network.addHandler { _, ask -> if (ask is ClaimAsk) once.answer(ask) else null }
+        network.addHandler { _, ask -> burn.answer(ask) }
+        network.listen(address.hostString, address.port)
+        coordination.start()
+        limits.start(scope)
+        worker.start(scope)
+        shutdown.onDrain { leaving.announce(network) }
+        shutdown.onDrain { worker.drain() }
+        EventLog.info("serving", "vm" to config.vm, "domain" to config.failureDomain, "port" to callerPort)
+    }
+
+    /** Drains this VM and stops it without cutting a request. */
+    public suspend fun stop() {
+        shutdown.run { server.runningCalls }
+        server.stopAccepting()
+        // Refusals that are still being written go out whole.
+        withTimeoutOrNull(LAST_ANSWERS_LIMIT) { while (server.runningCalls > 0) delay(LAST_ANSWERS_POLL) }
+        once.flush(FLUSH_LIMIT)
+        coordination.close()
+        network.close()
+        scope.cancel()
+        loops.close()
+    }
+
+    private suspend fun answer(call: HttpCall) {
+        levels.observe(call, ::workspaceOf, router::handle)
+    }
+
+    private fun workspaceOf(call: HttpCall): WorkspaceId? =
+        when (val key = authenticate(call)) {
+            is Outcome.Ok -> key.value.workspace
+            is Outcome.Failed -> null
+        }
+
+    private fun router(): Router {
+        val store = CoordinationSettingsStore(coordination)
+        val operators = OperatorAuthentication(coordination, hasher, secrets.bootstrapOperatorKey)
+        val online =
+            OnlineRoutes(
+                coordination,
+                limits.workspaces,
+                limits.slots,
+                client,
+                hasher,
+                once,
+                leaving,
+                config.entryTtlSeconds,
+                scope,
+            )
+        return Router(
+            listOf(
+                HealthRoutes(registry, ::isReady),
+                online,
+                BatchRoutes(batch, ::authenticate, limits.workspaces),
+                AdminRoutes(store, hasher, operators::authenticate, burn::collect),
+            ),
+            shutdown,
+        )
+    }
+
+    private fun authenticate(call: HttpCall) =
+        coordination.fleet.authenticate(call.header("authorization"), hasher).map { it.key }
+
+    private fun isReady(): Boolean = !shutdown.refusesRequests() && coordination.isCurrent(MonotonicTime.now())
+
+    private fun reportInvariants() {
+        Invariants.strict = false
+        Invariants.onViolation = { name, message ->
+            registry.counter("agatestream.invariant.violations", "name", name).increment()
+            EventLog.warn("invariant_violated", "name" to name, "detail" to message)
+        }
+    }
+
+    private fun parseView(
+        settings: Map<String, String>,
+        revision: Revision,
+    ): Outcome<FleetView> =
+        when (val parsed = parseFleet(settings, revision)) {
+            is ParsedSettings.Valid -> parsed.value.toOk()
+            is ParsedSettings.Invalid -> ErrorKind.INVALID_SETTING.toFailed(parsed.faults.joinToString("; "))
+        }
+
+    private companion object {
+        val FLUSH_LIMIT = 5.seconds
+        val LAST_ANSWERS_LIMIT = 1.seconds
+        val LAST_ANSWERS_POLL = 10.milliseconds
+    }
+}
--- a/server/src/main/kotlin/org/agatestream/server/Forwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/Forwarder.kt
@@ -1,6 +1,7 @@
 package org.agatestream.server
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.agatestream.core.BackendKind
@@ -8,11 +9,18 @@
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.Failure
 import org.agatestream.core.MonotonicTime
+import org.agatestream.core.RequestId
+import org.agatestream.core.RetryBudget
+import org.agatestream.core.RetryDecision
+import org.agatestream.core.RetryLimits
+import org.agatestream.core.RunState
 import org.agatestream.core.getOrElse
 import org.agatestream.http.ExchangeResult
 import org.agatestream.http.HttpAnswer
 import org.agatestream.http.HttpClient
 import org.agatestream.http.HttpRequestSpec
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Runs requests on backend servers and repeats those that have not run, or that may run twice. */
@@ -22,6 +30,8 @@
     private val scope: CoroutineScope,
     private val clock: () -> MonotonicTime,
 ) {
+    private val budget = AtomicReference(RetryBudget(RETRY_LIMITS.most))
+
     /** Runs [request] and hands its answer to [use]; an answer that was not used whole is cancelled at its server. */
     suspend fun <T : Any> forward(
         request: BackendRequest,
@@ -29,28 +39,44 @@
     ): Attempt<T> {
         val failed = mutableSetOf<BackendServerId>()
         var last: Attempt<T>? = null
-        repeat(MAX_ATTEMPTS) {
+        budget.updateAndGet { it.earn(RETRY_LIMITS) }
+        repeat(MAX_ATTEMPTS) { number ->
             val slot = request.slot.copy(excluded = request.slot.excluded + failed)
             val lease = slots.acquire(slot).getOrElse { return last ?: Attempt.NotRun(it) }
-            val attempt = attempt(request, lease, use)
-            val again =
-                attempt is Attempt.NotRun || (attempt is Attempt.Lost && attempt.repeatable && request.idempotent)
-            if (!again || clock() >= request.slot.deadline) return attempt
-            failed += lease.server
+            val attempt = attempt(request, RequestId("${request.id}.$number"), lease, use)
             // An earlier loss stays the answer: a later refusal does not prove that nothing ran.
-            last = if (last is Attempt.Lost) last else attempt
+            val result = last.takeIf { it is Attempt.Lost && attempt is Attempt.NotRun } ?: attempt
+            if (!attempt.isRepeatable(request) || !takeRetry(request)) return result
+            failed += lease.server
+            last = result
         }
         return checkNotNull(last)
     }
 
+    private fun Attempt<*>.isRepeatable(request: BackendRequest): Boolean =
+        this is Attempt.NotRun || (this is Attempt.Lost && repeatable && request.idempotent)
+
+    /** Takes a retry from the budget; what is repeated here has not run or may run twice. */
+    private fun takeRetry(request: BackendRequest): Boolean {
+        while (true) {
+            val now = budget.get()
+            val (next, decision) = now.retry(RunState.NOT_RUN, RETRY_LIMITS, request.slot.deadline, clock())
+            if (decision != RetryDecision.Retry) return false
+            if (budget.compareAndSet(now, next)) return true
+        }
+    }
+
     private suspend fun <T : Any> attempt(
         request: BackendRequest,
+        id: RequestId,
         lease: SlotLease,
         use: suspend (BackendExchange) -> Attempt<T>,
     ): Attempt<T> {
-        val run = Run(request, lease)
+        val run = Run(request, id, lease)
         try {
-            val attempt = runUnless(lease.revoked) { withinDeadline(request) { run.send(use) } } ?: Attempt.Revoked
+            // A call that may not be repeated does not give way: to cancel it would leave its outcome unknown.
+            val stop = if (request.idempotent) lease.revoked else Job()
+            val attempt = runUnless(stop) { withinDeadline(request) { run.send(use) } } ?: Attempt.Revoked
             run.settle(attempt)
             return attempt
         } finally {
@@ -69,6 +95,7 @@
     /** One attempt on one server. */
     private inner class Run(
         private val request: BackendRequest,
+        private val id: RequestId,
         private val lease: SlotLease,
     ) {
         private val sentAt = clock()
@@ -77,7 +104,7 @@
         private var settled = false
 
         suspend fun <T> send(use: suspend (BackendExchange) -> Attempt<T>): Attempt<T> {
-            val spec = request.toSpec(lease.setting.address, sentAt)
+            val spec = request.toSpec(id, lease.setting.address, sentAt)
             return when (val exchange = client.exchange(spec)) {
                 is ExchangeResult.NotSent -> {
                     result = SlotResult.NotSent
@@ -100,13 +127,13 @@
             use: suspend (BackendExchange) -> Attempt<T>,
         ): Attempt<T> {
             val echoed = answer.header(REQUEST_ID_HEADER)
-            if (echoed != null && echoed != request.id.value) {
+            if (echoed != null && echoed != id.value) {
                 answer.close()
                 return Attempt.Lost(Failure(ErrorKind.BACKEND_FAILED, "the answer belonged to another request"))
             }
             if (answer.status == STATUS_UNAVAILABLE) return readRefusal(answer)
             result = SlotResult.Answered(clock() - sentAt, answer.header(INCARNATION_HEADER))
-            return use(BackendExchange(request, lease, answer))
+            return use(BackendExchange(id, lease, answer))
         }
 
         private suspend fun readRefusal(answer: HttpAnswer): Attempt<Nothing> {
@@ -152,7 +179,7 @@
         }
 
         private suspend fun cancelAtEngine() {
-            val target = "/v1/streams/${request.id}/cancel"
+            val target = "/v1/streams/$id/cancel"
             val exchange = client.exchange(HttpRequestSpec(lease.setting.address, "POST", target))
             if (exchange is ExchangeResult.Answered) exchange.answer.readWhole(MAX_REFUSAL_BYTES)
         }
@@ -160,6 +187,7 @@
 
     private companion object {
         const val MAX_ATTEMPTS = 3
+        val RETRY_LIMITS = RetryLimits(leastTime = 10.milliseconds)
         const val STATUS_UNAVAILABLE = 503
         const val MAX_REFUSAL_BYTES = 65_536
         val REFUSAL_CODES = setOf("reloading", "refused")
--- a/server/src/main/kotlin/org/agatestream/server/LimitOwner.kt
+++ b/server/src/main/kotlin/org/agatestream/server/LimitOwner.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.agatestream.core.BackendChart
+import org.agatestream.core.BackendServerId
 import org.agatestream.core.FleetView
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.VmId
@@ -20,7 +21,10 @@
     public val times: LimitTimes = LimitTimes(),
     public val now: () -> MonotonicTime = MonotonicTime::now,
     public val wallTime: () -> Instant = Instant::now,
-)
+) {
+    /** When this VM began to know settings. */
+    public val startedAt: MonotonicTime = now()
+}
 
 /** Answers asks for the limits that this VM owns. */
 public class LimitOwner(
@@ -34,6 +38,22 @@
     @Volatile
     public var onGiveWay: (GiveWayAsk) -> Unit = {}
 
+    /** Takes down the settings now in force; call it after each change of them. */
+    public fun onFleetChange() {
+        tokens.learn(context.now())
+    }
+
+    /** Engines whose load this VM should read because it owns their slots. */
+    public fun ownedEngines(): Set<BackendServerId> = quotas.engines()
+
+    /** Takes down a load report of an engine. */
+    public fun onLoad(
+        server: BackendServerId,
+        report: LoadReport,
+    ) {
+        quotas.onLoad(server, report)
+    }
+
     /** Answers [ask] of the VM [from]. */
     public suspend fun handle(
         from: VmId,
--- a/server/src/main/kotlin/org/agatestream/server/StreamRelay.kt
+++ b/server/src/main/kotlin/org/agatestream/server/StreamRelay.kt
@@ -116,12 +116,17 @@
     }
 
     private suspend fun write(text: String): Boolean {
-        val open = writer ?: call.startStream(STATUS_OK, "text/event-stream", STREAM_HEADERS).also { writer = it }
+        val open = writer ?: begin()
         return open.write(text.encodeToByteArray())
     }
 
+    private suspend fun begin(): BodyWriter =
+        call.startStream(STATUS_OK, "text/event-stream", STREAM_HEADERS).also {
+            writer = it
+        }
+
     private suspend fun resume(exchange: BackendExchange): HttpAnswer? {
-        val id = exchange.request.id
+        val id = exchange.id
         val body = """{"from":$passedTokens}""".encodeToByteArray()
         val headers = listOf("content-type" to "application/json", REQUEST_ID_HEADER to id.value)
         val target = "/v1/streams/$id/resume"
@@ -154,5 +159,5 @@
 }
 
 private fun StringBuilder.appendEvent(data: String) {
-    append("data: ").append(data).append("\n\n")
+    append("data: ").append(data.replace("\n", "\ndata: ")).append("\n\n")
 }
--- a/standins/src/main/kotlin/org/agatestream/standin/ScenarioChecks.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/ScenarioChecks.kt
@@ -4,9 +4,12 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.builtins.MapSerializer
 import kotlinx.serialization.builtins.serializer
 import org.agatestream.core.MonotonicTime
+import org.agatestream.core.VmId
+import org.agatestream.server.VmInForce
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -58,8 +61,9 @@
         val right =
             result.status in check.statuses &&
                 (check.code == null || check.code == result.code) &&
-                (check.run == null || check.run == result.run)
-        return if (right) null else "$result ${result.body.take(MAX_SHOWN)}"
+                (check.run == null || check.run == result.run) &&
+                (check.under == null || result.answered - result.sent <= check.under)
+        return if (right) null else "$result after ${result.answered - result.sent}: ${result.body.take(MAX_SHOWN)}"
     }
 
     private fun raceFault(check: Check.RaceWon): String? {
@@ -117,9 +121,18 @@
 
     private suspend fun countFault(check: Check.Counted): String? {
         val found = count(check.quantity)
-        if (check.comparison.holds(found, check.number)) return null
-        val load = check.quantity as? Quantity.LoadCount
-        return "found $found" + load?.let { " (${calls.load(it.load)})" }.orEmpty()
+        return if (check.comparison.holds(found, check.number)) null else "found $found" + detail(check)
+    }
+
+    /** Returns the counts of the load that [check] is about, if any. */
+    suspend fun detail(check: Check): String {
+        val load =
+            when (check) {
+                is Check.WithinRate -> check.load
+                is Check.Counted -> (check.quantity as? Quantity.LoadCount)?.load
+                else -> null
+            }
+        return if (load == null) "" else " (${calls.load(load)})"
     }
 
     private suspend fun count(quantity: Quantity): Long =
@@ -161,14 +174,12 @@
 
     private suspend fun inForceFault(): String? {
         fleet.liveVms.forEach { vm ->
-            val result = calls.sendTo(vm.listed.id, CallSpec.Plain("GET", "/admin/v1/in-force", ""), OPERATOR)
-            val revision =
-                REVISION
-                    .find(result.body)
-                    ?.groupValues
-                    ?.get(1)
-                    ?.toLong() ?: return "${vm.listed.id}: $result"
-            if (revision < calls.revision) return "${vm.listed.id} has revision $revision of ${calls.revision}"
+            val id = vm.listed.id
+            val result = calls.sendTo(id, CallSpec.Plain("GET", "/admin/v1/in-force", ""), OPERATOR)
+            if (result.status != STATUS_OK) return "$id: $result"
+            val all = standInJson.decodeFromString(ListSerializer(VmInForce.serializer()), result.body)
+            val revision = all.firstOrNull { it.vm == id }?.revision?.number ?: return "$id: ${result.body}"
+            if (revision < calls.revision) return "$id has revision $revision of ${calls.revision}"
         }
         return null
     }
@@ -176,17 +187,19 @@
     private suspend fun entriesFault(check: Check.Entries): String? {
         fleet.liveVms.forEach { vm ->
             val body = calls.sendTo(vm.listed.id, CallSpec.Plain("GET", "/v1/entries", ""), null).body
-            val missing = check.included.filter { "\"$it\"" !in body }
-            val extra = check.excluded.filter { "\"$it\"" in body }
+            val missing = check.included.filter { "\"${entryName(it)}\"" !in body }
+            val extra = check.excluded.filter { "\"${entryName(it)}\"" in body }
             if (missing.isNotEmpty() || extra.isNotEmpty()) return "${vm.listed.id} answers $body"
         }
         return null
     }
 
+    /** A VM is told by its address, a failure domain by its name. */
+    private fun entryName(name: String): String = fleet.vms[VmId(name)]?.listed?.callerAddress ?: name
+
     private companion object {
         const val MAX_SHOWN = 300
         val POLL = 100.milliseconds
-        val REVISION = Regex("\"revision\":\\s*(\\d+)")
         val WORK_PATHS = listOf("/v1/completions", "/resume", "/length", "/bookings")
     }
 }
--- a/standins/src/main/kotlin/org/agatestream/standin/ScenarioRunner.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/ScenarioRunner.kt
@@ -16,6 +16,7 @@
 import org.agatestream.core.RouteSetting
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceSetting
+import java.time.Instant
 import kotlin.time.Duration.Companion.seconds
 
 /** How a scenario ended. */
@@ -71,6 +72,7 @@
             throw ScenarioFailure(": ${e.message}")
         }
         val start = MonotonicTime.now()
+        print("started at ${Instant.now()}")
         scenario.steps.forEach { step ->
             step.at?.let { delay(it - (MonotonicTime.now() - start)) }
             runStep(step, start)
@@ -97,7 +99,7 @@
     /** Performs a step and returns what to print of it. */
     private suspend fun perform(action: Action): String {
         when (action) {
-            is Action.Kill -> kill(action.vm)
+            is Action.Kill -> kill(action.process)
             is Action.Stop -> stop(action.vm)
             is Action.Start -> fleet.startVm(action.vm, action.domain)
             is Action.Freeze -> fleet.vm(action.vm).let { it.process.freeze().also { _ -> it.frozen = true } }
@@ -122,11 +124,12 @@
 
     private suspend fun expect(action: Action.Expect): String {
         checks.expect(action.check, action.within)
-        return "holds"
+        return "holds" + checks.detail(action.check)
     }
 
-    private suspend fun kill(id: VmId) {
-        val vm = fleet.vm(id)
+    private suspend fun kill(name: String) {
+        fleet.servers[name]?.let { return it.process.end() }
+        val vm = fleet.vm(VmId(name))
         vm.process.end()
         fleet.postVms()
         forgetAddress(vm)
@@ -162,10 +165,10 @@
         (1..spec.domains).forEach {
             put("/fleet/failure-domains/d$it", FailureDomainSetting.serializer(), FailureDomainSetting())
         }
+        put("/fleet/models/$MODEL", ModelSetting.serializer(), ModelSetting())
         fleet.servers.values.forEach {
             put("/fleet/backend-servers/${it.name}", BackendServerSetting.serializer(), it.setting())
         }
-        put("/fleet/models/$MODEL", ModelSetting.serializer(), ModelSetting())
         val servers = listOf(BackendServerId(Fleet.SERVICE))
         put(
             "/fleet/routes/spokes",
@@ -185,8 +188,8 @@
             failureDomain = domain,
             kind = if (engine) BackendKind.ENGINE else BackendKind.SERVICE,
             models = if (engine) listOf(ModelId(MODEL)) else emptyList(),
-            coldSlots = if (engine) fleet.spec.coldSlots else SERVICE_SLOTS,
-            warmSlots = if (engine) fleet.spec.warmSlots else SERVICE_SLOTS,
+            coldSlots = if (engine) fleet.spec.coldSlots else fleet.spec.serviceSlots,
+            warmSlots = if (engine) fleet.spec.warmSlots else fleet.spec.serviceSlots,
         )
     }
 
@@ -202,7 +205,6 @@
 
     private companion object {
         const val MODEL = ScenarioCalls.MODEL
-        const val SERVICE_SLOTS = 32
         const val TIME_WIDTH = 6
     }
 }
