Tell the ends of a link by process, not by address

Each pair of VMs had a relay of its own, and each VM a VM list with the addresses of its relays; but VMs pass their lists on to each other (CoordinationAsk carries them), so a VM could reach a peer through the relay of a third VM, which was not cut. The freshness rule was ruled out by reading: it counts from before the ask. Change: one relay for each process; who connects is found from the connection's inode under /proc, so a cut holds whatever address is used.

--- a/standins/src/main/kotlin/org/agatestream/standin/Fleet.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/Fleet.kt
@@ -63,7 +63,8 @@
 ) : AutoCloseable {
     private val http = ScenarioCaller()
     private val group = MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory())
-    private val relays = ConcurrentHashMap<Link, Relay>()
+    private val relays = ConcurrentHashMap<String, Relay>()
+    private val links = ConcurrentHashMap<Set<String?>, LinkState>()
     private val started = mutableListOf<FleetProcess>()
     private val secret =
         mapOf(SECRET_VARIABLE to "scenario-fleet-secret-0123456789", BOOTSTRAP_VARIABLE to OPERATOR_KEY)
@@ -111,11 +112,8 @@
     /** Takes VMs that ended off the platform's VM list and marks [leaving]. */
     suspend fun postVms(leaving: VmId? = null) {
         val current = vms.values.filter { it.process.isAlive }.map { it.listed.copy(leaving = it.listed.id == leaving) }
-        if (!relayed) return postVms("", current)
-        current.forEach { viewer ->
-            val seen = current.map { it.copy(peerAddress = peerAddress(viewer.id, it)) }
-            postVms("?viewer=${viewer.id}", seen)
-        }
+        val shown = current.map { it.copy(peerAddress = peerAddress(it)) }
+        control(platform, "/standin/vms", Json.encodeToString(ListSerializer(ListedVm.serializer()), shown))
     }
 
     suspend fun setFaults(faults: Faults) {
@@ -151,9 +149,16 @@
         to: String,
         state: LinkState?,
     ) {
-        val touched = relays.filterKeys { it.joins(from, to) }
-        if (touched.isEmpty()) throw ScenarioFailure("there is no link between $from and $to")
-        touched.forEach { (link, relay) -> relay.state = state ?: initialState(link) }
+        val vmNames = vms.keys.map { it.value }
+        val others =
+            when (to) {
+                ALL -> vmNames + PLATFORM - from
+                VMS -> vmNames - from
+                else -> listOf(to)
+            }
+        val unknown = (others + from).filter { it !in vmNames && it !in servers && it != PLATFORM }
+        if (unknown.isNotEmpty()) throw ScenarioFailure("there is no process ${unknown.first()}")
+        others.forEach { if (state == null) links.remove(setOf(from, it)) else links[setOf(from, it)] = state }
     }
 
     override fun close() {
@@ -183,7 +188,7 @@
     ): FleetServer {
         val process = launchStandIn(name, arguments)
         val address = "127.0.0.1:${process.awaitPort()}"
-        return FleetServer(name, domain, address, relay(Link(ANYONE, name), address), process)
+        return FleetServer(name, domain, address, relay(name, address), process)
     }
 
     private fun engineArguments(): List<String> {
@@ -201,14 +206,14 @@
         vm: ListedVm,
         others: List<ListedVm>,
     ) {
-        val seeds = others.filter { it.id != vm.id }.map { peerAddress(vm.id, it) }
+        val seeds = others.filter { it.id != vm.id }.map { peerAddress(it) }
         val config =
             VmConfig(
                 vm = vm.id,
                 failureDomain = vm.failureDomain,
                 callerAddress = vm.callerAddress,
                 peerAddress = vm.peerAddress,
-                platformAddress = relay(Link(vm.id.value, PLATFORM), platform),
+                platformAddress = relay(PLATFORM, platform),
                 seedPeers = seeds,
                 entryTtlSeconds = spec.entryTtl,
             )
@@ -236,33 +241,32 @@
         } ?: throw ScenarioFailure("${vm.listed.id} is not ready; see ${vm.process.log}")
     }
 
-    private suspend fun postVms(
-        query: String,
-        listed: List<ListedVm>,
-    ) {
-        control(platform, "/standin/vms$query", Json.encodeToString(ListSerializer(ListedVm.serializer()), listed))
-    }
-
-    private fun peerAddress(
-        viewer: VmId,
-        vm: ListedVm,
-    ): String = if (viewer == vm.id) vm.peerAddress else relay(Link(viewer.value, vm.id.value), vm.peerAddress)
+    private fun peerAddress(vm: ListedVm): String = relay(vm.id.value, vm.peerAddress)
 
-    /** Returns the address through which the link's first end reaches the other. */
+    /** Returns the address through which VMs reach the process [name]. */
     private fun relay(
-        link: Link,
+        name: String,
         address: String,
     ): String {
         if (!relayed) return address
-        val relay =
-            relays.computeIfAbsent(link) {
-                Relay(group, parseAddress(address)).also { it.state = initialState(link) }
-            }
+        val relay = relays.computeIfAbsent(name) { Relay(group, parseAddress(address), linksTo(name)) }
         return relay.address
     }
 
-    private fun initialState(link: Link): LinkState {
-        val ends = listOf(link.from, link.to).mapNotNull { domainOf[it] }
+    /** VMs pass addresses on to each other, so who connects is told by its process and not by the address it uses. */
+    private fun linksTo(name: String): (Int, Int) -> () -> LinkState =
+        { fromPort, relayPort ->
+            val byPid = vms.values.associate { it.process.pid to it.listed.id.value }
+            val caller = byPid[ConnectionOwner.find(fromPort, relayPort, byPid.keys)]
+            val present: () -> LinkState = { links[setOf(caller, name)] ?: initialState(caller, name) }
+            present
+        }
+
+    private fun initialState(
+        from: String?,
+        to: String,
+    ): LinkState {
+        val ends = listOfNotNull(from, to).mapNotNull { domainOf[it] }
         return if (ends.distinct().size == 2) LinkState(delay = spec.delay) else LinkState()
     }
 
@@ -276,24 +280,10 @@
         return ListedVm(id, domain, FreePorts.nextAddress(), FreePorts.nextAddress())
     }
 
-    /** A direction of the network. */
-    private data class Link(
-        val from: String,
-        val to: String,
-    ) {
-        fun joins(
-            one: String,
-            other: String,
-        ): Boolean {
-            val ends = setOf(from, to)
-            return one in ends && (other == ALL || other in ends)
-        }
-    }
-
     companion object {
         const val PLATFORM = "platform"
         const val SERVICE = "service-1"
-        const val ANYONE = "vms"
+        const val VMS = "vms"
         const val ALL = "all"
         const val OPERATOR_KEY = "ago_scenario-operator-0123456789abcdef"
         private const val SECRET_VARIABLE = "AGATESTREAM_FLEET_SECRET"
--- a/standins/src/main/kotlin/org/agatestream/standin/FleetProcess.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/FleetProcess.kt
@@ -12,6 +12,8 @@
     private val process: Process,
     val log: File,
 ) {
+    val pid: Long get() = process.pid()
+
     val isAlive: Boolean get() = process.isAlive
 
     /** The exit status, or null while the process runs. */
--- a/standins/src/main/kotlin/org/agatestream/standin/PlatformStandIn.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/PlatformStandIn.kt
@@ -8,7 +8,6 @@
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.Row
 import org.agatestream.core.Transaction
-import org.agatestream.http.query
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
@@ -46,7 +45,6 @@
     private val table = StandInTable()
     private val objects = ConcurrentHashMap<String, ByteArray>()
     private val vms = LaggedValue(emptyList<ListedVm>(), MonotonicTime.now())
-    private val vmsByViewer = ConcurrentHashMap<String, LaggedValue<List<ListedVm>>>()
     private val reads = RateLimit(rates.readsPerSecond, MonotonicTime.now())
     private val writes = RateLimit(rates.writesPerSecond, MonotonicTime.now())
     private val weights = RateLimit(rates.weightsPerSecond, MonotonicTime.now())
@@ -76,7 +74,8 @@
     private suspend fun control(call: StandInCall) {
         when (call.route) {
             "POST /standin/vms" -> {
-                setVms(call)
+                vms.set(call.parse(ListSerializer(ListedVm.serializer())), MonotonicTime.now())
+                call.respondEmpty()
             }
 
             "POST /standin/faults" -> {
@@ -98,16 +97,6 @@
         }
     }
 
-    private suspend fun setVms(call: StandInCall) {
-        val listed = call.parse(ListSerializer(ListedVm.serializer()))
-        val now = MonotonicTime.now()
-        val viewer = call.call.query("viewer")
-        val target =
-            if (viewer == null) vms else vmsByViewer.computeIfAbsent(viewer) { LaggedValue(emptyList(), now) }
-        target.set(listed, now)
-        call.respondEmpty()
-    }
-
     private suspend fun serve(call: StandInCall) {
         val path = call.path
         when {
@@ -173,8 +162,7 @@
 
     private suspend fun listVms(call: StandInCall) {
         if (!admitRead(call)) return
-        val list = call.header(VM_HEADER)?.let { vmsByViewer[it] } ?: vms
-        val listed = list.get(MonotonicTime.now(), faults.lagMillis.milliseconds)
+        val listed = vms.get(MonotonicTime.now(), faults.lagMillis.milliseconds)
         finishRead()
         call.respondJson(STATUS_OK, ListSerializer(ListedVm.serializer()), listed)
     }
--- a/standins/src/main/kotlin/org/agatestream/standin/Relay.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/Relay.kt
@@ -17,14 +17,16 @@
 import java.util.ArrayDeque
 import java.util.concurrent.TimeUnit
 
-/** Forwards TCP connections to [target] with a delay; while cut it holds the bytes back and delivers them late. */
+/**
+ * Forwards TCP connections to [target] with a delay; while cut it holds the bytes back and delivers them late.
+ *
+ * [stateOf] gives the state of the network for the port that a connection comes from and the port of the relay.
+ */
 internal class Relay(
     private val group: EventLoopGroup,
     private val target: InetSocketAddress,
+    private val stateOf: (Int, Int) -> () -> LinkState,
 ) : AutoCloseable {
-    @Volatile
-    var state = LinkState()
-
     private val listener: Channel =
         ServerBootstrap()
             .group(group)
@@ -47,14 +49,15 @@
     }
 
     private fun connect(caller: SocketChannel) {
+        val state = stateOf(caller.remoteAddress().port, caller.localAddress().port)
         val callee =
             Bootstrap()
                 .group(caller.eventLoop())
                 .channel(NioSocketChannel::class.java)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .handler(Pipe(caller, ::state))
+                .handler(Pipe(caller, state))
                 .connect(target)
-        caller.pipeline().addLast(Pipe(callee.channel(), ::state))
+        caller.pipeline().addLast(Pipe(callee.channel(), state))
         callee.addListener { if (it.isSuccess) caller.config().isAutoRead = true else caller.close() }
     }
 }
--- a/standins/src/test/kotlin/org/agatestream/standin/RelayTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/RelayTest.kt
@@ -19,7 +19,13 @@
     FunSpec({
         val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
         val echo = ServerSocket(0, 1, InetAddress.getLoopbackAddress())
-        val relay = Relay(group, parseAddress("127.0.0.1:${echo.localPort}"))
+        var state = LinkState()
+        val ports = mutableListOf<Pair<Int, Int>>()
+        val relay =
+            Relay(group, parseAddress("127.0.0.1:${echo.localPort}")) { from, to ->
+                ports += from to to
+                { state }
+            }
         thread(isDaemon = true) {
             val peer = echo.accept()
             peer.getInputStream().copyTo(peer.getOutputStream())
@@ -36,18 +42,25 @@
         fun receive(): Int = socket.getInputStream().read()
 
         test("bytes pass, each way with the delay") {
-            relay.state = LinkState(delay = 20.milliseconds)
+            state = LinkState(delay = 20.milliseconds)
             send(1)
             val (byte, span) = measureTimedValue { receive() }
             byte shouldBe 1
             span shouldBeGreaterThanOrEqualTo 39.milliseconds
         }
 
+        test("the process of a connection is found") {
+            val self = ProcessHandle.current().pid()
+            val (from, to) = ports.single()
+            ConnectionOwner.find(from, to, listOf(1L, self)) shouldBe self
+            ConnectionOwner.find(from, to, listOf(1L)) shouldBe null
+        }
+
         test("a cut holds bytes back and a mended link delivers them late") {
-            relay.state = LinkState(cut = true)
+            state = LinkState(cut = true)
             send(2)
             shouldThrow<SocketTimeoutException> { receive() }
-            relay.state = LinkState()
+            state = LinkState()
             receive() shouldBe 2
         }
     })
