Tell all VMs of a drain at once

Cause: a leaving VM told its peers one after the other, each with a timeout of 1 s, so at 620 VMs with some unreachable the drain began minutes late.

--- a/server/src/main/kotlin/org/agatestream/server/LeavingVms.kt
+++ b/server/src/main/kotlin/org/agatestream/server/LeavingVms.kt
@@ -1,5 +1,8 @@
 package org.agatestream.server
 
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
 import kotlinx.serialization.Serializable
 import org.agatestream.core.VmId
 import java.util.concurrent.ConcurrentHashMap
@@ -36,7 +39,11 @@
     public suspend fun announce(network: PeerNetwork): Set<VmId> {
         leaving.add(network.self)
         val peers = coordination.vms.map { it.id }.filter { it != network.self }
-        return peers.filterTo(mutableSetOf()) { network.ask(it, LeavingNotice(network.self), NOTICE_TIMEOUT) == null }
+        val answers =
+            coroutineScope {
+                peers.map { peer -> async { network.ask(peer, LeavingNotice(network.self), NOTICE_TIMEOUT) } }.awaitAll()
+            }
+        return peers.filterIndexedTo(mutableSetOf()) { index, _ -> answers[index] == null }
     }
 
     private companion object {
