Count renewals of held slots in the capacity model

Cause: slots are held and renewed, not asked for at each request, so their cost follows the servers a VM uses. Measured: CapacityModelTest checks the same totals.

--- a/core/src/main/kotlin/org/agatestream/core/CapacityModel.kt
+++ b/core/src/main/kotlin/org/agatestream/core/CapacityModel.kt
@@ -23,7 +23,7 @@
         val heartbeat = slopes.heartbeat.bytesPerSecond + slopes.heartbeat.bytesPerSecondPerVm * size.vms
         val config = slopes.heartbeat.bytesPerChange * changesPerSecond
         val asks = limitBytes()
-        val reports = slopes.limits.bytesPerLoadReport * slopes.limits.polledBackendServers
+        val reports = slopes.limits.bytesPerLoadReport * slopes.limits.loadReportsPerSecond
         val bytes = heartbeat + config + asks + reports
         return listOf(
             line("heartbeats", heartbeat / BYTES_PER_KILOBYTE, "KB/s a VM"),
@@ -87,17 +87,16 @@
 
     /** Each ask is sent by one VM and received by another, so a VM carries it twice. */
     private fun limitBytes(): Double {
-        val perRequest =
-            slopes.limits.bytesPerAdmit * slopes.limits.admitsPerRequest +
-                slopes.limits.bytesPerSlot * slopes.limits.slotsPerRequest
-        return 2 * requestsPerVm * perRequest
+        val admits = requestsPerVm * slopes.limits.admitsPerRequest * slopes.limits.bytesPerAdmit
+        val renewals = slopes.limits.renewalsPerSecond * slopes.limits.bytesPerRenewal
+        return 2 * (admits + renewals)
     }
 
     private fun controlMicros(): Double {
-        val asksPerRequest = slopes.limits.admitsPerRequest + slopes.limits.slotsPerRequest
+        val asks = requestsPerVm * slopes.limits.admitsPerRequest + slopes.limits.renewalsPerSecond
         return slopes.heartbeat.microsPerSecond +
             slopes.heartbeat.microsPerSecondPerVm * size.vms +
-            requestsPerVm * asksPerRequest * slopes.limits.microsPerAsk
+            asks * slopes.limits.microsPerAsk
     }
 
     private fun controlKilobytes(): Double =
--- a/core/src/main/kotlin/org/agatestream/core/CapacitySlopes.kt
+++ b/core/src/main/kotlin/org/agatestream/core/CapacitySlopes.kt
@@ -35,16 +35,16 @@
     val bytesPerAdmit: Double,
     /** Asks for a workspace's rate that one request costs. */
     val admitsPerRequest: Double,
-    /** Bytes of the asks and answers for one slot, its release included. */
-    val bytesPerSlot: Double,
-    /** Asks for a slot that one request costs. */
-    val slotsPerRequest: Double,
+    /** Bytes of an ask and its answer that renew the slots held on one backend server. */
+    val bytesPerRenewal: Double,
+    /** Renewals that one VM sends in a second. */
+    val renewalsPerSecond: Double,
     /** Processor microseconds of one ask, at both ends together. */
     val microsPerAsk: Double,
-    /** Bytes a second for each backend server in a VM's subset: load reports. */
+    /** Bytes of one load report with its request. */
     val bytesPerLoadReport: Double,
-    /** Backend servers that one VM polls. */
-    val polledBackendServers: Double,
+    /** Load reports that one VM reads in a second. */
+    val loadReportsPerSecond: Double,
 )
 
 /** Requests of callers. */
--- a/core/src/test/kotlin/org/agatestream/core/CapacityModelTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/CapacityModelTest.kt
@@ -10,7 +10,7 @@
         val slopes =
             CapacitySlopes(
                 HeartbeatSlopes(1_000.0, 10.0, 100.0, 1.0, 500.0),
-                LimitSlopes(50.0, 1.0, 150.0, 1.0, 10.0, 20.0, 5.0),
+                LimitSlopes(50.0, 1.0, 150.0, 10.0, 10.0, 20.0, 5.0),
                 RequestSlopes(1_000.0, 10.0, 10.0),
                 BatchSlopes(100.0, 3.0, 4.0, 2.0, 50.0, 2.0, 100.0),
                 MemorySlopes(1.0, 0.5, 2.0, 1.0, 9.0),
