Exit with 1 when a VM can't listen on its ports

Cause: with the peer port taken, serve threw in its main thread while the threads of the caller's port kept the process alive, half started. Measured: with either port taken it prints why and exits 1; before it stayed until it was killed.

--- a/cli/src/main/kotlin/org/agatestream/cli/ServeCommand.kt
+++ b/cli/src/main/kotlin/org/agatestream/cli/ServeCommand.kt
@@ -9,6 +9,7 @@
 import org.agatestream.server.EventLog
 import org.agatestream.server.FleetSecrets
 import org.agatestream.server.VmConfig
+import java.io.IOException
 import java.util.concurrent.CountDownLatch
 import kotlin.concurrent.thread
 
@@ -32,7 +33,19 @@
             return ExitStatus.BAD_USE
         }
         val secrets = FleetSecrets(secret.encodeToByteArray(), System.getenv(BOOTSTRAP_VARIABLE))
-        val vm = EntryVm(config, secrets)
+        val vm =
+            try {
+                EntryVm(config, secrets).also { it.start() }
+            } catch (e: IOException) {
+                System.err.println("can't listen on ${config.callerAddress} and ${config.peerAddress}: ${e.message}")
+                return ExitStatus.FAILED
+            }
+        awaitSignal { vm.stop() }
+        return ExitStatus.DONE
+    }
+
+    /** Waits for SIGTERM or SIGINT, runs [stop] and ends the process. */
+    private suspend fun awaitSignal(stop: suspend () -> Unit) {
         val signalled = CompletableDeferred<Unit>()
         val stopped = CountDownLatch(1)
         // The process ends when this hook returns, so the hook waits for the shutdown.
@@ -43,12 +56,10 @@
                 Runtime.getRuntime().halt(ExitStatus.DONE.code)
             }
         Runtime.getRuntime().addShutdownHook(hook)
-        vm.start()
         signalled.await()
-        vm.stop()
+        stop()
         EventLog.close()
         stopped.countDown()
-        return ExitStatus.DONE
     }
 
     private companion object {
--- a/server/src/main/kotlin/org/agatestream/server/LeavingVms.kt
+++ b/server/src/main/kotlin/org/agatestream/server/LeavingVms.kt
@@ -41,7 +41,10 @@
         val peers = coordination.vms.map { it.id }.filter { it != network.self }
         val answers =
             coroutineScope {
-                peers.map { peer -> async { network.ask(peer, LeavingNotice(network.self), NOTICE_TIMEOUT) } }.awaitAll()
+                peers
+                    .map { peer ->
+                        async { network.ask(peer, LeavingNotice(network.self), NOTICE_TIMEOUT) }
+                    }.awaitAll()
             }
         return peers.filterIndexedTo(mutableSetOf()) { index, _ -> answers[index] == null }
     }
