Wait up to 5 s for an owner of a rate before refusing

Cause: change-survives-platform failed once of its runs: a request right after the start of a whole fleet was refused as limit_unavailable after 2 s, while the owners' shares open 4.3 s after their start (3 s in which settings spread, 1.15 s in which tokens granted before may still count). Ruled out: opening shares at once, which could exceed the limit after a change of the number of shares; a longer bound in the scenario. A longer wait at the entry VM costs time and no wrong refusal.

--- a/core/src/main/kotlin/org/agatestream/core/AdmissionPlan.kt
+++ b/core/src/main/kotlin/org/agatestream/core/AdmissionPlan.kt
@@ -17,7 +17,7 @@
     /** How long an owner that did not answer is asked last. */
     val silence: Duration = 1.seconds,
     /** Longest time that a request tries owners that don't answer. */
-    val giveUp: Duration = 2.seconds,
+    val giveUp: Duration = 5.seconds,
     /** How long tokens taken ahead may be used; zero takes none. */
     val hold: Duration = 500.milliseconds,
 ) {
