Take a server back to cold at its first broken connection

A connection that breaks while a request runs is now a sign of a restart of its own; a 503 or a timeout is not. Ruled out: one failure of any kind as a sign, since a single failed request would cost a warm server its slots. Load reports are read at most eight a second a VM.

--- a/core/src/main/kotlin/org/agatestream/core/AdmissionPlan.kt
+++ b/core/src/main/kotlin/org/agatestream/core/AdmissionPlan.kt
@@ -71,9 +71,7 @@
         val until = sentAt + times.hold
         val kept = held?.takeIf { it.count > 0 && now < it.until }
         val more =
-            if (grant.ahead >
-                0
-            ) {
+            if (grant.ahead > 0) {
                 HeldTokens(grant.ahead + (kept?.count ?: 0), minOf(until, kept?.until ?: until))
             } else {
                 kept
--- a/core/src/main/kotlin/org/agatestream/core/BackendChoice.kt
+++ b/core/src/main/kotlin/org/agatestream/core/BackendChoice.kt
@@ -92,9 +92,7 @@
 internal fun ServerView.load(): Int =
     (
         (reported ?: own) - (
-            if (reported ==
-                null
-            ) {
+            if (reported == null) {
                 own
             } else {
                 ownThen
--- a/core/src/main/kotlin/org/agatestream/core/TokenShare.kt
+++ b/core/src/main/kotlin/org/agatestream/core/TokenShare.kt
@@ -208,9 +208,7 @@
     }
 
     private fun waitFor(tokens: Int): Duration =
-        if (setting.ratePerSecond <=
-            0
-        ) {
+        if (setting.ratePerSecond <= 0) {
             Duration.INFINITE
         } else {
             ((tokens - level) / setting.ratePerSecond).coerceAtLeast(0.0).seconds
@@ -257,9 +255,7 @@
 }
 
 private fun ShareSetting.spacing(): Duration =
-    if (ratePerSecond <=
-        0
-    ) {
+    if (ratePerSecond <= 0) {
         Duration.INFINITE
     } else {
         (1 / ratePerSecond).seconds
--- a/server/src/main/kotlin/org/agatestream/server/BackendLoadPoller.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BackendLoadPoller.kt
@@ -37,20 +37,18 @@
     /** Reads the loads again and again, until cancelled. */
     public suspend fun pollForever() {
         while (true) {
-            pollOnce()
-            delay(interval)
+            val engines = pollOnce()
+            delay(maxOf(interval, LEAST_SPACING * engines))
         }
     }
 
-    /** Reads the load of each engine once. */
-    public suspend fun pollOnce() {
+    /** Reads the load of each engine once and returns their number. */
+    public suspend fun pollOnce(): Int {
+        val engines = slots.watchedServers(owner.ownedEngines())
         coroutineScope {
-            slots
-                .watchedServers(owner.ownedEngines())
-                .map { (id, setting) ->
-                    async { poll(id, setting.address) }
-                }.awaitAll()
+            engines.map { (id, setting) -> async { poll(id, setting.address) } }.awaitAll()
         }
+        return engines.size
     }
 
     private suspend fun poll(
@@ -89,6 +87,7 @@
     private companion object {
         const val STATUS_OK = 200
         const val MOST_BYTES = 4_096
+        val LEAST_SPACING: Duration = 125.milliseconds
         val json = Json { ignoreUnknownKeys = true }
     }
 }
--- a/server/src/main/kotlin/org/agatestream/server/BackendSlots.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BackendSlots.kt
@@ -29,9 +29,12 @@
         val incarnation: String?,
     ) : SlotResult
 
-    /** The server refused, broke off or timed out. */
+    /** The server refused, failed or timed out. */
     public data object Failed : SlotResult
 
+    /** The connection broke while the request ran, as it does when the server restarts. */
+    public data object Broken : SlotResult
+
     /** The request was cancelled by its caller or gave way to online requests. */
     public data object Cancelled : SlotResult
 
--- a/server/src/main/kotlin/org/agatestream/server/OwnedWorkspaceLimits.kt
+++ b/server/src/main/kotlin/org/agatestream/server/OwnedWorkspaceLimits.kt
@@ -92,9 +92,7 @@
 
     private fun AdmissionStep.Refuse.toOutcome(): Outcome<Unit> {
         val text =
-            if (kind ==
-                ErrorKind.RATE_EXCEEDED
-            ) {
+            if (kind == ErrorKind.RATE_EXCEEDED) {
                 "the workspace is over its rate"
             } else {
                 "no owner of the rate answered"
--- a/server/src/main/kotlin/org/agatestream/server/SeenServer.kt
+++ b/server/src/main/kotlin/org/agatestream/server/SeenServer.kt
@@ -50,6 +50,11 @@
                 ServerResults(failed = 1)
             }
 
+            SlotResult.Broken -> {
+                failedAt = now
+                ServerResults(failed = 1, restarted = true)
+            }
+
             SlotResult.Cancelled, SlotResult.NotSent -> {
                 ServerResults.NONE
             }
--- a/server/src/test/kotlin/org/agatestream/server/OwnedBackendSlotsTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/OwnedBackendSlotsTest.kt
@@ -82,6 +82,17 @@
             eventually(3.seconds) { List(8) { peers.lease(it % 3, request(patience = 100.milliseconds)) } }
         }
 
+        test("one broken connection takes a warm server back to cold, so that its slot is not given on") {
+            val peers = peers()
+            repeat(10) { peers.lease().release(SlotResult.Answered(5.milliseconds, "a")) }
+            val running = List(setting.warmSlots) { peers.lease(0) }
+            running.first().release(SlotResult.Broken)
+            val refused = peers.vms[1].slots.acquire(request(patience = 300.milliseconds))
+            refused.shouldBeInstanceOf<Outcome.Failed>().failure.kind shouldBe ErrorKind.NO_CAPACITY
+            running.drop(1).forEach { it.release(SlotResult.Broken) }
+            peers.lease(1).release(SlotResult.Cancelled)
+        }
+
         test("a new identity takes the server back to cold in all VMs") {
             val peers = peers()
             repeat(10) { peers.lease().release(SlotResult.Answered(5.milliseconds, "a")) }
