--- a/core/src/main/kotlin/org/agatestream/core/SettingKind.kt
+++ b/core/src/main/kotlin/org/agatestream/core/SettingKind.kt
@@ -3,40 +3,20 @@
 import kotlinx.serialization.KSerializer
 
 /** A kind of setting, told by its path. */
-internal sealed interface SettingKind<T> {
-    val serializer: KSerializer<T>
-
-    data object FailureDomain : SettingKind<FailureDomainSetting> {
-        override val serializer = FailureDomainSetting.serializer()
-    }
-
-    data object BackendServer : SettingKind<BackendServerSetting> {
-        override val serializer = BackendServerSetting.serializer()
-    }
-
-    data object Model : SettingKind<ModelSetting> {
-        override val serializer = ModelSetting.serializer()
-    }
-
-    data object Route : SettingKind<RouteSetting> {
-        override val serializer = RouteSetting.serializer()
-    }
-
-    data object QuietHours : SettingKind<QuietHoursSetting> {
-        override val serializer = QuietHoursSetting.serializer()
-    }
-
-    data object OperatorKey : SettingKind<OperatorKeySetting> {
-        override val serializer = OperatorKeySetting.serializer()
-    }
-
-    data object Workspace : SettingKind<WorkspaceSetting> {
-        override val serializer = WorkspaceSetting.serializer()
-    }
-
-    data object CallerKey : SettingKind<CallerKeySetting> {
-        override val serializer = CallerKeySetting.serializer()
-    }
+internal enum class SettingKind(
+    val serializer: KSerializer<*>,
+    private val scope: String,
+    private val group: String,
+) {
+    FAILURE_DOMAIN(FailureDomainSetting.serializer(), FLEET, "failure-domains"),
+    BACKEND_SERVER(BackendServerSetting.serializer(), FLEET, "backend-servers"),
+    MODEL(ModelSetting.serializer(), FLEET, "models"),
+    ROUTE(RouteSetting.serializer(), FLEET, "routes"),
+    QUIET_HOURS(QuietHoursSetting.serializer(), FLEET, "quiet-hours"),
+    OPERATOR_KEY(OperatorKeySetting.serializer(), FLEET, "operators"),
+    WORKSPACE(WorkspaceSetting.serializer(), TEAMS, "workspaces"),
+    CALLER_KEY(CallerKeySetting.serializer(), TEAMS, "keys"),
+    ;
 
     companion object {
         const val ALLOWED_PATHS: String =
@@ -44,31 +24,20 @@
                 "/teams/<team>/<workspaces|keys>/<id>"
 
         /** Returns the kind of the setting at [path], or null if no setting has such a path. */
-        fun of(path: SettingPath): SettingKind<*>? {
+        fun of(path: SettingPath): SettingKind? {
             val parts = path.segments
-            return when {
-                parts.size == 3 && parts[0] == "fleet" -> ofFleet(parts[1])
-                parts.size == 4 && parts[0] == "teams" -> ofTeam(parts[2])
-                else -> null
-            }
+            val group =
+                when {
+                    parts[0] == FLEET && parts.size == FLEET_SEGMENTS -> parts[1]
+                    parts[0] == TEAMS && parts.size == TEAMS_SEGMENTS -> parts[2]
+                    else -> return null
+                }
+            return entries.firstOrNull { it.scope == parts[0] && it.group == group }
         }
-
-        private fun ofFleet(group: String): SettingKind<*>? =
-            when (group) {
-                "failure-domains" -> FailureDomain
-                "backend-servers" -> BackendServer
-                "models" -> Model
-                "routes" -> Route
-                "quiet-hours" -> QuietHours
-                "operators" -> OperatorKey
-                else -> null
-            }
-
-        private fun ofTeam(group: String): SettingKind<*>? =
-            when (group) {
-                "workspaces" -> Workspace
-                "keys" -> CallerKey
-                else -> null
-            }
     }
 }
+
+private const val FLEET = "fleet"
+private const val TEAMS = "teams"
+private const val FLEET_SEGMENTS = 3
+private const val TEAMS_SEGMENTS = 4
--- a/core/src/test/kotlin/org/agatestream/core/StateChartTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/StateChartTest.kt
@@ -54,10 +54,6 @@
         }
     })
 
-private enum class VmState { STARTING, SERVING, DRAINING, CLOSED }
-
-private enum class VmEvent { READY, TERMINATE, DRAINED }
-
 private fun parsed(text: String): StateChart = StateChart.parse(text).shouldBeInstanceOf<Outcome.Ok<StateChart>>().value
 
 private fun fault(text: String): String =
