--- /dev/null
+++ b/core/src/test/kotlin/org/agatestream/core/ErrorKindTest.kt
@@ -0,0 +1,29 @@
+package org.agatestream.core
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import java.io.File
+
+class ErrorKindTest :
+    FunSpec({
+        test("the table for callers lists every kind with its answer, in order") {
+            val lines = File("../docs/API.md").readLines()
+            val table =
+                lines
+                    .dropWhile { it != "| code | status | run | retry |" }
+                    .drop(
+                        2,
+                    ).takeWhile { it.startsWith("|") }
+            table shouldContainExactly ErrorKind.entries.map { it.toRow() }
+        }
+
+        test("codes are unique") {
+            ErrorKind.entries
+                .map { it.code }
+                .toSet()
+                .size shouldBe ErrorKind.entries.size
+        }
+    })
+
+private fun ErrorKind.toRow(): String = "| `$code` | $status | ${run.word} | ${retry.name.lowercase()} |"
