--- a/server/src/main/kotlin/org/agatestream/server/BatchRoutes.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BatchRoutes.kt
@@ -122,7 +122,7 @@
         Failure(ErrorKind.METHOD_NOT_ALLOWED, "the path does not take the method ${call.method}")
 
     private companion object {
-        val ADMISSION_TIMEOUT = 2.seconds
+        val ADMISSION_TIMEOUT = 5.seconds
         const val STATUS_OK = 200
         const val MAX_UNREAD_BYTES = 1_048_576
         const val STATUS_ACCEPTED = 202
--- a/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
@@ -136,7 +136,10 @@
     private fun authenticate(call: HttpCall) =
         coordination.fleet.authenticate(call.header("authorization"), hasher).map { it.key }
 
-    private fun isReady(): Boolean = !shutdown.refusesRequests() && coordination.isCurrent(MonotonicTime.now())
+    private fun isReady(): Boolean {
+        val now = MonotonicTime.now()
+        return !shutdown.refusesRequests() && coordination.isCurrent(now) && limits.isOpen(now)
+    }
 
     private fun reportInvariants() {
         Invariants.strict = false
--- a/server/src/main/kotlin/org/agatestream/server/OwnedLimits.kt
+++ b/server/src/main/kotlin/org/agatestream/server/OwnedLimits.kt
@@ -6,6 +6,7 @@
 import org.agatestream.core.FencingNumber
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.OwnerStanding
+import org.agatestream.core.PlanEpoch
 import org.agatestream.core.ShareKey
 import org.agatestream.core.loadBackendChart
 import org.agatestream.core.toFencingNumber
@@ -43,6 +44,12 @@
         scope.launch { orders.runForever() }
     }
 
+    /** Returns whether the shares that this VM owns grant tokens, as they do not for a while after its start. */
+    fun isOpen(now: MonotonicTime): Boolean {
+        val openAt = context.startedAt + context.times.settingSpread + context.times.admission.grantSpan
+        return now >= openAt && coordination.plan.epoch > PlanEpoch(0)
+    }
+
     private fun mayOrder(
         share: ShareKey,
         now: MonotonicTime,
