--- /dev/null
+++ b/cli/src/main/kotlin/org/agatestream/cli/FleetCommand.kt
@@ -0,0 +1,69 @@
+package org.agatestream.cli
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import org.agatestream.core.ParsedSettings
+import org.agatestream.core.parseSettings
+import org.agatestream.server.EventLog
+import org.agatestream.server.PlatformVm
+import org.agatestream.server.PlatformVmConfig
+import java.io.IOException
+
+/** Runs a VM on the users' platform until it is told to stop. */
+@OptIn(ExperimentalCli::class)
+internal class FleetCommand(
+    private val selected: SelectedAction,
+) : Subcommand("fleet", "Run a VM on the users' platform") {
+    private val config by option(ArgType.String, description = "Settings file; by default the one that $VARIABLE names")
+
+    override fun execute() {
+        selected.action = { serve() }
+    }
+
+    private suspend fun serve(): ExitStatus {
+        val file = config ?: System.getenv(VARIABLE)
+        if (file == null) {
+            System.err.println("name the settings file by --config or by $VARIABLE")
+            return ExitStatus.BAD_USE
+        }
+        return withSettings(PlatformVmConfig.serializer(), file) { run(it, file) }
+    }
+
+    private suspend fun run(
+        config: PlatformVmConfig,
+        file: String,
+    ): ExitStatus {
+        val secret = System.getenv(config.fleetSecretVariable)
+        if (secret.isNullOrEmpty()) {
+            System.err.println("the environment variable ${config.fleetSecretVariable} must hold the fleet's secret")
+            return ExitStatus.BAD_USE
+        }
+        val vm =
+            try {
+                PlatformVm(config, secret.encodeToByteArray()).also { it.start() }
+            } catch (e: IOException) {
+                System.err.println("can't listen on ${config.callerAddress} and ${config.peerAddress}: ${e.message}")
+                return ExitStatus.FAILED
+            }
+        onHangUp { reload(file, config) }
+        awaitTermination { vm.stop() }
+        return ExitStatus.DONE
+    }
+
+    /** Addresses can't change while a process runs, so a change of the file is reported and waits for a restart. */
+    private fun reload(
+        file: String,
+        running: PlatformVmConfig,
+    ) {
+        val text = readInput(file)?.decodeToString() ?: return
+        when (val parsed = parseSettings(PlatformVmConfig.serializer(), file, text)) {
+            is ParsedSettings.Valid -> EventLog.info("settings_read", "changed" to (parsed.value != running))
+            is ParsedSettings.Invalid -> EventLog.warn("settings_invalid", "faults" to parsed.faults.joinToString("; "))
+        }
+    }
+
+    private companion object {
+        const val VARIABLE = "AGATESTREAM_SETTINGS"
+    }
+}
--- a/cli/src/main/kotlin/org/agatestream/cli/Main.kt
+++ b/cli/src/main/kotlin/org/agatestream/cli/Main.kt
@@ -18,6 +18,7 @@
     val parser = ArgParser("agatestream")
     parser.subcommands(
         ServeCommand(selected),
+        FleetCommand(selected),
         SettingsCommand(selected),
         JobCommand(selected),
         ReportCommand(selected),
--- a/cli/src/main/kotlin/org/agatestream/cli/ServeCommand.kt
+++ b/cli/src/main/kotlin/org/agatestream/cli/ServeCommand.kt
@@ -4,14 +4,10 @@
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
 import kotlinx.cli.required
-import kotlinx.coroutines.CompletableDeferred
 import org.agatestream.server.EntryVm
-import org.agatestream.server.EventLog
 import org.agatestream.server.FleetSecrets
 import org.agatestream.server.VmConfig
 import java.io.IOException
-import java.util.concurrent.CountDownLatch
-import kotlin.concurrent.thread
 
 /** Runs an entry VM until it is told to stop. */
 @OptIn(ExperimentalCli::class)
@@ -40,28 +36,10 @@
                 System.err.println("can't listen on ${config.callerAddress} and ${config.peerAddress}: ${e.message}")
                 return ExitStatus.FAILED
             }
-        awaitSignal { vm.stop() }
+        awaitTermination { vm.stop() }
         return ExitStatus.DONE
     }
 
-    /** Waits for SIGTERM or SIGINT, runs [stop] and ends the process. */
-    private suspend fun awaitSignal(stop: suspend () -> Unit) {
-        val signalled = CompletableDeferred<Unit>()
-        val stopped = CountDownLatch(1)
-        // The process ends when this hook returns, so the hook waits for the shutdown.
-        val hook =
-            thread(start = false) {
-                signalled.complete(Unit)
-                stopped.await()
-                Runtime.getRuntime().halt(ExitStatus.DONE.code)
-            }
-        Runtime.getRuntime().addShutdownHook(hook)
-        signalled.await()
-        stop()
-        EventLog.close()
-        stopped.countDown()
-    }
-
     private companion object {
         const val BOOTSTRAP_VARIABLE = "AGATESTREAM_BOOTSTRAP_OPERATOR_KEY"
     }
--- /dev/null
+++ b/core/src/main/kotlin/org/agatestream/core/CoordinatorClaim.kt
@@ -0,0 +1,50 @@
+package org.agatestream.core
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What a VM knows when it decides whether to take the coordinator's place. */
+public data class CoordinatorDoubt(
+    /** The VM that the store names, or null if it names none. */
+    val named: VmId?,
+    /** Since when this VM has not heard the named one; null if it hears it. */
+    val silentSince: MonotonicTime?,
+    /** True if the named VM asks to be replaced. */
+    val isResigning: Boolean,
+    /** The number of other VMs that were asked whether they hear the named one, and answered. */
+    val peersReached: Int,
+    /** How many of those hear it. */
+    val peersHearing: Int,
+    /** The number of other VMs that are known. */
+    val peersKnown: Int,
+    /** When the store last named another VM. */
+    val namedAt: MonotonicTime,
+)
+
+/**
+ * Decides whether this VM should ask the store to name it coordinator.
+ *
+ * A VM that is cut off must not take the place of one that the others hear. If no other VM answers, this one may be
+ * the only one left, so it goes ahead after a longer silence, but not again and again.
+ */
+public fun CoordinatorDoubt.shouldClaim(now: MonotonicTime): Boolean {
+    if (named == null) return true
+    if (isResigning) return true
+    val since = silentSince ?: return false
+    val silence = now - since
+    return when {
+        peersHearing > 0 -> false
+        peersReached > 0 || peersKnown == 0 -> silence >= CLAIM_SILENCE
+        else -> silence >= LONE_CLAIM_SILENCE && now - namedAt >= LONE_CLAIM_INTERVAL
+    }
+}
+
+// Two reports of 250 ms without an answer.
+private val CLAIM_SILENCE: Duration = 450.milliseconds
+
+// Longer than a restart of all VMs at once takes until the first of them answers.
+private val LONE_CLAIM_SILENCE: Duration = 1500.milliseconds
+
+// The cut of a single VM lasts some seconds; one needless change of coordinator in that time is borne.
+private val LONE_CLAIM_INTERVAL: Duration = 8.seconds
--- /dev/null
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -0,0 +1,438 @@
+package org.agatestream.core
+
+import kotlin.math.ceil
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+/**
+ * The decisions of a coordinator: which request or item runs at which backend server, and which is refused.
+ *
+ * Online requests go before items; an item that runs makes way for an online request that would be late otherwise.
+ * Rates of workspaces and of cold servers count over all VMs: VMs that do not follow this coordinator may each use
+ * their part of a rate by themselves, so only the followers' part is given out here. Not thread-safe.
+ */
+public class Dispatcher(
+    /** The number of the first item that this coordinator starts; above those of earlier coordinators. */
+    private var nextNumber: Long,
+    /** Spreads requests over servers that are equally good, so that VMs that choose apart choose differently. */
+    private val random: Random = Random.Default,
+) {
+    private val loads = LinkedHashMap<BackendServerId, ServerLoad>()
+    private val online = ArrayList<PlaceRequest>()
+    private val buckets = HashMap<WorkspaceId, RateBucket>()
+    private val calls = HashMap<CallId, BackendServerId>()
+    private val startedAt = HashMap<CallId, MonotonicTime>()
+    private val released = LinkedHashMap<CallId, MonotonicTime>()
+    private val jobs = JobBook()
+    private val runMillis = HashMap<ServiceId, Double>()
+    private var manifest: Manifest? = null
+    private var followers: List<VmId> = emptyList()
+    private var share = 1.0
+    private var itemsFrom: MonotonicTime? = null
+
+    /** The number of requests that wait for a slot. */
+    public val waitingRequests: Int get() = online.size
+
+    /** The number of runs that hold a slot. */
+    public val runningCalls: Int get() = calls.size
+
+    /** The number of jobs with items that are not done. */
+    public val openJobs: Int get() = jobs.openJobs
+
+    /** Applies a version of the manifest. */
+    public fun onManifest(manifest: Manifest) {
+        this.manifest = manifest
+        buckets.keys.removeAll { manifest.workspace(it) == null }
+    }
+
+    /** Applies the servers that may get work. */
+    public fun onServers(
+        usable: Collection<UsableServer>,
+        now: MonotonicTime,
+    ): List<DispatchAction> {
+        val ids = usable.mapTo(HashSet()) { it.entry.id }
+        for (server in usable) {
+            val load = loads[server.entry.id]
+            if (load == null) loads[server.entry.id] = ServerLoad(server) else load.server = server
+        }
+        val gone = loads.keys.filter { it !in ids }
+        gone.forEach { loads -= it }
+        return fill(now)
+    }
+
+    /**
+     * Applies who follows this coordinator.
+     *
+     * [expected] is the number of VMs that may serve callers; [followers] are those of them that ask here.
+     */
+    public fun onFollowers(
+        followers: List<VmId>,
+        expected: Int,
+    ) {
+        this.followers = followers
+        share = if (expected <= 0) 1.0 else minOf(1.0, followers.size.toDouble() / expected)
+    }
+
+    /** Allows items to start from [at] on; until then running ones may still be unknown. */
+    public fun allowItems(at: MonotonicTime) {
+        itemsFrom = at
+    }
+
+    /** Starts no more items. */
+    public fun pauseItems() {
+        itemsFrom = null
+    }
+
+    /** Asks for a slot; the actions hold no decision on the request if it waits. */
+    public fun place(
+        request: PlaceRequest,
+        now: MonotonicTime,
+    ): List<DispatchAction> {
+        if (released.remove(request.call) != null) return emptyList()
+        refusal(request, now)?.let { return listOf(it) }
+        request.metered?.let { takeToken(it) }
+        online += request
+        return fill(now)
+    }
+
+    /** Applies the end of a run or of a wait. */
+    public fun release(
+        call: CallId,
+        outcome: RunOutcome,
+        firstEvent: Duration?,
+        now: MonotonicTime,
+    ): List<DispatchAction> {
+        if (online.removeAll { it.call == call }) return fill(now)
+        val server = calls.remove(call)
+        if (server == null) {
+            remember(call, now)
+            return emptyList()
+        }
+        val started = startedAt.remove(call)
+        val load = loads[server] ?: return fill(now)
+        load.remove(call)
+        load.record(outcome, firstEvent, now)
+        if (outcome == RunOutcome.ANSWERED && started != null && jobs.itemOf(call) == null) {
+            recordRun(load.server.entry.service, now - started)
+        }
+        return fill(now)
+    }
+
+    /** Applies what became of an item's run; a release of its slot is told apart. */
+    public fun onItem(
+        ref: ItemRef,
+        call: CallId,
+        outcome: ItemOutcome,
+        now: MonotonicTime,
+    ): List<DispatchAction> {
+        val failures = jobs.onOutcome(ref, call, outcome, now)
+        val attempts = route(ref)?.maxAttempts ?: DEFAULT_ITEM_ATTEMPTS
+        if (outcome == ItemOutcome.FAILED && failures >= attempts) {
+            return listOf(DispatchAction.GiveUpItem(ref, "failed_attempts")) + fill(now)
+        }
+        return fill(now)
+    }
+
+    /** Notes that the result of [ref] is in the store. */
+    public fun onListed(ref: ItemRef) {
+        jobs.setDone(ref)
+    }
+
+    /** Adds an open job; items in [done] are in the store already. */
+    public fun onJob(
+        plan: JobPlan,
+        done: Set<ItemId>,
+        now: MonotonicTime,
+    ): List<DispatchAction> {
+        jobs.add(plan, done, now)
+        return fill(now)
+    }
+
+    /** Drops a job that its caller ended. */
+    public fun onJobEnded(
+        id: JobId,
+        now: MonotonicTime,
+    ): List<DispatchAction> {
+        val stops = jobs.end(id).map { stop(it, "job_ended") }
+        return stops + fill(now)
+    }
+
+    /** Applies the runs that [vm] says it carries, and the items whose results it has yet to list. */
+    public fun onReport(
+        vm: VmId,
+        running: List<RunningCall>,
+        unlisted: List<ItemRef>,
+        now: MonotonicTime,
+    ): List<DispatchAction> {
+        val numbers = running.mapTo(HashSet()) { it.number }
+        val stale =
+            calls.keys.filter { call ->
+                call.vm == vm && call.number !in numbers &&
+                    now - (startedAt[call] ?: MonotonicTime.ZERO) > REPORT_LAG
+            }
+        for (call in stale) {
+            jobs.itemOf(call)?.let { jobs.onOutcome(it, call, ItemOutcome.INTERRUPTED, now) }
+            drop(call)
+        }
+        running.forEach { adopt(vm, it, now) }
+        unlisted.forEach { jobs.onUnlisted(it, vm) }
+        return if (stale.isEmpty()) emptyList() else fill(now)
+    }
+
+    /** Frees what a VM held that does not follow any more. */
+    public fun onVmLost(
+        vm: VmId,
+        now: MonotonicTime,
+    ): List<DispatchAction> {
+        calls.keys.filter { it.vm == vm }.forEach { drop(it) }
+        online.removeAll { it.call.vm == vm }
+        jobs.onVmLost(vm, now)
+        return fill(now)
+    }
+
+    /** Refuses requests that waited too long and starts what may start now. */
+    public fun tick(now: MonotonicTime): List<DispatchAction> {
+        val over = online.filter { now >= it.giveUpAt }
+        online.removeAll(over.toSet())
+        val refusals = over.map { refuse(it, ErrorKind.NO_CAPACITY, expectedWait(it.service)) }
+        val overdue = jobs.overdue(now).map { DispatchAction.GiveUpItem(it, "kept_too_long") }
+        released.values.removeAll { now - it > RELEASE_MEMORY }
+        return refusals + overdue + fill(now)
+    }
+
+    private fun refusal(
+        request: PlaceRequest,
+        now: MonotonicTime,
+    ): DispatchAction? {
+        val spec = request.metered?.let { manifest?.workspace(it) }
+        if (spec != null && spec.ratePerSecond > 0.0) {
+            val bucket = filled(spec, now)
+            buckets[spec.id] = bucket
+            if (!bucket.hasToken) {
+                val wait = bucket.secondsToToken(spec.ratePerSecond * share).seconds
+                return DispatchAction.Refuse(request.call, ErrorKind.RATE_EXCEEDED, wait)
+            }
+        }
+        if (loads.values.none { it.server.entry.service == request.service }) {
+            return DispatchAction.Refuse(request.call, ErrorKind.NO_CAPACITY, NO_SERVER_RETRY)
+        }
+        val wait = expectedWait(request.service)
+        if (now + wait >= request.giveUpAt) return DispatchAction.Refuse(request.call, ErrorKind.NO_CAPACITY, wait)
+        return null
+    }
+
+    private fun filled(
+        spec: WorkspaceSpec,
+        now: MonotonicTime,
+    ): RateBucket =
+        (buckets[spec.id] ?: RateBucket.start(spec.burst * share, now))
+            .fill(spec.ratePerSecond * share, spec.burst * share, now)
+
+    private fun takeToken(id: WorkspaceId) {
+        buckets.computeIfPresent(id) { _, bucket -> bucket.take() }
+    }
+
+    private fun refuse(
+        request: PlaceRequest,
+        kind: ErrorKind,
+        retryAfter: Duration,
+    ): DispatchAction {
+        request.metered?.let { id -> buckets.computeIfPresent(id) { _, bucket -> bucket.giveBack() } }
+        return DispatchAction.Refuse(request.call, kind, retryAfter)
+    }
+
+    /** Estimates how long a request that comes now would wait for a slot. */
+    private fun expectedWait(service: ServiceId): Duration {
+        val servers = loads.values.filter { it.server.entry.service == service }
+        val slots = servers.sumOf { it.server.entry.slots }
+        if (slots == 0) return NO_SERVER_RETRY
+        val ahead = online.count { it.service == service }
+        if (ahead == 0) return Duration.ZERO
+        val runs = runMillis[service] ?: ASSUMED_RUN.toDouble(DurationUnit.MILLISECONDS)
+        return (ahead * runs / slots).milliseconds
+    }
+
+    private fun fill(now: MonotonicTime): List<DispatchAction> {
+        val actions = ArrayList<DispatchAction>()
+        val services = online.mapTo(LinkedHashSet()) { it.service }
+        for (service in services) placeOnline(service, now, actions)
+        startItems(now, actions)
+        return actions
+    }
+
+    private fun placeOnline(
+        service: ServiceId,
+        now: MonotonicTime,
+        actions: MutableList<DispatchAction>,
+    ) {
+        // A request that can still be on time goes before one that can't; then rank and arrival decide.
+        val order =
+            online
+                .filter { it.service == service }
+                .sortedWith(compareBy({ now > it.onTimeBy }, { it.priority }))
+        for (request in order) {
+            val load = choose(service, request.excluded, now) ?: makeRoom(request, now, actions) ?: continue
+            online.remove(request)
+            hold(request.call, load, isItem = false, now)
+            actions += DispatchAction.Place(request.call, load.id)
+        }
+    }
+
+    /** Stops the item that is due last, so that [request] may take its slot. */
+    private fun makeRoom(
+        request: PlaceRequest,
+        now: MonotonicTime,
+        actions: MutableList<DispatchAction>,
+    ): ServerLoad? {
+        val candidates =
+            loads.values
+                .filter { it.server.entry.service == request.service && it.id !in request.excluded }
+                .flatMap { load -> load.stoppableItems().map { load to it } }
+        val (load, call) = candidates.maxByOrNull { (_, call) -> jobs.dueAt(call) ?: now } ?: return null
+        load.stop(call)
+        if (!load.mayStart(coldRate(load), now)) return null
+        actions += stop(call, "online_request")
+        return load
+    }
+
+    private fun startItems(
+        now: MonotonicTime,
+        actions: MutableList<DispatchAction>,
+    ) {
+        val from = itemsFrom ?: return
+        if (now < from || followers.isEmpty()) return
+        val spare = HashMap<ServiceId, Int>()
+        for (load in loads.values) spare.merge(load.server.entry.service, maxOf(0, load.free), Int::plus)
+        for (service in spare.keys.toList()) spare.computeIfPresent(service) { _, n -> n - headroom(service) }
+        if (spare.values.all { it <= 0 }) return
+        for ((ref, plan) in jobs.waiting(now).take(MAX_ITEMS_LOOKED_AT).toList()) {
+            val service = serviceOf(ref, plan)
+            if (service == null) {
+                if (manifest != null) actions += DispatchAction.GiveUpItem(ref, "route_dropped")
+                continue
+            }
+            if ((spare[service] ?: 0) <= 0 || online.any { it.service == service }) continue
+            val load = choose(service, emptySet(), now) ?: continue
+            val call = CallId(homeOf(ref), nextNumber++)
+            spare.merge(service, -1, Int::plus)
+            hold(call, load, isItem = true, now)
+            jobs.onStarted(ref, call)
+            actions += DispatchAction.StartItem(call, ref, load.id)
+        }
+    }
+
+    /** Slots that items leave free, so that the next online requests need not stop one. */
+    private fun headroom(service: ServiceId): Int {
+        val slots = loads.values.filter { it.server.entry.service == service }.sumOf { it.server.entry.slots }
+        return ceil(slots * HEADROOM_SHARE).toInt()
+    }
+
+    private fun homeOf(ref: ItemRef): VmId {
+        jobs.home(ref)?.takeIf { it in followers }?.let { return it }
+        val home = followers.maxBy { rendezvousRank(ref.job.value, it.value) }
+        jobs.setHome(ref, home)
+        return home
+    }
+
+    private fun serviceOf(
+        ref: ItemRef,
+        plan: JobPlan,
+    ): ServiceId? = manifest?.route(plan.host, jobs.path(ref) ?: return null)?.chooseService(ref.item.hashCode())
+
+    private fun route(ref: ItemRef): ManifestRoute? {
+        val host = jobs.host(ref) ?: return null
+        return manifest?.route(host, jobs.path(ref) ?: return null)
+    }
+
+    private fun choose(
+        service: ServiceId,
+        excluded: Set<BackendServerId>,
+        now: MonotonicTime,
+    ): ServerLoad? {
+        val open =
+            loads.values.filter {
+                it.server.entry.service == service && it.id !in excluded && it.mayStart(coldRate(it), now)
+            }
+        if (open.isEmpty()) return null
+        val usual = open.map { it.firstEventMillis }.sorted()[open.size / 2]
+        return open.shuffled(random).minWith(
+            compareBy({ it.firstEventMillis > maxOf(usual * SLOW_FACTOR, SLOW_MILLIS) }, { -it.free }),
+        )
+    }
+
+    private fun coldRate(load: ServerLoad): Double {
+        val rate = manifest?.services?.get(load.server.entry.service)?.coldRatePerSecond ?: 0.0
+        return rate * share
+    }
+
+    private fun hold(
+        call: CallId,
+        load: ServerLoad,
+        isItem: Boolean,
+        now: MonotonicTime,
+    ) {
+        calls[call] = load.id
+        startedAt[call] = now
+        load.started(call, isItem, now)
+    }
+
+    private fun adopt(
+        vm: VmId,
+        running: RunningCall,
+        now: MonotonicTime,
+    ) {
+        val call = CallId(vm, running.number)
+        if (call in calls || call in released) return
+        val load = loads[running.server] ?: return
+        hold(call, load, running.item != null, now)
+        running.item?.let { jobs.onStarted(it, call) }
+    }
+
+    private fun stop(
+        call: CallId,
+        reason: String,
+    ): DispatchAction {
+        loads[calls[call]]?.stop(call)
+        return DispatchAction.StopItem(call, reason)
+    }
+
+    private fun drop(call: CallId) {
+        startedAt -= call
+        calls.remove(call)?.let { loads[it]?.remove(call) }
+    }
+
+    private fun remember(
+        call: CallId,
+        now: MonotonicTime,
+    ) {
+        released[call] = now
+    }
+
+    private fun recordRun(
+        service: ServiceId,
+        span: Duration,
+    ) {
+        val millis = span.toDouble(DurationUnit.MILLISECONDS)
+        runMillis.merge(service, millis) { old, new -> old + RUN_SMOOTHING * (new - old) }
+    }
+
+    private companion object {
+        const val DEFAULT_ITEM_ATTEMPTS = 3
+        const val MAX_ITEMS_LOOKED_AT = 256
+        const val HEADROOM_SHARE = 0.04
+        const val RUN_SMOOTHING = 0.1
+        const val SLOW_FACTOR = 2.5
+        const val SLOW_MILLIS = 120.0
+
+        /** The time that a run is taken for before one has been seen. */
+        val ASSUMED_RUN = 700.milliseconds
+        val NO_SERVER_RETRY = 1.seconds
+
+        /** How old a run must be before its absence from a VM's report means that it ended. */
+        val REPORT_LAG = 700.milliseconds
+        val RELEASE_MEMORY = 10.seconds
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
@@ -0,0 +1,105 @@
+package org.agatestream.core
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+/** A coordinator's account of one backend server: what runs there, and whether it answers. */
+internal class ServerLoad(
+    var server: UsableServer,
+) {
+    val id: BackendServerId get() = server.entry.id
+    val online: MutableSet<CallId> = LinkedHashSet()
+    val items: MutableSet<CallId> = LinkedHashSet()
+    private val stopping = HashSet<CallId>()
+    private val coldStarts = ArrayDeque<MonotonicTime>()
+    private var pausedUntil = MonotonicTime.ZERO
+    private var failures = 0
+    private var onTrial = false
+
+    /** The smoothed time from the start of a run to its first event, in milliseconds; 0 if not known. */
+    var firstEventMillis: Double = 0.0
+        private set
+
+    val running: Int get() = online.size + items.size
+
+    /** Slots that no run holds; the slot of an item that is being stopped counts as free. */
+    val free: Int get() = server.entry.slots - running + stopping.size
+
+    fun stoppableItems(): List<CallId> = items.filter { it !in stopping }
+
+    fun stop(call: CallId) {
+        stopping += call
+    }
+
+    fun remove(call: CallId): Boolean {
+        stopping -= call
+        return online.remove(call) or items.remove(call)
+    }
+
+    /** Returns whether a request may start here now; [coldRate] is what a cold server bears in a second. */
+    fun mayStart(
+        coldRate: Double,
+        now: MonotonicTime,
+    ): Boolean {
+        if (free <= 0 || now < pausedUntil) return false
+        if (onTrial && running > 0) return false
+        if (coldRate <= 0.0 || !server.isCold(now)) return true
+        while (coldStarts.isNotEmpty() && now - coldStarts.first() >= COLD_WINDOW) coldStarts.removeFirst()
+        return coldStarts.size < coldRate.toInt().coerceAtLeast(1)
+    }
+
+    fun started(
+        call: CallId,
+        isItem: Boolean,
+        now: MonotonicTime,
+    ) {
+        if (isItem) items += call else online += call
+        if (server.isCold(now)) coldStarts += now
+    }
+
+    fun record(
+        outcome: RunOutcome,
+        firstEvent: Duration?,
+        now: MonotonicTime,
+    ) {
+        when (outcome) {
+            RunOutcome.ANSWERED -> {
+                failures = 0
+                onTrial = false
+            }
+
+            RunOutcome.NOT_RUN -> {
+                pausedUntil = now + FULL_PAUSE
+            }
+
+            RunOutcome.LOST -> {
+                failures++
+                if (failures >= FAILURES_TO_DISTRUST) {
+                    onTrial = true
+                    pausedUntil = now + minOf(FAILURE_PAUSE * (1 shl minOf(failures, 4)), LONGEST_PAUSE)
+                }
+            }
+
+            RunOutcome.STOPPED -> {}
+        }
+        if (firstEvent != null) {
+            val millis = firstEvent.toDouble(DurationUnit.MILLISECONDS)
+            firstEventMillis =
+                if (firstEventMillis == 0.0) millis else firstEventMillis + SMOOTHING * (millis - firstEventMillis)
+        }
+    }
+
+    private companion object {
+        // The rules count requests to a cold server in any one second.
+        val COLD_WINDOW = 1.seconds
+
+        // A server that refused is full by runs that this coordinator does not know of; streams take some 0.7 s.
+        val FULL_PAUSE = 100.milliseconds
+        const val FAILURES_TO_DISTRUST = 2
+        val FAILURE_PAUSE = 100.milliseconds
+        val LONGEST_PAUSE = 1.seconds
+        const val SMOOTHING = 0.2
+    }
+}
--- a/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
@@ -13,6 +13,8 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CancellationException
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Carries one request at a time to a server and the answer back; its state changes on the event loop only. */
 internal class ClientConnection : ChannelInboundHandlerAdapter() {
@@ -20,6 +22,14 @@
     private val demand = ReadDemand()
     private var current: ClientExchange? = null
     private var skipping = false
+    private var staleAt = Long.MAX_VALUE
+
+    /** True if the connection ended by a reset and not by an orderly close. */
+    var isReset: Boolean = false
+        private set
+
+    /** True if the server may close the connection at any moment because it was idle. */
+    val isStale: Boolean get() = System.nanoTime() >= staleAt
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         this.ctx = ctx
@@ -29,7 +39,7 @@
         request: HttpRequestSpec,
         release: () -> Unit,
     ): ExchangeResult {
-        val exchange = ClientExchange(this) { free(it, release) }
+        val exchange = ClientExchange(this, request.echo) { free(it, release) }
         try {
             val message = request.toMessage()
             ctx.executor().execute { start(exchange, message) }
@@ -53,6 +63,7 @@
             exchange == null -> rejectUnasked(msg)
             msg is HttpResponse && msg.decoderResult().isFailure -> ctx.close()
             msg is HttpResponse && msg.status().codeClass() == HttpStatusClass.INFORMATIONAL -> skip()
+            msg is HttpResponse && !exchange.isOwn(msg) -> skip()
             msg is HttpResponse -> exchange.begin(msg)
             msg is HttpContent && skipping -> skipContent(msg)
             msg is HttpContent -> exchange.deliver(msg)
@@ -72,6 +83,7 @@
         ctx: ChannelHandlerContext,
         cause: Throwable,
     ) {
+        isReset = true
         ctx.close()
     }
 
@@ -108,6 +120,7 @@
             ctx.close()
             return
         }
+        staleAt = exchange.idleSeconds()?.let { System.nanoTime() + idleNanos(it) } ?: Long.MAX_VALUE
         // Shows an answer that nobody asked for, and later the loss of the idle connection.
         demand.request(ctx)
         if (ctx.channel().isActive) release()
@@ -130,12 +143,20 @@
         ctx.close()
     }
 
+    private fun idleNanos(seconds: Long): Long =
+        (TimeUnit.SECONDS.toNanos(seconds) - IDLE_MARGIN.inWholeNanoseconds).coerceAtLeast(0)
+
     private fun HttpRequestSpec.toMessage(): DefaultFullHttpRequest {
         val content = Unpooled.wrappedBuffer(body)
         val message = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), target, content)
-        message.headers().set(HttpHeaderNames.HOST, address)
+        if (headers.none { it.first == "host" }) message.headers().set(HttpHeaderNames.HOST, address)
         headers.forEach { (name, value) -> message.headers().add(name, value) }
         message.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         return message
     }
+
+    private companion object {
+        // A request that is under way when the server's idle time ends is lost; a hop takes a few milliseconds.
+        val IDLE_MARGIN = 500.milliseconds
+    }
 }
--- a/http/src/main/kotlin/org/agatestream/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientExchange.kt
@@ -10,6 +10,7 @@
 /** One request on a [ClientConnection] and its answer. */
 internal class ClientExchange(
     private val connection: ClientConnection,
+    private val echo: Pair<String, String>?,
     private val onEnd: (ClientExchange) -> Unit,
 ) : HttpAnswer {
     val head: CompletableDeferred<ExchangeResult> = CompletableDeferred()
@@ -31,6 +32,29 @@
 
     override fun header(name: String): String? = response.headers().get(name)
 
+    override fun headers(): List<Pair<String, String>> =
+        response.headers().entries().map { it.key.lowercase() to it.value }
+
+    /** Returns whether [message] may be the answer to this request, and not a late one to an earlier request. */
+    fun isOwn(message: HttpResponse): Boolean {
+        val (name, expected) = echo ?: return true
+        val value = message.headers().get(name)
+        return value == null || value == expected
+    }
+
+    /** Returns how long the server keeps the connection open while it is idle, or null if it doesn't say. */
+    fun idleSeconds(): Long? =
+        response
+            .headers()
+            .get("keep-alive")
+            ?.substringAfter("timeout=", "")
+            ?.takeWhile { it.isDigit() }
+            ?.toLongOrNull()
+
+    /** Returns whether the end of the connection is the only sign that the body is whole. */
+    private fun endsWithConnection(): Boolean =
+        !HttpUtil.isTransferEncodingChunked(response) && !HttpUtil.isContentLengthSet(response)
+
     fun begin(message: HttpResponse) {
         response = message
         head.complete(ExchangeResult.Answered(this))
@@ -45,7 +69,9 @@
             return
         }
         if (bytes.isNotEmpty()) parts.trySend(BodyPart.Chunk(bytes))
-        if (content is LastHttpContent) {
+        if (content is LastHttpContent && connection.isReset && endsWithConnection()) {
+            lost("the connection was reset")
+        } else if (content is LastHttpContent) {
             ended = true
             // Frees the connection first, so that the reader's next request finds it.
             onEnd(this)
--- a/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
@@ -25,6 +25,8 @@
     public val body: ByteArray = ByteArray(0),
     /** True to use a new connection, which can't have been closed by its server while it was idle. */
     public val fresh: Boolean = false,
+    /** A header and its value that the answer repeats; an answer with another value belongs to an earlier request. */
+    public val echo: Pair<String, String>? = null,
 )
 
 /** What became of a request. */
@@ -52,6 +54,9 @@
     /** Returns the first value of the header [name], or null. */
     public fun header(name: String): String?
 
+    /** Returns all header fields in order; names are in lower case. */
+    public fun headers(): List<Pair<String, String>>
+
     /** Closes the connection if the body was not read to its end. */
     public fun close()
 }
@@ -75,6 +80,7 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout.inWholeMilliseconds.toInt())
             .option(ChannelOption.AUTO_READ, false)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOCATOR, loops.allocator)
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(ch: SocketChannel) {
@@ -110,7 +116,8 @@
         synchronized(queue) {
             while (true) {
                 val channel = queue.pollFirst() ?: return null
-                if (channel.isActive) return channel
+                if (channel.isActive && !channel.pipeline().get(ClientConnection::class.java).isStale) return channel
+                channel.close()
             }
         }
     }
--- a/http/src/main/kotlin/org/agatestream/http/HttpServer.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpServer.kt
@@ -1,6 +1,8 @@
 package org.agatestream.http
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.ByteBufAllocator
+import io.netty.buffer.UnpooledByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -9,7 +11,9 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.flow.FlowControlHandler
+import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.asCoroutineDispatcher
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
@@ -20,6 +24,12 @@
 ) {
     internal val group = MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory())
 
+    // Pools reserve megabytes a thread, and an entry VM has few.
+    internal val allocator: ByteBufAllocator = UnpooledByteBufAllocator(false, true)
+
+    /** Runs coroutines on one of the threads. */
+    public val dispatcher: CoroutineDispatcher = group.next().asCoroutineDispatcher()
+
     /** Stops the threads; open connections are closed. */
     public fun close() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
@@ -77,6 +87,7 @@
                     .group(loops.group)
                     .channel(NioServerSocketChannel::class.java)
                     .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+                    .childOption(ChannelOption.ALLOCATOR, loops.allocator)
                     .childOption(ChannelOption.AUTO_READ, false)
                     .childOption(ChannelOption.TCP_NODELAY, true)
                     .childHandler(initializer)
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/Coordinators.kt
@@ -0,0 +1,287 @@
+package org.agatestream.server
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.serialization.SerializationException
+import org.agatestream.core.CoordinatorDoubt
+import org.agatestream.core.ListedVm
+import org.agatestream.core.MonotonicTime
+import org.agatestream.core.RowChange
+import org.agatestream.core.RowStore
+import org.agatestream.core.StoredRow
+import org.agatestream.core.VmId
+import org.agatestream.core.WriteResult
+import org.agatestream.core.shouldClaim
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Tells which VM coordinates the fleet, which VMs take callers, and takes the coordinator's place if need be. */
+internal class Coordinators(
+    private val config: PlatformVmConfig,
+    private val store: RowStore,
+    private val network: PeerTransport,
+    private val view: PlatformView,
+    private val status: () -> StatusAsk,
+    private val random: Random,
+    private val onCoordinator: (VmId?) -> Unit,
+    /** Takes this VM's own report while it is the coordinator. */
+    private val onOwnReport: (StatusAsk) -> StatusAnswer?,
+) {
+    private val vms = HashMap<String, VmRecord>()
+    private var record: CoordinatorRecord? = null
+    private var recordVersion = 0L
+    private var recordAt = MonotonicTime.now()
+    private var silentSince: MonotonicTime? = null
+    private var heardAt: MonotonicTime? = null
+    private var isResigning = false
+    private var isListed = false
+    private var live: List<LiveVm> = emptyList()
+    private var announcedLeaving = false
+
+    val self: VmId get() = network.self
+
+    /** The VM that the store names, whether or not it is heard. */
+    val named: VmId? get() = record?.vm
+
+    /** The number of VMs that are listed as serving. */
+    val listed: Int get() = vms.size
+
+    /** Returns the coordinator if it may be asked now; null while it is not heard. */
+    fun reachable(): VmId? = record?.vm?.takeIf { it == self || (heardAt != null && silentSince == null) }
+
+    /** The VMs that take callers, as far as this one knows. */
+    val callers: List<LiveVm> get() = live.ifEmpty { vms.map { (name, vm) -> vm.toLive(name) } }
+
+    fun start(scope: CoroutineScope) {
+        val feed = TableFeed(store, FleetTables.FLEET, ::takeRows, { rows, _ -> changeRows(rows) })
+        scope.launch { feed.run() }
+        scope.launch { bootstrap() }
+        scope.launch {
+            while (isActive) {
+                report(MonotonicTime.now())
+                delay(reportInterval())
+            }
+        }
+    }
+
+    /** Tells the coordinator and the store that this VM leaves. */
+    suspend fun leave() {
+        announcedLeaving = true
+        report(MonotonicTime.now())
+        store.write(emptyMap(), listOf(RowChange(FleetTables.vm(config.name), null)))
+    }
+
+    /** Drops the record of a VM that has been silent for long. */
+    suspend fun unlist(name: String) {
+        vms[name] ?: return
+        EventLog.info("vm_unlisted", "vm" to name)
+        store.write(emptyMap(), listOf(RowChange(FleetTables.vm(name), null)))
+    }
+
+    fun answer(ask: PeerAsk): PeerAnswer? =
+        when (ask) {
+            is HearsAsk -> HearsAnswer(ask.coordinator == named && isHearing())
+            is BootstrapAsk -> BootstrapAnswer(view.newsSince(0, 0), callers, named)
+            else -> null
+        }
+
+    private fun isHearing(): Boolean = !isResigning && (named == self || (heardAt != null && silentSince == null))
+
+    private fun reportInterval() = maxOf(MIN_REPORT_INTERVAL, REPORT_INTERVAL_PER_VM * vms.size)
+
+    private suspend fun report(now: MonotonicTime) {
+        if (!isListed && !announcedLeaving) list()
+        val coordinator = record?.vm
+        when (coordinator) {
+            null -> {}
+            self -> onOwnReport(status())?.let { live = it.live }
+            else -> reportTo(coordinator, now)
+        }
+        if (!announcedLeaving) considerClaim(MonotonicTime.now())
+    }
+
+    private suspend fun list() {
+        val own = VmRecord(self, config.callerAddress, config.peerAddress, config.failureDomain)
+        val value = FleetTables.json.encodeToString(VmRecord.serializer(), own).encodeToByteArray()
+        val result = store.write(emptyMap(), listOf(RowChange(FleetTables.vm(config.name), value)))
+        isListed = result is WriteResult.Written
+    }
+
+    private suspend fun reportTo(
+        coordinator: VmId,
+        now: MonotonicTime,
+    ) {
+        val answer = network.ask(coordinator, status(), REPORT_TIMEOUT)
+        if (record?.vm != coordinator) return
+        if (answer is StatusAnswer) {
+            if (silentSince != null || heardAt == null) EventLog.info("coordinator_heard", "coordinator" to coordinator)
+            silentSince = null
+            heardAt = MonotonicTime.now()
+            isResigning = answer.isResigning
+            live = answer.live
+            updateAddresses()
+            answer.news?.let { view.onNews(it, MonotonicTime.now()) }
+        } else if (silentSince == null) {
+            silentSince = now
+            EventLog.warn("coordinator_silent", "coordinator" to coordinator, "answer" to (answer != null))
+        }
+    }
+
+    private suspend fun considerClaim(now: MonotonicTime) {
+        if (named == self || !view.hasStore(now)) return
+        if (named != null && silentSince == null && !isResigning) return
+        val (reached, hearing) = askOthers()
+        val doubt =
+            CoordinatorDoubt(
+                named = named,
+                silentSince = silentSince,
+                isResigning = isResigning,
+                peersReached = reached,
+                peersHearing = hearing,
+                peersKnown = vms.values.count { it.id != self && it.id != named },
+                namedAt = recordAt,
+            )
+        if (doubt.shouldClaim(MonotonicTime.now())) claim(doubt)
+    }
+
+    /** Asks some other VMs whether they hear the named one; returns how many answered, and how many do. */
+    private suspend fun askOthers(): Pair<Int, Int> {
+        val coordinator = named ?: return 0 to 0
+        val others = vms.values.filter { it.id != self && it.id != coordinator }.shuffled(random).take(PEERS_ASKED)
+        val answers =
+            coroutineScope {
+                others.map { async { network.ask(it.id, HearsAsk(coordinator), REPORT_TIMEOUT) } }.awaitAll()
+            }.filterIsInstance<HearsAnswer>()
+        return answers.size to answers.count { it.hears }
+    }
+
+    private suspend fun claim(doubt: CoordinatorDoubt) {
+        val own = CoordinatorRecord(self, config.peerAddress)
+        val value = FleetTables.json.encodeToString(CoordinatorRecord.serializer(), own).encodeToByteArray()
+        val change = RowChange(FleetTables.coordinator, value)
+        val result = store.write(mapOf(FleetTables.coordinator to recordVersion), listOf(change))
+        EventLog.info(
+            "coordinator_claimed",
+            "instead_of" to doubt.named,
+            "resigning" to doubt.isResigning,
+            "reached" to doubt.peersReached,
+            "result" to result::class.simpleName,
+        )
+        if (result is WriteResult.Conflict) changeRows(result.current)
+    }
+
+    /** Learns of the fleet from the seeds while the store has not answered. */
+    private suspend fun bootstrap() {
+        while (view.manifest == null) {
+            for (seed in config.seedPeers) {
+                if (view.manifest != null || seed == config.peerAddress) continue
+                val answer = network.askAddress(seed, BootstrapAsk, BOOTSTRAP_TIMEOUT) as? BootstrapAnswer ?: continue
+                answer.news?.let { view.onNews(it, MonotonicTime.now()) }
+                if (live.isEmpty()) live = answer.live
+                if (record == null) adopt(answer)
+                updateAddresses()
+                EventLog.info("bootstrapped", "seed" to seed, "manifest" to (view.manifest != null))
+            }
+            delay(BOOTSTRAP_PAUSE)
+        }
+    }
+
+    private fun adopt(answer: BootstrapAnswer) {
+        val vm = answer.live.firstOrNull { it.id == answer.coordinator } ?: return
+        setCoordinator(CoordinatorRecord(vm.id, vm.peer), 0)
+    }
+
+    private fun takeRows(
+        rows: List<StoredRow>,
+        @Suppress("UNUSED_PARAMETER") version: Long,
+    ) {
+        vms.clear()
+        isListed = false
+        changeRows(rows)
+    }
+
+    private fun changeRows(rows: List<StoredRow>) {
+        for (row in rows) {
+            val key = row.name.key
+            when {
+                row.name == FleetTables.coordinator -> readCoordinator(row)
+                key.startsWith(FleetTables.VM_PREFIX) -> readVm(key.removePrefix(FleetTables.VM_PREFIX), row.value)
+            }
+        }
+        updateAddresses()
+    }
+
+    private fun readVm(
+        name: String,
+        value: ByteArray?,
+    ) {
+        val vm = value?.let { decode(VmRecord.serializer(), it) }
+        if (vm == null) vms -= name else vms[name] = vm
+        if (name == config.name) isListed = vm?.id == self
+    }
+
+    private fun readCoordinator(row: StoredRow) {
+        if (row.version <= recordVersion) return
+        setCoordinator(row.value?.let { decode(CoordinatorRecord.serializer(), it) }, row.version)
+    }
+
+    private fun setCoordinator(
+        next: CoordinatorRecord?,
+        version: Long,
+    ) {
+        recordVersion = version
+        if (next == record) return
+        record = next
+        recordAt = MonotonicTime.now()
+        silentSince = null
+        heardAt = null
+        isResigning = false
+        EventLog.info("coordinator_named", "coordinator" to next?.vm, "version" to version)
+        updateAddresses()
+        onCoordinator(next?.vm)
+    }
+
+    private fun updateAddresses() {
+        val known = vms.map { (name, vm) -> vm.toLive(name) } + live
+        val listed =
+            known
+                .filter { it.id != self }
+                .distinctBy { it.id }
+                .map { ListedVm(it.id, it.domain, it.caller, it.peer) }
+        val coordinator = record?.takeIf { named -> named.vm != self && listed.none { it.id == named.vm } }
+        val extra = coordinator?.let { ListedVm(it.vm, config.failureDomain, "", it.peer) }
+        network.updateAddresses(listed + listOfNotNull(extra))
+    }
+
+    private fun <T> decode(
+        strategy: kotlinx.serialization.DeserializationStrategy<T>,
+        value: ByteArray,
+    ): T? =
+        try {
+            FleetTables.json.decodeFromString(strategy, value.decodeToString())
+        } catch (e: SerializationException) {
+            EventLog.warn("fleet_row_unreadable", "reason" to e.message)
+            null
+        }
+
+    private fun VmRecord.toLive(name: String): LiveVm = LiveVm(id, name, caller, peer, domain)
+
+    private companion object {
+        val MIN_REPORT_INTERVAL = 250.milliseconds
+
+        // Keeps a coordinator's reports below some 200 a second at any size.
+        val REPORT_INTERVAL_PER_VM = 5.milliseconds
+
+        // Some fifty times a hop between failure domains, to bear a slow VM.
+        val REPORT_TIMEOUT = 200.milliseconds
+        const val PEERS_ASKED = 3
+        val BOOTSTRAP_TIMEOUT = 500.milliseconds
+        val BOOTSTRAP_PAUSE = 1.seconds
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/JobCalls.kt
@@ -0,0 +1,122 @@
+package org.agatestream.server
+
+import org.agatestream.core.Admission
+import org.agatestream.core.ErrorKind
+import org.agatestream.core.Failure
+import org.agatestream.core.ItemId
+import org.agatestream.core.JobId
+import org.agatestream.core.Outcome
+import org.agatestream.core.VmId
+import org.agatestream.core.WorkspaceId
+import org.agatestream.core.getOrElse
+import org.agatestream.http.HttpCall
+import org.agatestream.platform.CallerProtocol
+import org.agatestream.platform.encodeResults
+import org.agatestream.platform.parseJob
+
+/** Serves the calls of batch jobs. */
+internal class JobCalls(
+    private val self: VmId,
+    private val jobs: JobStore,
+    private val respond: suspend (HttpCall, Failure) -> Unit,
+) {
+    /** Accepts the job in [body], received at [nowMillis] of the Unix clock. */
+    suspend fun submit(
+        call: HttpCall,
+        admission: Admission,
+        body: ByteArray,
+        nowMillis: Long,
+    ) {
+        val id = CallerProtocol.requestId(call)?.value?.let { JobId(it) }
+        if (id == null || !isStorable(id.value)) return respond(call, BAD_ID)
+        val items = parseJob(body).getOrElse { return respond(call, it) }
+        val row =
+            JobRow(
+                id = id,
+                workspace = admission.workspace?.id,
+                host = admission.route.host,
+                route = admission.route.name,
+                receivedAtMillis = nowMillis,
+                home = self,
+                items = items.map { JobRowItem(it.id, it.path, it.tokens) },
+            )
+        val accepted = jobs.accept(row, body, items, admission.route.jobs?.maxWaitingTokens ?: 0)
+        log("job_submitted", row.workspace, id, accepted, "items" to items.size)
+        when (accepted) {
+            is Outcome.Ok -> call.respond(STATUS_ACCEPTED, JSON, "{}".encodeToByteArray())
+            is Outcome.Failed -> respond(call, accepted.failure)
+        }
+    }
+
+    suspend fun results(
+        call: HttpCall,
+        workspace: WorkspaceId?,
+        job: JobId,
+        after: Int,
+    ) {
+        val row = jobs.find(workspace, job).getOrElse { return refuse(call, "job_read", workspace, job, it) }
+        val results = jobs.results(workspace, job, after).getOrElse { return refuse(call, "job_read", workspace, job, it) }
+        call.respond(STATUS_OK, JSON, encodeResults(row.items.size, results, after + results.size))
+    }
+
+    suspend fun itemBody(
+        call: HttpCall,
+        workspace: WorkspaceId?,
+        job: JobId,
+        item: ItemId,
+    ) {
+        jobs.find(workspace, job).getOrElse { return refuse(call, "item_read", workspace, job, it) }
+        val items = jobs.items(workspace, job).getOrElse { return refuse(call, "item_read", workspace, job, it) }
+        val body = items[item]?.body ?: return respond(call, Failure(ErrorKind.UNKNOWN_JOB, "there is no such item"))
+        call.respond(STATUS_OK, BYTES, body)
+    }
+
+    suspend fun end(
+        call: HttpCall,
+        workspace: WorkspaceId?,
+        job: JobId,
+    ) {
+        jobs.find(workspace, job).getOrElse { return refuse(call, "job_end", workspace, job, it) }
+        val ended = jobs.end(workspace, job)
+        log("job_ended", workspace, job, ended)
+        when (ended) {
+            is Outcome.Ok -> call.respond(STATUS_OK, JSON, "{}".encodeToByteArray())
+            is Outcome.Failed -> respond(call, ended.failure)
+        }
+    }
+
+    private suspend fun refuse(
+        call: HttpCall,
+        event: String,
+        workspace: WorkspaceId?,
+        job: JobId,
+        failure: Failure,
+    ) {
+        log(event, workspace, job, Outcome.Failed(failure))
+        respond(call, failure)
+    }
+
+    private fun log(
+        event: String,
+        workspace: WorkspaceId?,
+        job: JobId,
+        outcome: Outcome<*>,
+        vararg more: Pair<String, Any?>,
+    ) {
+        val result = if (outcome is Outcome.Failed) outcome.failure.kind.code else "done"
+        EventLog.info(event, "job" to job, "workspace" to workspace, "outcome" to result, *more)
+    }
+
+    private fun isStorable(id: String): Boolean = id.length <= MAX_ID_CHARS && id.all { it.isLetterOrDigit() || it in "-_" }
+
+    private companion object {
+        const val STATUS_OK = 200
+        const val STATUS_ACCEPTED = 202
+        const val JSON = "application/json"
+        const val BYTES = "application/octet-stream"
+
+        // Keys of rows have up to 200 bytes and may hold a job's and an item's id.
+        const val MAX_ID_CHARS = 80
+        val BAD_ID = Failure(ErrorKind.MALFORMED_REQUEST, "the id of the job is missing or has other characters")
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/JobStore.kt
@@ -0,0 +1,299 @@
+package org.agatestream.server
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import org.agatestream.core.ErrorKind
+import org.agatestream.core.Failure
+import org.agatestream.core.ItemId
+import org.agatestream.core.ItemRef
+import org.agatestream.core.JobId
+import org.agatestream.core.Outcome
+import org.agatestream.core.RowChange
+import org.agatestream.core.RowStore
+import org.agatestream.core.StoreRead
+import org.agatestream.core.StoredRow
+import org.agatestream.core.WorkspaceId
+import org.agatestream.core.WriteResult
+import org.agatestream.core.toFailed
+import org.agatestream.core.toOk
+import org.agatestream.platform.ListedResult
+import org.agatestream.platform.SubmittedItem
+import org.agatestream.platform.parseJob
+import java.util.Base64
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Keeps jobs, their bodies and their results in the platform's store. */
+internal class JobStore(
+    private val store: RowStore,
+    private val rowBytes: Int,
+) {
+    private val jobs = lru<String, JobRow>(CACHED_JOBS)
+    private val bodies = lru<String, Map<ItemId, SubmittedItem>>(CACHED_BODIES)
+
+    /** Stores a job once; a repeat of it is accepted again. */
+    suspend fun accept(
+        row: JobRow,
+        content: ByteArray,
+        items: List<SubmittedItem>,
+        maxWaitingTokens: Long,
+    ): Outcome<JobRow> =
+        coroutineScope {
+            val part = FleetTables.part(row.workspace)
+            val put = async { store.putObject(FleetTables.bodies(part, row.id), content) }
+            val known = readPart(part)
+            if (known == null) {
+                put.await()
+                return@coroutineScope unavailable()
+            }
+            known.jobs[row.id]?.let { return@coroutineScope it.toOk() }
+            val waiting = known.waitingTokens(row.route)
+            if (maxWaitingTokens > 0 && waiting + row.items.sumOf { it.tokens } > maxWaitingTokens) {
+                return@coroutineScope ErrorKind.RATE_EXCEEDED.toFailed("$waiting tokens wait already", FULL_RETRY)
+            }
+            when (put.await()) {
+                is WriteResult.Written -> write(part, row, items)
+                else -> unavailable()
+            }
+        }
+
+    private suspend fun write(
+        part: String,
+        row: JobRow,
+        items: List<SubmittedItem>,
+    ): Outcome<JobRow> {
+        val name = FleetTables.job(part, row.id)
+        val value = FleetTables.json.encodeToString(JobRow.serializer(), row).encodeToByteArray()
+        return when (val result = store.write(mapOf(name to 0L), listOf(RowChange(name, value)))) {
+            is WriteResult.Written -> {
+                remember(part, row, items)
+                row.toOk()
+            }
+
+            // Another VM accepted the same job meanwhile.
+            is WriteResult.Conflict -> {
+                row.toOk()
+            }
+
+            is WriteResult.NotDone -> {
+                unavailable()
+            }
+
+            is WriteResult.Unknown -> {
+                readBack(part, row)
+            }
+        }
+    }
+
+    /** Finds out whether a write whose answer was lost took effect; if not, it may still do so. */
+    private suspend fun readBack(
+        part: String,
+        row: JobRow,
+    ): Outcome<JobRow> =
+        when (find(row.workspace, row.id)) {
+            is Outcome.Ok -> row.toOk()
+            is Outcome.Failed -> ErrorKind.OUTCOME_UNKNOWN.toFailed("the store did not confirm the job")
+        }.also { EventLog.info("job_read_back", "job" to row.id, "part" to part, "found" to (it is Outcome.Ok)) }
+
+    private fun remember(
+        part: String,
+        row: JobRow,
+        items: List<SubmittedItem>,
+    ) {
+        val name = FleetTables.bodies(part, row.id)
+        jobs[name] = row
+        bodies[name] = items.associateBy { it.id }
+    }
+
+    /** Finds a job; fails with [ErrorKind.UNKNOWN_JOB] only if the store says that there is none. */
+    suspend fun find(
+        workspace: WorkspaceId?,
+        job: JobId,
+    ): Outcome<JobRow> {
+        val part = FleetTables.part(workspace)
+        val cacheKey = FleetTables.bodies(part, job)
+        jobs[cacheKey]?.let { return it.toOk() }
+        val key = FleetTables.job(part, job).key
+        return when (val read = store.rows(FleetTables.JOBS, part, key, key + '\u0000', 1)) {
+            is StoreRead.Found -> {
+                val row = read.value.rows.firstOrNull()?.let { parseJobRow(it) }
+                row?.also { jobs[cacheKey] = it }?.toOk() ?: ErrorKind.UNKNOWN_JOB.toFailed("there is no such job")
+            }
+
+            is StoreRead.Gone, is StoreRead.Unavailable -> {
+                unavailable()
+            }
+        }
+    }
+
+    /** Reads results from position [after] on, as many as an answer may hold. */
+    suspend fun results(
+        workspace: WorkspaceId?,
+        job: JobId,
+        after: Int,
+    ): Outcome<List<ListedResult>> {
+        val part = FleetTables.part(workspace)
+        val from = FleetTables.result(part, job, after).key
+        val read = store.rows(FleetTables.RESULTS, part, from, FleetTables.keyAfter(job), MAX_RESULTS_READ)
+        val page = (read as? StoreRead.Found)?.value ?: return unavailable()
+        val results = ArrayList<ListedResult>()
+        var bytes = 0
+        for (row in page.rows) {
+            val result = readResult(row) ?: return if (results.isEmpty()) unavailable() else results.toOk()
+            bytes += result.output.orEmpty().length
+            if (results.isNotEmpty() && bytes > MAX_ANSWER_BYTES) break
+            results += result
+        }
+        return results.toOk()
+    }
+
+    private suspend fun readResult(row: StoredRow): ListedResult? {
+        val stored = FleetTables.json.decodeFromString(ResultRow.serializer(), row.value!!.decodeToString())
+        val name = stored.outputObject ?: return ListedResult(stored.item, stored.output)
+        val output = (store.getObject(name) as? StoreRead.Found)?.value ?: return null
+        return ListedResult(stored.item, output.decodeToString())
+    }
+
+    /** Returns the items of a job with their bodies. */
+    suspend fun items(
+        workspace: WorkspaceId?,
+        job: JobId,
+    ): Outcome<Map<ItemId, SubmittedItem>> {
+        val name = FleetTables.bodies(FleetTables.part(workspace), job)
+        bodies[name]?.let { return it.toOk() }
+        val content = (store.getObject(name) as? StoreRead.Found)?.value ?: return unavailable()
+        return when (val parsed = parseJob(content)) {
+            is Outcome.Ok -> parsed.value.associateBy { it.id }.also { bodies[name] = it }.toOk()
+            is Outcome.Failed -> parsed
+        }
+    }
+
+    /** Notes that a job is ended; repeats are harmless. */
+    suspend fun end(
+        workspace: WorkspaceId?,
+        job: JobId,
+    ): Outcome<Unit> {
+        val name = FleetTables.end(FleetTables.part(workspace), job)
+        return when (store.write(emptyMap(), listOf(RowChange(name, ENDED)))) {
+            is WriteResult.Written -> Unit.toOk()
+            else -> unavailable()
+        }
+    }
+
+    /** Lists a result, once, at the next free position, and tries until the store has it; null means given up. */
+    suspend fun list(
+        workspace: WorkspaceId?,
+        ref: ItemRef,
+        output: String?,
+    ) {
+        val part = FleetTables.part(workspace)
+        val value = resultValue(part, ref, output)
+        val done = FleetTables.done(part, ref)
+        var position = 0
+        while (true) {
+            val place = FleetTables.result(part, ref.job, position)
+            val changes = listOf(RowChange(place, value), RowChange(done, ENDED))
+            when (val result = store.write(mapOf(done to 0L, place to 0L), changes)) {
+                is WriteResult.Written -> return
+                is WriteResult.Conflict -> {
+                    if (result.current.any { it.name == done && it.version > 0 }) return
+                    position = nextPosition(part, ref.job) ?: (position + 1)
+                }
+
+                is WriteResult.NotDone, is WriteResult.Unknown -> delay(LIST_RETRY)
+            }
+        }
+    }
+
+    private suspend fun nextPosition(
+        part: String,
+        job: JobId,
+    ): Int? {
+        val prefix = FleetTables.result(part, job, 0).key
+        val read = store.readAll(FleetTables.RESULTS, part, prefix, FleetTables.keyAfter(job)) ?: return null
+        return read.first.size
+    }
+
+    private suspend fun resultValue(
+        part: String,
+        ref: ItemRef,
+        output: String?,
+    ): ByteArray {
+        val inline = encode(ResultRow(ref.item, output))
+        // A row holds its value as base64.
+        if (output == null || Base64.getEncoder().encodeToString(inline).length <= rowBytes) return inline
+        val name = FleetTables.output(part, ref)
+        while (store.putObject(name, output.encodeToByteArray()) !is WriteResult.Written) delay(LIST_RETRY)
+        return encode(ResultRow(ref.item, outputObject = name))
+    }
+
+    private fun encode(row: ResultRow): ByteArray =
+        FleetTables.json.encodeToString(ResultRow.serializer(), row).encodeToByteArray()
+
+    private suspend fun readPart(part: String): PartState? {
+        val rows = store.readAll(FleetTables.JOBS, part) ?: return null
+        val done = store.readAll(FleetTables.DONE, part) ?: return null
+        val state = PartState()
+        state.add(rows.first)
+        state.addDone(done.first)
+        return state
+    }
+
+    private fun <T> unavailable(): Outcome<T> =
+        Outcome.Failed(Failure(ErrorKind.PLATFORM_UNAVAILABLE, "the store does not answer", UNAVAILABLE_RETRY))
+
+    private companion object {
+        const val CACHED_JOBS = 500
+
+        // Some 200 kB each.
+        const val CACHED_BODIES = 40
+        const val MAX_RESULTS_READ = 40
+        const val MAX_ANSWER_BYTES = 700_000
+        val ENDED = "{}".encodeToByteArray()
+        val FULL_RETRY = 1.seconds
+        val UNAVAILABLE_RETRY = 500.milliseconds
+        val LIST_RETRY = 200.milliseconds
+    }
+}
+
+/** The jobs of one part of the table and which of their items are done. */
+internal class PartState {
+    val jobs = LinkedHashMap<JobId, JobRow>()
+    val ended = HashSet<JobId>()
+    val done = HashMap<JobId, HashSet<ItemId>>()
+
+    fun add(rows: List<StoredRow>) {
+        for (row in rows) {
+            val end = FleetTables.endedJob(row.name.key)
+            if (end != null) ended += end else parseJobRow(row)?.let { jobs[it.id] = it }
+        }
+    }
+
+    fun addDone(rows: List<StoredRow>) {
+        for (row in rows) {
+            val ref = FleetTables.doneItem(row.name.key)
+            done.getOrPut(ref.job) { HashSet() } += ref.item
+        }
+    }
+
+    /** The tokens of items that are neither done nor of an ended job. */
+    fun waitingTokens(route: String): Long =
+        jobs.values
+            .filter { it.route == route && it.id !in ended }
+            .sumOf { job -> job.items.filter { it.id !in done[job.id].orEmpty() }.sumOf { it.tokens } }
+}
+
+/** Parses a row of the table of jobs; null if it was removed or can't be read. */
+internal fun parseJobRow(row: StoredRow): JobRow? =
+    try {
+        row.value?.let { FleetTables.json.decodeFromString(JobRow.serializer(), it.decodeToString()) }
+    } catch (e: kotlinx.serialization.SerializationException) {
+        EventLog.warn("job_row_unreadable", "key" to row.name.key, "reason" to e.message)
+        null
+    }
+
+private fun <K, V> lru(size: Int): LinkedHashMap<K, V> =
+    object : LinkedHashMap<K, V>(16, 0.75f, true) {
+        override fun removeEldestEntry(eldest: MutableMap.MutableEntry<K, V>): Boolean = this.size > size
+    }
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformView.kt
@@ -0,0 +1,316 @@
+package org.agatestream.server
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.agatestream.core.FailureDomainId
+import org.agatestream.core.Manifest
+import org.agatestream.core.MonotonicTime
+import org.agatestream.core.Outcome
+import org.agatestream.core.RowStore
+import org.agatestream.core.ServerEntry
+import org.agatestream.core.ServerRegistry
+import org.agatestream.core.StoreRead
+import org.agatestream.core.StoredRow
+import org.agatestream.platform.OperatorRow
+import org.agatestream.platform.PlatformNames
+import org.agatestream.platform.parseManifest
+import org.agatestream.platform.parseServerEntry
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Follows a table of the store: reads it whole, then its changes, and again from the start after any gap. */
+internal class TableFeed(
+    private val store: RowStore,
+    private val table: String,
+    private val onSnapshot: (List<StoredRow>, Long) -> Unit,
+    private val onChanges: (List<StoredRow>, Long) -> Unit,
+    /** Reads all rows, or null if the store does not answer; by default those of the empty part. */
+    private val readAll: suspend () -> Pair<List<StoredRow>, Long>? = { store.readAll(table, "") },
+) {
+    suspend fun run() {
+        while (true) {
+            val snapshot = readAll()
+            if (snapshot == null) {
+                delay(RETRY_PAUSE)
+                continue
+            }
+            onSnapshot(snapshot.first, snapshot.second)
+            follow(snapshot.second)
+        }
+    }
+
+    private suspend fun follow(from: Long) {
+        var version = from
+        var failures = 0
+        while (true) {
+            when (val read = store.changes(table, version, FEED_WAIT)) {
+                is StoreRead.Found -> {
+                    failures = 0
+                    if (read.value.rows.isNotEmpty()) onChanges(read.value.rows, read.value.version)
+                    version = maxOf(version, read.value.version)
+                }
+
+                is StoreRead.Gone -> {
+                    EventLog.info("feed_reset", "table" to table, "after" to version, "reason" to "history_dropped")
+                    return
+                }
+
+                is StoreRead.Unavailable -> {
+                    failures++
+                    if (failures == 1) {
+                        EventLog.warn("feed_lost", "table" to table, "after" to version, "reason" to read.reason)
+                    }
+                    delay(RETRY_PAUSE)
+                    if (failures >= FAILURES_TO_READ_ANEW) return
+                }
+            }
+        }
+    }
+
+    private companion object {
+        // Half of the shortest bound on a change of the manifest, so that a silent connection shows in time.
+        val FEED_WAIT = 1.seconds
+        val RETRY_PAUSE = 100.milliseconds
+
+        // A feed that was away may have missed entries that lapsed and returned; a whole read is cheap then.
+        const val FAILURES_TO_READ_ANEW = 1
+    }
+}
+
+/** Reads all rows of a part, or returns null if the store does not answer. */
+internal suspend fun RowStore.readAll(
+    table: String,
+    part: String,
+    from: String? = null,
+    to: String? = null,
+): Pair<List<StoredRow>, Long>? {
+    val rows = ArrayList<StoredRow>()
+    var start = from
+    while (true) {
+        val page =
+            when (val read = rows(table, part, start, to)) {
+                is StoreRead.Found -> read.value
+                is StoreRead.Gone, is StoreRead.Unavailable -> return null
+            }
+        rows += page.rows
+        if (!page.hasMore || page.rows.isEmpty()) return rows to page.version
+        start = page.rows.last().name.key + '\u0000'
+    }
+}
+
+/** What this VM knows of the manifest and the backend servers, from the store or, without it, from other VMs. */
+internal class PlatformView(
+    private val store: RowStore,
+    private val onChange: (MonotonicTime) -> Unit,
+) {
+    var manifest: Manifest? = null
+        private set
+    var registry: ServerRegistry = ServerRegistry()
+        private set
+    var operatorVersion = 0L
+        private set
+    var serverVersion = 0L
+        private set
+
+    private val operatorRows = HashMap<String, ByteArray>()
+    private val serverRows = HashMap<String, ByteArray>()
+    private var contactAt: MonotonicTime? = null
+    private var isInContact = false
+
+    /** Returns whether the store answered within [span]. */
+    fun hasStore(
+        now: MonotonicTime,
+        span: Duration = CONTACT_SPAN,
+    ): Boolean = contactAt?.let { now - it <= span } == true
+
+    /** Notes whether the store answered a call. */
+    fun onContact(
+        answered: Boolean,
+        now: MonotonicTime,
+    ) {
+        if (answered) {
+            val last = contactAt
+            if (!isInContact || last == null || now - last > CONTACT_SPAN) {
+                registry = registry.onStoreBack(now)
+                EventLog.info("store_regained", "away" to last?.let { now - it })
+            }
+            isInContact = true
+            contactAt = now
+        } else if (isInContact) {
+            isInContact = false
+            EventLog.warn("store_lost", "last_answer" to contactAt?.let { now - it })
+        }
+    }
+
+    fun start(scope: CoroutineScope) {
+        val operators = TableFeed(store, PlatformNames.OPERATOR_TABLE, ::takeOperatorRows, ::changeOperatorRows)
+        val servers = TableFeed(store, PlatformNames.SERVER_TABLE, ::takeServerRows, ::changeServerRows)
+        scope.launch { operators.run() }
+        scope.launch { servers.run() }
+        scope.launch {
+            while (isActive) {
+                delay(EXPIRY_INTERVAL)
+                expire(MonotonicTime.now())
+            }
+        }
+    }
+
+    /** Returns all rows for a VM that knows only [operators] and [servers], or null if it knows as much. */
+    fun newsSince(
+        operators: Long,
+        servers: Long,
+    ): PlatformNews? {
+        if (operatorVersion <= operators && serverVersion <= servers) return null
+        return PlatformNews(operatorVersion, operatorRows.toNews(), serverVersion, serverRows.toNews())
+    }
+
+    /** Applies what another VM knows, where that is newer. */
+    fun onNews(
+        news: PlatformNews,
+        now: MonotonicTime,
+    ) {
+        if (news.operatorVersion > operatorVersion) {
+            operatorRows.clear()
+            news.operatorRows.forEach { operatorRows[it.key] = it.value }
+            operatorVersion = news.operatorVersion
+            applyOperatorRows("peer")
+        }
+        if (news.serverVersion > serverVersion) {
+            serverRows.clear()
+            news.serverRows.forEach { serverRows[it.key] = it.value }
+            serverVersion = news.serverVersion
+            applyAllServers(now)
+        }
+        onChange(now)
+    }
+
+    private fun takeOperatorRows(
+        rows: List<StoredRow>,
+        version: Long,
+    ) {
+        if (version < operatorVersion) return
+        operatorRows.clear()
+        changeOperatorRows(rows, version)
+    }
+
+    private fun changeOperatorRows(
+        rows: List<StoredRow>,
+        version: Long,
+    ) {
+        if (version < operatorVersion) return
+        rows.forEach { operatorRows.put(it.name.key, it.value) }
+        operatorVersion = version
+        applyOperatorRows("store")
+        onChange(MonotonicTime.now())
+    }
+
+    private fun applyOperatorRows(source: String) {
+        val domains = HashSet<FailureDomainId>()
+        for ((key, value) in operatorRows) {
+            when (val row = PlatformNames.operatorRow(key)) {
+                is OperatorRow.ManifestRow -> applyManifest(value, source)
+                is OperatorRow.Evacuation -> domains += row.domain
+                null -> {}
+            }
+        }
+        if (domains != registry.evacuated) {
+            EventLog.info("evacuation_changed", "domains" to domains.joinToString(","), "source" to source)
+            registry = registry.onEvacuated(domains)
+        }
+    }
+
+    private fun applyManifest(
+        bytes: ByteArray,
+        source: String,
+    ) {
+        when (val parsed = parseManifest(bytes)) {
+            is Outcome.Ok -> {
+                if (parsed.value.version == manifest?.version) return
+                manifest = parsed.value
+                EventLog.info("manifest_applied", "version" to parsed.value.version, "source" to source)
+            }
+
+            is Outcome.Failed -> {
+                EventLog.warn("manifest_unreadable", "reason" to parsed.failure.message)
+            }
+        }
+    }
+
+    private fun takeServerRows(
+        rows: List<StoredRow>,
+        version: Long,
+    ) {
+        if (version < serverVersion) return
+        serverRows.clear()
+        rows.forEach { serverRows.put(it.name.key, it.value) }
+        serverVersion = version
+        val now = MonotonicTime.now()
+        applyAllServers(now)
+        onChange(now)
+    }
+
+    private fun applyAllServers(now: MonotonicTime) {
+        registry = registry.onSnapshot(serverRows.mapNotNull { (key, value) -> readEntry(key, value) }, now)
+    }
+
+    private fun changeServerRows(
+        rows: List<StoredRow>,
+        version: Long,
+    ) {
+        val now = MonotonicTime.now()
+        for (row in rows) {
+            serverRows.put(row.name.key, row.value)
+            val entry = row.value?.let { readEntry(row.name.key, it) }
+            registry =
+                if (entry != null) registry.onEntry(entry, now) else registry.onRemoved(PlatformNames.serverId(row.name), now)
+            EventLog.info(
+                "server_entry",
+                "server" to row.name.key,
+                "state" to (entry?.let { if (it.isDraining) "draining" else "ready" } ?: "gone"),
+                "version" to row.version,
+            )
+        }
+        serverVersion = maxOf(serverVersion, version)
+        onChange(now)
+    }
+
+    private fun readEntry(
+        key: String,
+        value: ByteArray,
+    ): ServerEntry? =
+        when (val parsed = parseServerEntry(key, value)) {
+            is Outcome.Ok -> {
+                parsed.value
+            }
+
+            is Outcome.Failed -> {
+                EventLog.info("server_entry_unreadable", "server" to key, "reason" to parsed.failure.message)
+                null
+            }
+        }
+
+    private fun expire(now: MonotonicTime) {
+        val left = registry.expire(now)
+        if (left === registry) return
+        registry = left
+        onChange(now)
+    }
+
+    private companion object {
+        // Feeds answer at least once a second.
+        val CONTACT_SPAN = 1600.milliseconds
+        val EXPIRY_INTERVAL = 200.milliseconds
+    }
+}
+
+private fun MutableMap<String, ByteArray>.put(
+    key: String,
+    value: ByteArray?,
+) {
+    if (value == null) remove(key) else this[key] = value
+}
+
+private fun Map<String, ByteArray>.toNews(): List<NewsRow> = map { (key, value) -> NewsRow(key, value) }
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -0,0 +1,316 @@
+package org.agatestream.server
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.withTimeoutOrNull
+import org.agatestream.core.Admission
+import org.agatestream.core.BackendServerId
+import org.agatestream.core.ErrorKind
+import org.agatestream.core.Failure
+import org.agatestream.core.MonotonicTime
+import org.agatestream.core.Outcome
+import org.agatestream.core.RouteKind
+import org.agatestream.core.RunOutcome
+import org.agatestream.http.BodyPart
+import org.agatestream.http.BodyWriter
+import org.agatestream.http.ExchangeResult
+import org.agatestream.http.HttpAnswer
+import org.agatestream.http.HttpCall
+import org.agatestream.http.HttpClient
+import org.agatestream.http.readBody
+import org.agatestream.platform.BackendCall
+import org.agatestream.platform.BackendProtocol
+import org.agatestream.platform.BackendReply
+import org.agatestream.platform.CallerProtocol
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Forwards the requests of online routes to backend servers and their answers back. */
+internal class RouteForwarder(
+    private val placer: Placer,
+    private val client: HttpClient,
+    private val respond: suspend (HttpCall, Failure) -> Unit,
+) {
+    /** Serves [call], whose body is [body]; it came at [arrivedAt]. */
+    suspend fun forward(
+        call: HttpCall,
+        admission: Admission,
+        body: ByteArray,
+        arrivedAt: MonotonicTime,
+    ) {
+        val id = CallerProtocol.requestId(call)?.value ?: return respond(call, NO_ID)
+        val request =
+            BackendCall(id, call.method, call.target, CallerProtocol.host(call), call.headers(), body, admission.workspace?.id)
+        Run(call, admission, request, arrivedAt).run()
+    }
+
+    /** One request on its way, over all servers that it is sent to. */
+    private inner class Run(
+        private val call: HttpCall,
+        private val admission: Admission,
+        private val request: BackendCall,
+        private val arrivedAt: MonotonicTime,
+    ) {
+        private val route = admission.route
+        private val patience = CallerProtocol.patience(call)
+        private val endAt = arrivedAt + minOf(patience, route.timeout)
+        private val isStream = route.kind == RouteKind.STREAM
+        private val service = route.chooseService(request.id.hashCode())
+        private val excluded = HashSet<BackendServerId>()
+        private var metered = admission.workspace?.id
+        private var runs = 0
+        private var refusals = 0
+        private var writer: BodyWriter? = null
+        private var lastEvent: Long? = CallerProtocol.lastEvent(call)
+        private var failure: Failure? = null
+
+        suspend fun run() {
+            while (true) {
+                val slot =
+                    when (val got = placer.acquire(need(), excluded)) {
+                        is Outcome.Ok -> got.value
+                        is Outcome.Failed -> return refuse(got.failure)
+                    }
+                metered = null
+                when (val end = attempt(slot)) {
+                    is Attempt.Answered -> {
+                        return log("answered", slot, end.status)
+                    }
+
+                    is Attempt.NotRun -> {
+                        excluded += slot.server.id
+                        refusals++
+                        log("not_run", slot, end.reason)
+                        if (refusals > MAX_REFUSALS) return refuse(failure ?: NO_CAPACITY)
+                    }
+
+                    is Attempt.Lost -> {
+                        excluded += slot.server.id
+                        runs++
+                        log("lost", slot, end.reason)
+                        failure = Failure(ErrorKind.BACKEND_FAILED, end.reason)
+                        if (!mayRepeat()) return fail(end.reason)
+                    }
+                }
+            }
+        }
+
+        private fun need(): SlotNeed {
+            val now = MonotonicTime.now()
+            val giveUpAt = arrivedAt + minOf(patience, route.timeout) * QUEUE_SHARE
+            return SlotNeed(
+                service = service,
+                metered = metered,
+                priority = admission.priority,
+                onTimeBy = arrivedAt + route.latencyTarget - FIRST_EVENT_RESERVE,
+                giveUpAt = maxOf(giveUpAt, now + 1.milliseconds),
+            )
+        }
+
+        private fun mayRepeat(): Boolean =
+            route.isRepeatable && runs < route.maxAttempts && MonotonicTime.now() + FIRST_EVENT_RESERVE < endAt
+
+        private suspend fun attempt(slot: Slot): Attempt {
+            val sentAt = MonotonicTime.now()
+            var outcome = RunOutcome.STOPPED
+            var firstEvent: Duration? = null
+            try {
+                val timeLeft = arrivedAt + patience - sentAt
+                val resumeFrom = lastEvent.takeIf { writer != null }
+                val spec = BackendProtocol.request(request, slot.server.id, slot.server.address, timeLeft, resumeFrom)
+                val end = withTimeoutOrNull(endAt - sentAt) { exchange(spec) { firstEvent = MonotonicTime.now() - sentAt } }
+                outcome = end?.outcome ?: RunOutcome.LOST
+                return end ?: Attempt.Lost("timeout")
+            } finally {
+                placer.release(slot, outcome, firstEvent)
+            }
+        }
+
+        private suspend fun exchange(
+            spec: org.agatestream.http.HttpRequestSpec,
+            onFirst: () -> Unit,
+        ): Attempt =
+            when (val result = client.exchange(spec)) {
+                is ExchangeResult.NotSent -> Attempt.NotRun(result.reason, RunOutcome.LOST)
+                is ExchangeResult.Lost -> Attempt.Lost(result.reason)
+                is ExchangeResult.Answered -> readAnswer(result.answer, onFirst)
+            }
+
+        private suspend fun readAnswer(
+            answer: HttpAnswer,
+            onFirst: () -> Unit,
+        ): Attempt {
+            try {
+                return when (val reply = BackendProtocol.read(answer)) {
+                    is BackendReply.NotRun -> {
+                        answer.readBody(MAX_ERROR_BYTES)
+                        Attempt.NotRun(reply.reason, RunOutcome.NOT_RUN)
+                    }
+
+                    is BackendReply.Ran -> {
+                        if (isStream && reply.status == STATUS_OK && reply.isSigned) {
+                            relayStream(answer, onFirst)
+                        } else {
+                            relayWhole(answer, reply)
+                        }
+                    }
+                }
+            } finally {
+                answer.close()
+            }
+        }
+
+        private suspend fun relayWhole(
+            answer: HttpAnswer,
+            reply: BackendReply.Ran,
+        ): Attempt {
+            val body =
+                when (val read = answer.readBody(MAX_ANSWER_BYTES)) {
+                    is Outcome.Ok -> read.value
+                    is Outcome.Failed -> return Attempt.Lost(read.failure.message)
+                }
+            if (reply.status in SUCCESSES && !reply.isSigned) return Attempt.Lost("unsigned success")
+            if (writer != null) return Attempt.Lost("status ${reply.status} for a resumed stream")
+            call.respond(reply.status, answer.header("content-type") ?: DEFAULT_TYPE, body, headers(answer))
+            return Attempt.Answered(reply.status)
+        }
+
+        private suspend fun relayStream(
+            answer: HttpAnswer,
+            onFirst: () -> Unit,
+        ): Attempt {
+            val cutter = EventCutter()
+            var isFirst = true
+            while (true) {
+                when (val part = answer.nextChunk()) {
+                    is BodyPart.Chunk -> {
+                        val events = cutter.feed(part.bytes)
+                        if (events.isEmpty()) continue
+                        if (isFirst) onFirst()
+                        isFirst = false
+                        if (!inOrder(events)) return Attempt.Lost("event out of order")
+                        if (!write(answer, events.joinBytes())) throw CancellationException("the caller is gone")
+                        events.last().id?.let { lastEvent = it }
+                    }
+
+                    is BodyPart.End -> {
+                        return finishStream(answer, cutter.remainder)
+                    }
+
+                    is BodyPart.Broken -> {
+                        return Attempt.Lost(part.reason)
+                    }
+                }
+            }
+        }
+
+        private suspend fun finishStream(
+            answer: HttpAnswer,
+            remainder: ByteArray,
+        ): Attempt {
+            if (remainder.isNotEmpty()) return Attempt.Lost("the stream ended within an event")
+            if (writer == null && answer.header("content-length") != "0") return Attempt.Lost("the stream had no event")
+            write(answer, remainder)
+            writer?.finish()
+            return Attempt.Answered(STATUS_OK)
+        }
+
+        /** Returns whether each event is the one after the last, where events have numbers. */
+        private fun inOrder(events: List<StreamEvent>): Boolean {
+            var last = lastEvent
+            for (event in events) {
+                val id = event.id ?: continue
+                if (last != null && id != last + 1) return false
+                last = id
+            }
+            return true
+        }
+
+        private suspend fun write(
+            answer: HttpAnswer,
+            bytes: ByteArray,
+        ): Boolean {
+            val to = writer ?: call.startStream(answer.status, answer.header("content-type") ?: EVENTS_TYPE, headers(answer))
+            writer = to
+            return bytes.isEmpty() || to.write(bytes)
+        }
+
+        private fun headers(answer: HttpAnswer): Map<String, String> =
+            BackendProtocol.answerHeaders(answer).filter { it.first != "content-type" }.toMap()
+
+        private suspend fun refuse(reason: Failure) {
+            if (writer != null || runs > 0) return fail(reason.message)
+            log("refused", null, reason.kind.code)
+            respond(call, reason)
+        }
+
+        private suspend fun fail(reason: String) {
+            log("failed", null, reason)
+            val writer = writer
+            if (writer != null) {
+                writer.abort()
+            } else {
+                val isLate = MonotonicTime.now() >= endAt
+                respond(call, Failure(if (isLate) ErrorKind.DEADLINE_EXCEEDED else ErrorKind.BACKEND_FAILED, reason))
+            }
+        }
+
+        private fun log(
+            outcome: String,
+            slot: Slot?,
+            detail: Any,
+        ) {
+            EventLog.info(
+                "request",
+                "id" to request.id,
+                "route" to route.name,
+                "workspace" to admission.workspace?.id,
+                "outcome" to outcome,
+                "detail" to detail,
+                "server" to slot?.server?.id,
+                "coordinator" to slot?.coordinator,
+                "events" to lastEvent,
+                "took" to (MonotonicTime.now() - arrivedAt),
+            )
+        }
+    }
+
+    /** How one send to a server ended. */
+    private sealed interface Attempt {
+        val outcome: RunOutcome
+
+        data class Answered(
+            val status: Int,
+        ) : Attempt {
+            override val outcome: RunOutcome get() = RunOutcome.ANSWERED
+        }
+
+        data class NotRun(
+            val reason: String,
+            override val outcome: RunOutcome,
+        ) : Attempt
+
+        data class Lost(
+            val reason: String,
+        ) : Attempt {
+            override val outcome: RunOutcome get() = RunOutcome.LOST
+        }
+    }
+
+    private companion object {
+        const val STATUS_OK = 200
+        val SUCCESSES = 200..299
+        const val MAX_REFUSALS = 3
+        const val MAX_ERROR_BYTES = 64 * 1024
+        const val MAX_ANSWER_BYTES = 16 * 1024 * 1024
+        const val DEFAULT_TYPE = "application/octet-stream"
+        const val EVENTS_TYPE = "text/event-stream"
+
+        // An engine's first token comes after 32 ms and the prompt's 10 ms; the rest is for the way.
+        val FIRST_EVENT_RESERVE = 100.milliseconds
+
+        // A run takes about 0.8 s of a caller's 5 s, so a later start would not end in time.
+        const val QUEUE_SHARE = 0.6
+        val NO_ID = Failure(ErrorKind.MALFORMED_REQUEST, "the request has no id")
+        val NO_CAPACITY = Failure(ErrorKind.NO_CAPACITY, "every server refused the request", 1000.milliseconds)
+    }
+}
