--- /dev/null
+++ b/core/src/test/kotlin/org/agatestream/core/CoordinatorDoubtTest.kt
@@ -0,0 +1,48 @@
+package org.agatestream.core
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class CoordinatorDoubtTest :
+    FunSpec({
+        val silent =
+            CoordinatorDoubt(
+                named = VM_A,
+                silentSince = START,
+                isResigning = false,
+                peersReached = 3,
+                peersHearing = 0,
+                peersKnown = 5,
+                namedAt = START - 60.seconds,
+            )
+
+        test("a fleet without a coordinator gets one at once") {
+            silent.copy(named = null, silentSince = null).shouldClaim(START) shouldBe true
+        }
+
+        test("a coordinator that nobody hears is replaced after two missed reports") {
+            silent.shouldClaim(START + 300.milliseconds) shouldBe false
+            silent.shouldClaim(START + 500.milliseconds) shouldBe true
+        }
+
+        test("a VM that is cut off leaves a coordinator alone that others hear") {
+            silent.copy(peersHearing = 1).shouldClaim(START + 10.seconds) shouldBe false
+        }
+
+        test("a VM that reaches nobody waits longer and does not claim again and again") {
+            val lone = silent.copy(peersReached = 0)
+            lone.shouldClaim(START + 1.seconds) shouldBe false
+            lone.shouldClaim(START + 2.seconds) shouldBe true
+            lone.copy(namedAt = START).shouldClaim(START + 4.seconds) shouldBe false
+        }
+
+        test("a coordinator that resigns is replaced although it is heard") {
+            silent.copy(silentSince = null, isResigning = true, peersHearing = 3).shouldClaim(START) shouldBe true
+        }
+
+        test("a coordinator that is heard stays") {
+            silent.copy(silentSince = null).shouldClaim(START + 60.seconds) shouldBe false
+        }
+    })
--- /dev/null
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
@@ -0,0 +1,162 @@
+package org.agatestream.core
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class DispatcherTest :
+    FunSpec({
+        test("a request gets a slot at the server with the most free ones") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 1), serverOf("s2", slots = 3))
+            val place = dispatcher.place(requestOf(1), START).single()
+            place shouldBe DispatchAction.Place(CallId(VM_A, 1), BackendServerId("s2"))
+        }
+
+        test("a request waits while every slot is taken and gets the first one that is freed") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 1))
+            dispatcher.place(requestOf(1), START).placed() shouldContainExactly listOf(1L)
+            dispatcher.place(requestOf(2), START).shouldBeEmpty()
+            val freed = dispatcher.release(CallId(VM_A, 1), RunOutcome.ANSWERED, null, START + 10.milliseconds)
+            freed.placed() shouldContainExactly listOf(2L)
+        }
+
+        test("a request that can still be on time goes before one that can't") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 1))
+            dispatcher.place(requestOf(1), START)
+            dispatcher.place(requestOf(2), START)
+            val later = START + 500.milliseconds
+            dispatcher.place(requestOf(3, at = later), later)
+            val freed = dispatcher.release(CallId(VM_A, 1), RunOutcome.ANSWERED, null, later)
+            freed.placed() shouldContainExactly listOf(3L)
+        }
+
+        test("a request that waited too long is refused and its token given back") {
+            val dispatcher = dispatcherOf(manifestOf(rate = 1.0, burst = 4.0), serverOf("s1", slots = 1))
+            dispatcher.place(requestOf(1, metered = TEAM), START)
+            dispatcher.place(requestOf(2, metered = TEAM), START)
+            val refused = dispatcher.tick(START + 3.seconds).single().shouldBeInstanceOf<DispatchAction.Refuse>()
+            refused.kind shouldBe ErrorKind.NO_CAPACITY
+            dispatcher.waitingRequests shouldBe 0
+        }
+
+        test("a workspace gets its rate and burst and no more") {
+            val dispatcher = dispatcherOf(manifestOf(rate = 10.0, burst = 20.0), serverOf("s1", slots = 1_000))
+            var placed = 0
+            for (millis in 0 until 5_000 step 5) {
+                val now = START + millis.milliseconds
+                placed += dispatcher.place(requestOf(millis.toLong(), now, TEAM), now).placed().size
+            }
+            // The rules allow a tenth and 20 requests more than the rate of 5 s and the burst.
+            (placed in 50..70) shouldBe true
+        }
+
+        test("a coordinator that only half of the VMs follow gives out half of a rate") {
+            val dispatcher = dispatcherOf(manifestOf(rate = 10.0, burst = 10.0), serverOf("s1", slots = 1_000))
+            dispatcher.onFollowers(listOf(VM_A), 2)
+            var placed = 0
+            for (millis in 0 until 5_000 step 5) {
+                val now = START + millis.milliseconds
+                placed += dispatcher.place(requestOf(millis.toLong(), now, TEAM), now).placed().size
+            }
+            (placed in 25..30) shouldBe true
+        }
+
+        test("a request over the rate is told when the next token comes") {
+            val dispatcher = dispatcherOf(manifestOf(rate = 2.0, burst = 2.0), serverOf("s1", slots = 10))
+            dispatcher.place(requestOf(1, metered = TEAM), START)
+            val refused = dispatcher.place(requestOf(2, metered = TEAM), START).single()
+            refused shouldBe DispatchAction.Refuse(CallId(VM_A, 2), ErrorKind.RATE_EXCEEDED, 500.milliseconds)
+        }
+
+        test("a cold server gets no more than it bears in a second") {
+            val dispatcher = dispatcherOf(manifestOf(coldRate = 5.0), serverOf("s1", slots = 100, coldFor = 3.seconds))
+            var placed = 0
+            for (number in 1L..50L) placed += dispatcher.place(requestOf(number), START).placed().size
+            placed shouldBe 5
+        }
+
+        test("a request for a service without servers is refused at once") {
+            val dispatcher = dispatcherOf(manifestOf())
+            val refused = dispatcher.place(requestOf(1), START).single().shouldBeInstanceOf<DispatchAction.Refuse>()
+            refused.kind shouldBe ErrorKind.NO_CAPACITY
+        }
+
+        test("items use the slots that online requests leave") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
+            dispatcher.place(requestOf(1), START)
+            // One slot stays free for the next online request.
+            dispatcher.onJob(jobOf("j", 10), emptySet(), START).started() shouldHaveSize 2
+        }
+
+        test("an item makes way for an online request, the one due last first") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 3))
+            dispatcher.onJob(jobOf("early", 1, dueIn = 5.seconds), emptySet(), START)
+            dispatcher.onJob(jobOf("late", 1, dueIn = 9.seconds), emptySet(), START)
+            dispatcher.place(requestOf(1), START).placed() shouldContainExactly listOf(1L)
+            val actions = dispatcher.place(requestOf(2), START)
+            actions.placed() shouldContainExactly listOf(2L)
+            val stopped = actions.filterIsInstance<DispatchAction.StopItem>().single()
+            stopped.call.number shouldBe 1_001
+        }
+
+        test("an item that failed as often as its route allows is given up") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
+            var started = dispatcher.onJob(jobOf("j", 1), emptySet(), START).started()
+            var now = START
+            repeat(2) {
+                val run = started.single()
+                dispatcher.release(run.call, RunOutcome.ANSWERED, null, now)
+                dispatcher.onItem(run.item, run.call, ItemOutcome.FAILED, now)
+                now += 1.seconds
+                started = dispatcher.tick(now).started()
+            }
+            val run = started.single()
+            dispatcher.release(run.call, RunOutcome.ANSWERED, null, now)
+            val last = dispatcher.onItem(run.item, run.call, ItemOutcome.FAILED, now)
+            last shouldContainExactly listOf(DispatchAction.GiveUpItem(run.item, "failed_attempts"))
+        }
+
+        test("items of a lost VM run again elsewhere") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
+            val first = dispatcher.onJob(jobOf("j", 1), emptySet(), START).started().single()
+            first.call.vm shouldBe VM_A
+            dispatcher.onFollowers(listOf(VM_B), 2)
+            val again = dispatcher.onVmLost(VM_A, START).started().single()
+            again.call.vm shouldBe VM_B
+            again.item shouldBe first.item
+        }
+
+        test("a run that its VM no longer reports frees its slot") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 1))
+            dispatcher.place(requestOf(1), START)
+            dispatcher.onReport(VM_A, emptyList(), emptyList(), START + 2.seconds)
+            dispatcher.place(requestOf(2), START + 2.seconds).placed() shouldContainExactly listOf(2L)
+        }
+
+        test("a new coordinator counts the runs that VMs report") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 1))
+            dispatcher.onReport(VM_B, listOf(RunningCall(7, BackendServerId("s1"))), emptyList(), START)
+            dispatcher.place(requestOf(1), START).shouldBeEmpty()
+        }
+
+        test("a release that overtakes its request cancels it") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 1))
+            dispatcher.release(CallId(VM_A, 1), RunOutcome.STOPPED, null, START)
+            dispatcher.place(requestOf(1), START).shouldBeEmpty()
+            dispatcher.runningCalls shouldBe 0
+        }
+
+        test("an ended job stops its items and starts no others") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
+            val started = dispatcher.onJob(jobOf("j", 10), emptySet(), START).started()
+            val actions = dispatcher.onJobEnded(JobId("j"), START)
+            actions.filterIsInstance<DispatchAction.StopItem>().map { it.call } shouldContainExactly
+                started.map { it.call }
+            actions.started().shouldBeEmpty()
+        }
+    })
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -144,7 +144,10 @@
         val vm = LiveVm(from, ask.name, ask.caller, ask.peer, ask.domain)
         val known = followers[from]
         if (known == null) {
-            followers.values.filter { it.vm.name == ask.name }.map { it.vm.id }.forEach { lose(it, "restarted", now) }
+            followers.values
+                .filter { it.vm.name == ask.name }
+                .map { it.vm.id }
+                .forEach { lose(it, "restarted", now) }
             followers[from] = Follower(vm, now, ask.isLeaving, ask.hasStore)
             silent -= ask.name
             EventLog.info("follower_joined", "vm" to from)
--- a/server/src/main/kotlin/org/agatestream/server/Coordinators.kt
+++ b/server/src/main/kotlin/org/agatestream/server/Coordinators.kt
@@ -100,8 +100,14 @@
         val coordinator = record?.vm
         when (coordinator) {
             null -> {}
-            self -> onOwnReport(status())?.let { live = it.live }
-            else -> reportTo(coordinator, now)
+
+            self -> {
+                onOwnReport(status())?.let { live = it.live }
+            }
+
+            else -> {
+                reportTo(coordinator, now)
+            }
         }
         if (!announcedLeaving) considerClaim(MonotonicTime.now())
     }
@@ -153,7 +159,11 @@
     /** Asks some other VMs whether they hear the named one; returns how many answered, and how many do. */
     private suspend fun askOthers(): Pair<Int, Int> {
         val coordinator = named ?: return 0 to 0
-        val others = vms.values.filter { it.id != self && it.id != coordinator }.shuffled(random).take(PEERS_ASKED)
+        val others =
+            vms.values
+                .filter { it.id != self && it.id != coordinator }
+                .shuffled(random)
+                .take(PEERS_ASKED)
         val answers =
             coroutineScope {
                 others.map { async { network.ask(it.id, HearsAsk(coordinator), REPORT_TIMEOUT) } }.awaitAll()
--- a/server/src/main/kotlin/org/agatestream/server/ItemRuns.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemRuns.kt
@@ -182,10 +182,27 @@
 
                 is BackendReply.Ran -> {
                     when (reply.status) {
-                        STATUS_OK -> readEvents(answer, output, onFirst)
-                        STATUS_IMPOSSIBLE -> ItemEnd.Impossible("status ${reply.status}").also { answer.readBody(MAX_ERROR_BYTES) }
-                        STATUS_FAILED -> ItemEnd.Failed("status ${reply.status}").also { answer.readBody(MAX_ERROR_BYTES) }
-                        else -> ItemEnd.Interrupted("status ${reply.status}", RunOutcome.ANSWERED)
+                        STATUS_OK -> {
+                            readEvents(answer, output, onFirst)
+                        }
+
+                        STATUS_IMPOSSIBLE -> {
+                            ItemEnd
+                                .Impossible(
+                                    "status ${reply.status}",
+                                ).also { answer.readBody(MAX_ERROR_BYTES) }
+                        }
+
+                        STATUS_FAILED -> {
+                            ItemEnd
+                                .Failed(
+                                    "status ${reply.status}",
+                                ).also { answer.readBody(MAX_ERROR_BYTES) }
+                        }
+
+                        else -> {
+                            ItemEnd.Interrupted("status ${reply.status}", RunOutcome.ANSWERED)
+                        }
                     }
                 }
             }
@@ -218,7 +235,12 @@
                 }
 
                 is BodyPart.End -> {
-                    if (cutter.remainder.isNotEmpty()) return ItemEnd.Interrupted("ended within an event", RunOutcome.LOST)
+                    if (cutter.remainder.isNotEmpty()) {
+                        return ItemEnd.Interrupted(
+                            "ended within an event",
+                            RunOutcome.LOST,
+                        )
+                    }
                     return ItemEnd.Complete
                 }
 
--- a/server/src/main/kotlin/org/agatestream/server/JobCalls.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobCalls.kt
@@ -55,7 +55,13 @@
         after: Int,
     ) {
         val row = jobs.find(workspace, job).getOrElse { return refuse(call, "job_read", workspace, job, it) }
-        val results = jobs.results(workspace, job, after).getOrElse { return refuse(call, "job_read", workspace, job, it) }
+        val results =
+            jobs
+                .results(
+                    workspace,
+                    job,
+                    after,
+                ).getOrElse { return refuse(call, "job_read", workspace, job, it) }
         call.respond(STATUS_OK, JSON, encodeResults(row.items.size, results, after + results.size))
     }
 
@@ -107,7 +113,8 @@
         EventLog.info(event, "job" to job, "workspace" to workspace, "outcome" to result, *more)
     }
 
-    private fun isStorable(id: String): Boolean = id.length <= MAX_ID_CHARS && id.all { it.isLetterOrDigit() || it in "-_" }
+    private fun isStorable(id: String): Boolean =
+        id.length <= MAX_ID_CHARS && id.all { it.isLetterOrDigit() || it in "-_" }
 
     private companion object {
         const val STATUS_OK = 200
--- a/server/src/main/kotlin/org/agatestream/server/JobStore.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobStore.kt
@@ -117,7 +117,10 @@
         val key = FleetTables.job(part, job).key
         return when (val read = store.rows(FleetTables.JOBS, part, key, key + '\u0000', 1)) {
             is StoreRead.Found -> {
-                val row = read.value.rows.firstOrNull()?.let { parseJobRow(it) }
+                val row =
+                    read.value.rows
+                        .firstOrNull()
+                        ?.let { parseJobRow(it) }
                 row?.also { jobs[cacheKey] = it }?.toOk() ?: ErrorKind.UNKNOWN_JOB.toFailed("there is no such job")
             }
 
@@ -164,8 +167,16 @@
         bodies[name]?.let { return it.toOk() }
         val content = (store.getObject(name) as? StoreRead.Found)?.value ?: return unavailable()
         return when (val parsed = parseJob(content)) {
-            is Outcome.Ok -> parsed.value.associateBy { it.id }.also { bodies[name] = it }.toOk()
-            is Outcome.Failed -> parsed
+            is Outcome.Ok -> {
+                parsed.value
+                    .associateBy { it.id }
+                    .also { bodies[name] = it }
+                    .toOk()
+            }
+
+            is Outcome.Failed -> {
+                parsed
+            }
         }
     }
 
@@ -195,13 +206,18 @@
             val place = FleetTables.result(part, ref.job, position)
             val changes = listOf(RowChange(place, value), RowChange(done, ENDED))
             when (val result = store.write(mapOf(done to 0L, place to 0L), changes)) {
-                is WriteResult.Written -> return
+                is WriteResult.Written -> {
+                    return
+                }
+
                 is WriteResult.Conflict -> {
                     if (result.current.any { it.name == done && it.version > 0 }) return
                     position = nextPosition(part, ref.job) ?: (position + 1)
                 }
 
-                is WriteResult.NotDone, is WriteResult.Unknown -> delay(LIST_RETRY)
+                is WriteResult.NotDone, is WriteResult.Unknown -> {
+                    delay(LIST_RETRY)
+                }
             }
         }
     }
--- a/server/src/main/kotlin/org/agatestream/server/Placer.kt
+++ b/server/src/main/kotlin/org/agatestream/server/Placer.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.agatestream.core.BackendServerId
 import org.agatestream.core.CallId
 import org.agatestream.core.DispatchAction
 import org.agatestream.core.Dispatcher
@@ -20,7 +21,6 @@
 import org.agatestream.core.WorkspaceId
 import org.agatestream.core.toFailed
 import org.agatestream.core.toOk
-import org.agatestream.core.BackendServerId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -109,7 +109,10 @@
                 }
 
                 is PlaceDecision.Refused -> {
-                    return decision.kind.toFailed("no slot: ${decision.kind.code}", decision.retryAfterMillis.milliseconds)
+                    return decision.kind.toFailed(
+                        "no slot: ${decision.kind.code}",
+                        decision.retryAfterMillis.milliseconds,
+                    )
                 }
 
                 is PlaceDecision.Queued -> {
@@ -167,9 +170,19 @@
             val first = ask(from, ask, now)
             val decision =
                 when (first) {
-                    null -> placeLocally(number, need, metered, avoided, now)
-                    is PlaceDecision.Queued -> withTimeoutOrNull(need.giveUpAt + DECISION_MARGIN - now) { later.await() }
-                    is PlaceDecision.Placed, is PlaceDecision.Refused -> first
+                    null -> {
+                        placeLocally(number, need, metered, avoided, now)
+                    }
+
+                    is PlaceDecision.Queued -> {
+                        withTimeoutOrNull(
+                            need.giveUpAt + DECISION_MARGIN - now,
+                        ) { later.await() }
+                    }
+
+                    is PlaceDecision.Placed, is PlaceDecision.Refused -> {
+                        first
+                    }
                 }
             isDecided = decision != null && decision !is PlaceDecision.Queued
             return decision ?: PlaceDecision.Queued
--- a/server/src/main/kotlin/org/agatestream/server/PlatformView.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformView.kt
@@ -97,7 +97,9 @@
             }
         rows += page.rows
         if (!page.hasMore || page.rows.isEmpty()) return rows to page.version
-        start = page.rows.last().name.key + '\u0000'
+        start = page.rows
+            .last()
+            .name.key + '\u0000'
     }
 }
 
@@ -211,8 +213,14 @@
         val domains = HashSet<FailureDomainId>()
         for ((key, value) in operatorRows) {
             when (val row = PlatformNames.operatorRow(key)) {
-                is OperatorRow.ManifestRow -> applyManifest(value, source)
-                is OperatorRow.Evacuation -> domains += row.domain
+                is OperatorRow.ManifestRow -> {
+                    applyManifest(value, source)
+                }
+
+                is OperatorRow.Evacuation -> {
+                    domains += row.domain
+                }
+
                 null -> {}
             }
         }
@@ -265,7 +273,13 @@
             serverRows.put(row.name.key, row.value)
             val entry = row.value?.let { readEntry(row.name.key, it) }
             registry =
-                if (entry != null) registry.onEntry(entry, now) else registry.onRemoved(PlatformNames.serverId(row.name), now)
+                if (entry !=
+                    null
+                ) {
+                    registry.onEntry(entry, now)
+                } else {
+                    registry.onRemoved(PlatformNames.serverId(row.name), now)
+                }
             EventLog.info(
                 "server_entry",
                 "server" to row.name.key,
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -78,7 +78,12 @@
             view.start(this@PlatformVm.scope)
             coordinators.start(this@PlatformVm.scope)
         }
-        EventLog.info("serving", "vm" to self, "domain" to config.failureDomain, "caller_address" to config.callerAddress)
+        EventLog.info(
+            "serving",
+            "vm" to self,
+            "domain" to config.failureDomain,
+            "caller_address" to config.callerAddress,
+        )
     }
 
     /** Leaves the fleet, serves the callers that still hold this VM's address, and stops. */
@@ -249,7 +254,11 @@
 
     private fun onCoordinator(vm: VmId?) {
         placer.onCoordinator()
-        if (vm == self && role == null) beginRole() else if (vm != self && role != null) endRole()
+        if (vm == self && role == null) {
+            beginRole()
+        } else if (vm != self && role != null) {
+            endRole()
+        }
     }
 
     private fun beginRole() {
@@ -273,7 +282,12 @@
         watch =
             JobWatch(
                 store = store,
-                rules = { job -> view.manifest?.routes?.firstOrNull { it.name == job.route }?.jobs },
+                rules = { job ->
+                    view.manifest
+                        ?.routes
+                        ?.firstOrNull { it.name == job.route }
+                        ?.jobs
+                },
                 onJob = next::onJob,
                 onEnded = next::onJobEnded,
             ).start(scope)
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -39,7 +39,15 @@
     ) {
         val id = CallerProtocol.requestId(call)?.value ?: return respond(call, NO_ID)
         val request =
-            BackendCall(id, call.method, call.target, CallerProtocol.host(call), call.headers(), body, admission.workspace?.id)
+            BackendCall(
+                id,
+                call.method,
+                call.target,
+                CallerProtocol.host(call),
+                call.headers(),
+                body,
+                admission.workspace?.id,
+            )
         Run(call, admission, request, arrivedAt).run()
     }
 
@@ -117,7 +125,8 @@
                 val timeLeft = arrivedAt + patience - sentAt
                 val resumeFrom = lastEvent.takeIf { writer != null }
                 val spec = BackendProtocol.request(request, slot.server.id, slot.server.address, timeLeft, resumeFrom)
-                val end = withTimeoutOrNull(endAt - sentAt) { exchange(spec) { firstEvent = MonotonicTime.now() - sentAt } }
+                val end =
+                    withTimeoutOrNull(endAt - sentAt) { exchange(spec) { firstEvent = MonotonicTime.now() - sentAt } }
                 outcome = end?.outcome ?: RunOutcome.LOST
                 return end ?: Attempt.Lost("timeout")
             } finally {
@@ -229,7 +238,8 @@
             answer: HttpAnswer,
             bytes: ByteArray,
         ): Boolean {
-            val to = writer ?: call.startStream(answer.status, answer.header("content-type") ?: EVENTS_TYPE, headers(answer))
+            val to =
+                writer ?: call.startStream(answer.status, answer.header("content-type") ?: EVENTS_TYPE, headers(answer))
             writer = to
             return bytes.isEmpty() || to.write(bytes)
         }
