Reach the store through another VM, bound the log, serve metrics

Cause: a VM that the store turns away refused jobs and reads of results although others reach the store; logs had no bound; no metrics were served. Change: StoreRelay asks the coordinator or another VM; LineBudget caps lines a second; VmMetrics stands on the metrics address. A VM that chooses alone may use its part of the rule's spare.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -31,6 +31,7 @@
     private var manifest: Manifest? = null
     private var followers: List<VmId> = emptyList()
     private var share = 1.0
+    private var spareBurst = 0.0
     private var itemsFrom: MonotonicTime? = null
 
     /** The number of requests that wait for a slot. */
@@ -67,11 +68,14 @@
      * Applies who follows this coordinator.
      *
      * [expected] is the number of VMs that may serve callers; [followers] are those of them that ask here.
+     * [spareBurst] is what each workspace may use at once beyond their part of its burst.
      */
     public fun onFollowers(
         followers: List<VmId>,
         expected: Int,
+        spareBurst: Double = 0.0,
     ) {
+        this.spareBurst = spareBurst
         this.followers = followers
         share = if (expected <= 0) 1.0 else minOf(1.0, followers.size.toDouble() / expected)
     }
@@ -227,9 +231,10 @@
     private fun filled(
         spec: WorkspaceSpec,
         now: MonotonicTime,
-    ): RateBucket =
-        (buckets[spec.id] ?: RateBucket.start(spec.burst * share, now))
-            .fill(spec.ratePerSecond * share, spec.burst * share, now)
+    ): RateBucket {
+        val burst = spec.burst * share + spareBurst
+        return (buckets[spec.id] ?: RateBucket.start(burst, now)).fill(spec.ratePerSecond * share, burst, now)
+    }
 
     private fun takeToken(id: WorkspaceId) {
         buckets.computeIfPresent(id) { _, bucket -> bucket.take() }
--- a/core/src/main/kotlin/org/agatestream/core/RowStore.kt
+++ b/core/src/main/kotlin/org/agatestream/core/RowStore.kt
@@ -1,8 +1,13 @@
 package org.agatestream.core
 
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
 import kotlin.time.Duration
 
 /** The name of a row: its table, its part of the table and its key. */
+@Serializable
 public data class RowName(
     val table: String,
     /** Rows of one part can be written in one transaction; may be empty. */
@@ -11,21 +16,28 @@
 )
 
 /** A row as the store holds it; a removed row has no value. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
 public class StoredRow(
     public val name: RowName,
     /** Grows with every transaction of the store. */
     public val version: Long,
     /** The content, or null if the row was removed. */
+    @ByteString
     public val value: ByteArray?,
 )
 
 /** Writes [value] to the row [name], or removes the row if [value] is null. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
 public class RowChange(
     public val name: RowName,
+    @ByteString
     public val value: ByteArray?,
 )
 
 /** Rows as of one moment. */
+@Serializable
 public class RowPage(
     public val rows: List<StoredRow>,
     /** The newest version of the store at that moment. */
@@ -34,21 +46,30 @@
 )
 
 /** The answer of the store to a transaction. */
+@Serializable
 public sealed interface WriteResult {
     /** All changes took effect. */
+    @Serializable
+    @SerialName("written")
     public data object Written : WriteResult
 
     /** A condition did not hold and nothing was changed; [current] holds the rows that exist of the conditions. */
+    @Serializable
+    @SerialName("conflict")
     public class Conflict(
         public val current: List<StoredRow>,
     ) : WriteResult
 
     /** The store refused, so nothing was changed and nothing will be. */
+    @Serializable
+    @SerialName("not-done")
     public data class NotDone(
         public val reason: String,
     ) : WriteResult
 
     /** No answer came; the changes may have taken effect, or may do so later. */
+    @Serializable
+    @SerialName("unknown")
     public data class Unknown(
         public val reason: String,
     ) : WriteResult
--- a/server/src/main/kotlin/org/agatestream/server/Coordinators.kt
+++ b/server/src/main/kotlin/org/agatestream/server/Coordinators.kt
@@ -58,6 +58,22 @@
     /** The VMs that take callers, as far as this one knows. */
     val callers: List<LiveVm> get() = live.ifEmpty { vms.map { (name, vm) -> vm.toLive(name) } }
 
+    /** Other VMs that may reach the store in place of this one, the coordinator first. */
+    fun storeHelpers(): List<VmId> {
+        val others = callers.map { it.id }.filter { it != self && it != named }.shuffled(random)
+        return listOfNotNull(reachable()?.takeIf { it != self && !isResigning }) + others
+    }
+
+    /** Notes that [vm] did not answer; it is asked again once it answers a report. */
+    fun onUnanswered(
+        vm: VmId,
+        now: MonotonicTime,
+    ) {
+        if (vm != record?.vm || silentSince != null) return
+        silentSince = now
+        EventLog.warn("coordinator_silent", "coordinator" to vm, "reason" to "request_unanswered")
+    }
+
     fun start(scope: CoroutineScope) {
         val feed = TableFeed(store, FleetTables.FLEET, ::takeRows, { rows, _ -> changeRows(rows) })
         scope.launch { feed.run() }
--- a/server/src/main/kotlin/org/agatestream/server/EventLog.kt
+++ b/server/src/main/kotlin/org/agatestream/server/EventLog.kt
@@ -1,16 +1,20 @@
 package org.agatestream.server
 
+import org.agatestream.core.MonotonicTime
 import org.tinylog.kotlin.Logger
 import org.tinylog.provider.ProviderRegistry
 
 /** Writes one line of key=value pairs for each event; values hold no key, no body and no text of a caller. */
 public object EventLog {
+    // A VM at its peak decides on some 100 requests and items a second, with up to three lines each.
+    private val budget = LineBudget(linesPerSecond = 500)
+
     /** Logs an event of ordinary operation. */
     public fun info(
         event: String,
         vararg pairs: Pair<String, Any?>,
     ) {
-        Logger.info { format(event, pairs) }
+        ifWithinBudget { Logger.info { format(event, pairs) } }
     }
 
     /** Logs an event that an operator should look at. */
@@ -18,7 +22,7 @@
         event: String,
         vararg pairs: Pair<String, Any?>,
     ) {
-        Logger.warn { format(event, pairs) }
+        ifWithinBudget { Logger.warn { format(event, pairs) } }
     }
 
     /** Logs a failure of the program itself. */
@@ -35,6 +39,13 @@
         ProviderRegistry.getLoggingProvider().shutdown()
     }
 
+    /** Errors are always logged; other lines only as far as the writer keeps up. */
+    private inline fun ifWithinBudget(log: () -> Unit) {
+        val dropped = budget.take(MonotonicTime.now()) ?: return
+        if (dropped > 0) Logger.warn { "event=lines_dropped count=$dropped" }
+        log()
+    }
+
     private fun format(
         event: String,
         pairs: Array<out Pair<String, Any?>>,
--- a/server/src/main/kotlin/org/agatestream/server/Placer.kt
+++ b/server/src/main/kotlin/org/agatestream/server/Placer.kt
@@ -49,9 +49,8 @@
     private val network: PeerTransport,
     private val view: PlatformView,
     private val scope: CoroutineScope,
-    private val coordinator: () -> VmId?,
+    private val coordinators: Coordinators,
     private val role: () -> CoordinatorRole?,
-    private val listedVms: () -> Int,
 ) {
     private val waiting = HashMap<Long, CompletableDeferred<PlaceDecision>>()
     private val running = LinkedHashMap<Long, RunningCall>()
@@ -93,7 +92,7 @@
         val avoided = HashSet(excluded)
         repeat(MAX_DECISIONS) {
             val number = nextNumber++
-            val from = coordinator()
+            val from = coordinators.reachable()
             val decision = decide(number, need, metered, avoided, from)
             when (decision) {
                 is PlaceDecision.Placed -> {
@@ -142,7 +141,7 @@
         firstEvent: Duration?,
     ) {
         running -= number
-        tellReleased(coordinator(), number, outcome, firstEvent)
+        tellReleased(coordinators.reachable(), number, outcome, firstEvent)
     }
 
     private suspend fun decide(
@@ -200,7 +199,9 @@
         if (from == null) return null
         val own = role()
         if (from == self && own != null) return own.place(self, ask, now)
-        return (network.ask(from, ask, ASK_TIMEOUT) as? PlaceAnswer)?.decision
+        val answer = network.ask(from, ask, ASK_TIMEOUT)
+        if (answer == null) coordinators.onUnanswered(from, now)
+        return (answer as? PlaceAnswer)?.decision
     }
 
     private fun placeLocally(
@@ -210,7 +211,8 @@
         avoided: Set<BackendServerId>,
         now: MonotonicTime,
     ): PlaceDecision {
-        local.onFollowers(listOf(self), listedVms())
+        val vms = maxOf(1, coordinators.listed)
+        local.onFollowers(listOf(self), vms, SPARE_REQUESTS / vms)
         local.onReport(self, runningCalls, emptyList(), now)
         val call = CallId(self, number)
         // Nothing tells this VM of a slot that others free, so a request that finds none does not wait.
@@ -251,6 +253,9 @@
         // Some thirty times the way to another failure domain and back; a VM that is slower is not worth the wait.
         val ASK_TIMEOUT = 100.milliseconds
         val DECISION_MARGIN = 100.milliseconds
+
+        // The rules leave 20 requests beyond a rate and burst for all VMs; a part of a small burst lets nothing through.
+        const val SPARE_REQUESTS = 15.0
         val LOCAL_WAIT = 1.milliseconds
         val LOCAL_RETRY = 1.seconds
     }
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -1,8 +1,5 @@
 package org.agatestream.server
 
-import io.micrometer.core.instrument.MeterRegistry
-import io.micrometer.prometheusmetrics.PrometheusConfig
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
@@ -29,6 +26,7 @@
 import org.agatestream.platform.CallerAsk
 import org.agatestream.platform.CallerProtocol
 import org.agatestream.platform.PlatformStore
+import java.io.IOException
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -38,27 +36,29 @@
 public class PlatformVm(
     private val config: PlatformVmConfig,
     secret: ByteArray,
-    private val metrics: MeterRegistry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
 ) {
+    private val metrics = VmMetrics()
     private val loops = EventLoops(threads = 1)
     private val scope = CoroutineScope(SupervisorJob() + loops.dispatcher)
 
     // A restarted process must not be taken for the one before, whose connections may still look open.
     private val self = VmId("${config.name}@${System.currentTimeMillis().toString(ID_RADIX)}")
-    private val network = KtorPeerNetwork(self, secret, metrics)
+    private val network = KtorPeerNetwork(self, secret, metrics.registry)
     private val client = HttpClient(loops, CONNECT_TIMEOUT)
     private val store =
-        PlatformStore(client, config.storeAddress, STORE_TIMEOUT) { view.onContact(it, MonotonicTime.now()) }
+        PlatformStore(client, config.storeAddress, STORE_TIMEOUT, ::onStoreCall)
     private val view: PlatformView = PlatformView(store, ::onView)
-    private val jobStore = JobStore(store, config.rowBytes)
+    private val relay =
+        StoreRelay(store, network, { view.hasStore(MonotonicTime.now()) }, { coordinators.storeHelpers() })
+    private val jobStore = JobStore(relay, config.rowBytes)
     private val coordinators: Coordinators =
         Coordinators(config, store, network, view, ::status, Random.Default, ::onCoordinator) { ask ->
             role?.onStatus(self, ask, MonotonicTime.now())
         }
     private val placer: Placer =
-        Placer(self, network, view, scope, { coordinators.reachable() }, { role }, { coordinators.listed })
+        Placer(self, network, view, scope, coordinators, { role })
     private val items = ItemRuns(placer, view, jobStore, client, scope, ::reportItem)
-    private val forwarder = RouteForwarder(placer, client, ::respondFailure)
+    private val forwarder = RouteForwarder(placer, client, metrics, ::respondFailure)
     private val jobs = JobCalls(self, jobStore, ::respondFailure)
     private var role: CoordinatorRole? = null
     private var watch: Job? = null
@@ -74,6 +74,7 @@
         for (address in listOf(config.callerAddress, config.entryAddress, config.readyAddress).distinct()) {
             servers += HttpServer.start(loops, parseAddress(address), CALLER_LIMITS, scope, ::answer)
         }
+        startMetrics()
         scope.launch {
             view.start(this@PlatformVm.scope)
             coordinators.start(this@PlatformVm.scope)
@@ -106,6 +107,24 @@
         loops.close()
     }
 
+    private fun startMetrics() {
+        metrics.gauge("agatestream.calls") { calls }
+        metrics.gauge("agatestream.dispatch.running") { role?.dispatcher?.runningCalls ?: 0 }
+        metrics.gauge("agatestream.dispatch.waiting") { role?.dispatcher?.waitingRequests ?: 0 }
+        metrics.gauge("agatestream.dispatch.jobs") { role?.dispatcher?.openJobs ?: 0 }
+        metrics.gauge("agatestream.manifest.version") { view.manifest?.version ?: 0 }
+        val address = config.metricsAddress ?: return
+        try {
+            servers += HttpServer.start(loops, parseAddress(address), CALLER_LIMITS, scope, ::answerMetrics)
+        } catch (e: IOException) {
+            EventLog.warn("metrics_not_served", "address" to address, "reason" to e.message)
+        }
+    }
+
+    private suspend fun answerMetrics(call: HttpCall) {
+        call.respond(STATUS_OK, TEXT, metrics.registry.scrape().encodeToByteArray())
+    }
+
     /** How long after SIGTERM new requests are still taken: callers may hold the address for three lifetimes. */
     private fun refuseAfter(): Duration =
         minOf(entryTtl() * ENTRY_LIFETIMES, config.shutdownGraceSeconds.seconds * TAKING_SHARE)
@@ -150,7 +169,7 @@
         if (admission.route.kind == RouteKind.BATCH) {
             jobs.submit(call, admission, body, System.currentTimeMillis())
         } else {
-            forwarder.forward(call, admission, body, now)
+            forwarder.forward(call, admission, body, manifest.version, now)
         }
     }
 
@@ -215,6 +234,7 @@
             is RunItemAsk -> taken { items.start(ask) }
             is StopItemAsk -> taken { items.stop(ask) }
             is HearsAsk, is BootstrapAsk -> coordinators.answer(ask)
+            is StoreAsk -> relay.answer(ask)
             else -> null
         }
     }
@@ -239,6 +259,7 @@
         )
 
     private fun reportItem(ask: ItemAsk) {
+        metrics.onItem(ask.outcome)
         val to = coordinators.named ?: return
         if (to == self) {
             role?.onItem(self, ask, MonotonicTime.now())
@@ -247,6 +268,14 @@
         }
     }
 
+    private fun onStoreCall(
+        answered: Boolean,
+        took: Duration,
+    ) {
+        metrics.onStoreCall(answered, took)
+        view.onContact(answered, MonotonicTime.now())
+    }
+
     private fun onView(now: MonotonicTime) {
         placer.onView(now)
         role?.onView(now)
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -28,6 +28,7 @@
 internal class RouteForwarder(
     private val placer: Placer,
     private val client: HttpClient,
+    private val metrics: VmMetrics,
     private val respond: suspend (HttpCall, Failure) -> Unit,
 ) {
     /** Serves [call], whose body is [body]; it came at [arrivedAt]. */
@@ -35,6 +36,7 @@
         call: HttpCall,
         admission: Admission,
         body: ByteArray,
+        manifestVersion: Long,
         arrivedAt: MonotonicTime,
     ) {
         val id = CallerProtocol.requestId(call)?.value ?: return respond(call, NO_ID)
@@ -48,7 +50,7 @@
                 body,
                 admission.workspace?.id,
             )
-        Run(call, admission, request, arrivedAt).run()
+        Run(call, admission, request, manifestVersion, arrivedAt).run()
     }
 
     /** One request on its way, over all servers that it is sent to. */
@@ -56,6 +58,7 @@
         private val call: HttpCall,
         private val admission: Admission,
         private val request: BackendCall,
+        private val manifestVersion: Long,
         private val arrivedAt: MonotonicTime,
     ) {
         private val route = admission.route
@@ -131,6 +134,7 @@
                 return end ?: Attempt.Lost("timeout")
             } finally {
                 placer.release(slot, outcome, firstEvent)
+                metrics.onRun(outcome)
             }
         }
 
@@ -194,7 +198,10 @@
                     is BodyPart.Chunk -> {
                         val events = cutter.feed(part.bytes)
                         if (events.isEmpty()) continue
-                        if (isFirst) onFirst()
+                        if (isFirst) {
+                            onFirst()
+                            metrics.onFirstEvent(MonotonicTime.now() - arrivedAt)
+                        }
                         isFirst = false
                         if (!inOrder(events)) return Attempt.Lost("event out of order")
                         if (!write(answer, events.joinBytes())) throw CancellationException("the caller is gone")
@@ -269,6 +276,8 @@
             slot: Slot?,
             detail: Any,
         ) {
+            val took = MonotonicTime.now() - arrivedAt
+            if (outcome in FINAL_OUTCOMES) metrics.onRequest(route.name, outcome, detail.toString(), took)
             EventLog.info(
                 "request",
                 "id" to request.id,
@@ -276,10 +285,11 @@
                 "workspace" to admission.workspace?.id,
                 "outcome" to outcome,
                 "detail" to detail,
+                "manifest" to manifestVersion,
                 "server" to slot?.server?.id,
                 "coordinator" to slot?.coordinator,
                 "events" to lastEvent,
-                "took" to (MonotonicTime.now() - arrivedAt),
+                "took" to took,
             )
         }
     }
@@ -308,6 +318,7 @@
 
     private companion object {
         const val STATUS_OK = 200
+        val FINAL_OUTCOMES = setOf("answered", "refused", "failed")
         val SUCCESSES = 200..299
         const val MAX_REFUSALS = 3
         const val MAX_ERROR_BYTES = 64 * 1024
--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/VmMetrics.kt
@@ -0,0 +1,78 @@
+package org.agatestream.server
+
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.Timer
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.agatestream.core.ItemOutcome
+import org.agatestream.core.RunOutcome
+import kotlin.time.Duration
+import kotlin.time.toJavaDuration
+import java.time.Duration as JavaDuration
+
+/** The counters and latency histograms of a VM on the users' platform. */
+internal class VmMetrics(
+    val registry: PrometheusMeterRegistry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
+) {
+    private val firstEvent = histogram("agatestream.first.event", "From the receipt of a request to its first event")
+    private val whole = histogram("agatestream.request", "From the receipt of a request to the end of its answer")
+    private val storeCall = histogram("agatestream.store.call", "Time that a call to the store took")
+
+    /** Counts a request that ended with [outcome], such as `answered` or `refused`, for the reason [detail]. */
+    fun onRequest(
+        route: String,
+        outcome: String,
+        detail: String,
+        took: Duration,
+    ) {
+        registry.counter("agatestream.requests", "route", route, "outcome", outcome, "detail", detail).increment()
+        whole.record(took.toJavaDuration())
+    }
+
+    fun onFirstEvent(after: Duration) {
+        firstEvent.record(after.toJavaDuration())
+    }
+
+    /** Counts a run at a backend server. */
+    fun onRun(outcome: RunOutcome) {
+        registry.counter("agatestream.runs", "outcome", outcome.name.lowercase()).increment()
+    }
+
+    fun onItem(outcome: ItemOutcome) {
+        registry.counter("agatestream.items", "outcome", outcome.name.lowercase()).increment()
+    }
+
+    fun onStoreCall(
+        answered: Boolean,
+        took: Duration,
+    ) {
+        registry.counter("agatestream.store.calls", "answered", answered.toString()).increment()
+        storeCall.record(took.toJavaDuration())
+    }
+
+    /** Shows the value of [read] under [name]. */
+    fun gauge(
+        name: String,
+        read: () -> Number,
+    ) {
+        Gauge.builder(name) { read() }.register(registry)
+    }
+
+    private fun histogram(
+        name: String,
+        description: String,
+    ): Timer =
+        Timer
+            .builder(name)
+            .description(description)
+            .serviceLevelObjectives(*BUCKETS)
+            .register(registry)
+
+    private companion object {
+        // Around the latency targets of 300 and 400 ms, the pauses of 400 ms and the time limits of 4 and 5 s.
+        val BUCKETS: Array<JavaDuration> =
+            longArrayOf(10, 50, 100, 200, 300, 400, 600, 1_000, 2_000, 4_000, 5_000)
+                .map { JavaDuration.ofMillis(it) }
+                .toTypedArray()
+    }
+}
