--- /dev/null
+++ b/server/src/test/kotlin/org/agatestream/server/FakeRowStore.kt
@@ -0,0 +1,118 @@
+package org.agatestream.server
+
+import org.agatestream.core.RowChange
+import org.agatestream.core.RowName
+import org.agatestream.core.RowPage
+import org.agatestream.core.RowStore
+import org.agatestream.core.StoreRead
+import org.agatestream.core.StoredRow
+import org.agatestream.core.WriteResult
+import kotlin.time.Duration
+
+/** How a [FakeRowStore] treats its next writes. */
+internal enum class StoreFault {
+    /** The write takes effect and its answer is lost. */
+    ANSWER_LOST,
+
+    /** The write does not take effect and no answer comes. */
+    SILENT,
+
+    /** The store refuses. */
+    REFUSED,
+}
+
+/** A store in memory that keeps the rules of the platform's and fails on demand. */
+internal class FakeRowStore : RowStore {
+    val rows = LinkedHashMap<RowName, StoredRow>()
+    val objects = HashMap<String, ByteArray>()
+    val faults = ArrayDeque<StoreFault>()
+    var isDown = false
+    private var version = 0L
+
+    override suspend fun rows(
+        table: String,
+        part: String,
+        from: String?,
+        to: String?,
+        limit: Int?,
+    ): StoreRead<RowPage> {
+        if (isDown) return StoreRead.Unavailable("down")
+        val all =
+            rows.values
+                .filter { it.name.table == table && it.name.part == part }
+                .filter { (from == null || it.name.key >= from) && (to == null || it.name.key < to) }
+                .sortedBy { it.name.key }
+        val page = all.take(limit ?: all.size)
+        return StoreRead.Found(RowPage(page, version, page.size < all.size))
+    }
+
+    override suspend fun parts(table: String): StoreRead<List<String>> =
+        if (isDown) {
+            StoreRead.Unavailable("down")
+        } else {
+            StoreRead.Found(
+                rows.keys
+                    .filter { it.table == table }
+                    .map { it.part }
+                    .distinct()
+                    .sorted(),
+            )
+        }
+
+    override suspend fun changes(
+        table: String,
+        after: Long,
+        wait: Duration,
+    ): StoreRead<RowPage> {
+        if (isDown) return StoreRead.Unavailable("down")
+        val changed = rows.values.filter { it.name.table == table && it.version > after }.sortedBy { it.version }
+        return StoreRead.Found(RowPage(changed, version, false))
+    }
+
+    override suspend fun write(
+        expected: Map<RowName, Long>,
+        changes: List<RowChange>,
+    ): WriteResult {
+        if (isDown) return WriteResult.NotDone("down")
+        val fault = faults.removeFirstOrNull()
+        if (fault == StoreFault.SILENT) return WriteResult.Unknown("silent")
+        if (fault == StoreFault.REFUSED) return WriteResult.NotDone("refused")
+        val result = apply(expected, changes)
+        return if (fault == StoreFault.ANSWER_LOST) WriteResult.Unknown("lost") else result
+    }
+
+    override suspend fun putObject(
+        name: String,
+        bytes: ByteArray,
+    ): WriteResult {
+        if (isDown) return WriteResult.NotDone("down")
+        objects.putIfAbsent(name, bytes)
+        return WriteResult.Written
+    }
+
+    override suspend fun getObject(name: String): StoreRead<ByteArray> =
+        if (isDown) StoreRead.Unavailable("down") else objects[name]?.let { StoreRead.Found(it) } ?: StoreRead.Gone
+
+    override suspend fun dropObject(name: String): WriteResult {
+        objects -= name
+        return WriteResult.Written
+    }
+
+    private fun apply(
+        expected: Map<RowName, Long>,
+        changes: List<RowChange>,
+    ): WriteResult {
+        if (expected.any { (name, wanted) -> (rows[name]?.version ?: 0L) != wanted }) {
+            return WriteResult.Conflict(expected.keys.mapNotNull { rows[it] })
+        }
+        version++
+        for (change in changes) {
+            if (change.value == null) {
+                rows -= change.name
+            } else {
+                rows[change.name] = StoredRow(change.name, version, change.value)
+            }
+        }
+        return WriteResult.Written
+    }
+}
--- /dev/null
+++ b/server/src/test/kotlin/org/agatestream/server/JobStoreTest.kt
@@ -0,0 +1,132 @@
+package org.agatestream.server
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import org.agatestream.core.ErrorKind
+import org.agatestream.core.ItemId
+import org.agatestream.core.ItemRef
+import org.agatestream.core.JobId
+import org.agatestream.core.Outcome
+import org.agatestream.core.VmId
+import org.agatestream.core.WorkspaceId
+import org.agatestream.platform.ListedResult
+import org.agatestream.platform.parseJob
+
+private val TEAM = WorkspaceId("team")
+private val JOB = JobId("job")
+
+private val CONTENT =
+    """{"Requests":[{"Id":"i1","Path":"/b/1","Body":"YQ==","Tokens":60},{"Id":"i2","Path":"/b/2","Tokens":40}]}"""
+        .encodeToByteArray()
+
+private fun rowOf(job: JobId = JOB): JobRow {
+    val items = listOf(JobRowItem(ItemId("i1"), "/b/1", 60), JobRowItem(ItemId("i2"), "/b/2", 40))
+    return JobRow(job, TEAM, "h", "r", 0, VmId("v"), items)
+}
+
+private suspend fun JobStore.submit(
+    row: JobRow = rowOf(),
+    maxTokens: Long = 0,
+): Outcome<JobRow> = accept(row, CONTENT, (parseJob(CONTENT) as Outcome.Ok).value, maxTokens)
+
+private suspend fun JobStore.read(after: Int = 0): List<ListedResult> =
+    results(TEAM, JOB, after).shouldBeInstanceOf<Outcome.Ok<List<ListedResult>>>().value
+
+private fun Outcome<*>.kind(): ErrorKind = shouldBeInstanceOf<Outcome.Failed>().failure.kind
+
+class JobStoreTest :
+    FunSpec({
+        test("an accepted job is found by every VM, with its bodies") {
+            val store = FakeRowStore()
+            JobStore(store, 65_536).submit().shouldBeInstanceOf<Outcome.Ok<JobRow>>()
+            val other = JobStore(store, 65_536)
+            other.find(TEAM, JOB).shouldBeInstanceOf<Outcome.Ok<JobRow>>()
+            val items = other.items(TEAM, JOB).shouldBeInstanceOf<Outcome.Ok<Map<ItemId, Any>>>().value
+            items.keys.map { it.value } shouldContainExactlyInAnyOrder listOf("i1", "i2")
+        }
+
+        test("a repeat of a job is accepted again and stored once") {
+            val store = FakeRowStore()
+            repeat(2) { JobStore(store, 65_536).submit().shouldBeInstanceOf<Outcome.Ok<JobRow>>() }
+            store.rows.keys.filter { it.table == FleetTables.JOBS } shouldHaveSize 1
+        }
+
+        test("a job whose confirmation was lost is accepted if the store has it") {
+            val store = FakeRowStore()
+            store.faults += StoreFault.ANSWER_LOST
+            JobStore(store, 65_536).submit().shouldBeInstanceOf<Outcome.Ok<JobRow>>()
+        }
+
+        test("a job that the store may still write is not called refused") {
+            val store = FakeRowStore()
+            store.faults += StoreFault.SILENT
+            JobStore(store, 65_536).submit().kind() shouldBe ErrorKind.OUTCOME_UNKNOWN
+        }
+
+        test("a job is refused as not run if the store refused it") {
+            val store = FakeRowStore()
+            store.faults += StoreFault.REFUSED
+            JobStore(store, 65_536).submit().kind() shouldBe ErrorKind.PLATFORM_UNAVAILABLE
+            store.rows.keys.filter { it.table == FleetTables.JOBS } shouldHaveSize 0
+        }
+
+        test("a workspace has no more tokens waiting than its route allows, and done items make room") {
+            val store = FakeRowStore()
+            val jobs = JobStore(store, 65_536)
+            jobs.submit(maxTokens = 150).shouldBeInstanceOf<Outcome.Ok<JobRow>>()
+            jobs.submit(rowOf(JobId("second")), maxTokens = 150).kind() shouldBe ErrorKind.RATE_EXCEEDED
+            jobs.list(TEAM, ItemRef(JOB, ItemId("i1")), "text")
+            jobs.submit(rowOf(JobId("second")), maxTokens = 150).shouldBeInstanceOf<Outcome.Ok<JobRow>>()
+        }
+
+        test("tokens of an ended job make room") {
+            val jobs = JobStore(FakeRowStore(), 65_536)
+            jobs.submit(maxTokens = 150)
+            jobs.end(TEAM, JOB)
+            jobs.submit(rowOf(JobId("second")), maxTokens = 150).shouldBeInstanceOf<Outcome.Ok<JobRow>>()
+        }
+
+        test("each result has one position, whichever VMs list it and whatever answers are lost") {
+            val store = FakeRowStore()
+            JobStore(store, 65_536).submit()
+            store.faults += listOf(StoreFault.ANSWER_LOST, StoreFault.SILENT, StoreFault.ANSWER_LOST)
+            coroutineScope {
+                listOf("i1", "i2", "i1", "i2")
+                    .map { item -> async { JobStore(store, 65_536).list(TEAM, ItemRef(JOB, ItemId(item)), item) } }
+                    .awaitAll()
+            }
+            val results = JobStore(store, 65_536).read()
+            results.map { it.item.value } shouldContainExactlyInAnyOrder listOf("i1", "i2")
+            JobStore(store, 65_536).read(after = 1).map { it.item } shouldContainExactly listOf(results[1].item)
+        }
+
+        test("an output that does not fit a row is read back whole") {
+            val store = FakeRowStore()
+            val jobs = JobStore(store, 1_000)
+            jobs.submit()
+            val text = "x".repeat(5_000)
+            jobs.list(TEAM, ItemRef(JOB, ItemId("i1")), text)
+            jobs.read().single().output shouldBe text
+        }
+
+        test("a job that the store does not know is unknown, and in doubt while the store is away") {
+            val store = FakeRowStore()
+            val jobs = JobStore(store, 65_536)
+            jobs.find(TEAM, JOB).kind() shouldBe ErrorKind.UNKNOWN_JOB
+            store.isDown = true
+            jobs.find(TEAM, JOB).kind() shouldBe ErrorKind.PLATFORM_UNAVAILABLE
+        }
+
+        test("a job of another workspace is unknown") {
+            val store = FakeRowStore()
+            JobStore(store, 65_536).submit()
+            JobStore(store, 65_536).find(WorkspaceId("other"), JOB).kind() shouldBe ErrorKind.UNKNOWN_JOB
+        }
+    })
