--- a/core/src/main/kotlin/org/agatestream/core/CoordinatorDoubt.kt
+++ b/core/src/main/kotlin/org/agatestream/core/CoordinatorDoubt.kt
@@ -12,6 +12,8 @@
     val silentSince: MonotonicTime?,
     /** True if the named VM asks to be replaced. */
     val isResigning: Boolean,
+    /** True if the named process has ended, as another one serves in its place. */
+    val isReplaced: Boolean,
     /** The number of other VMs that were asked whether they hear the named one, and answered. */
     val peersReached: Int,
     /** How many of those hear it. */
@@ -30,7 +32,7 @@
  */
 public fun CoordinatorDoubt.shouldClaim(now: MonotonicTime): Boolean {
     if (named == null) return true
-    if (isResigning) return true
+    if (isResigning || isReplaced) return true
     val since = silentSince ?: return false
     val silence = now - since
     return when {
@@ -40,8 +42,8 @@
     }
 }
 
-// Two reports of 250 ms without an answer.
-private val CLAIM_SILENCE: Duration = 450.milliseconds
+// A report that was not answered in 200 ms, and the next one.
+private val CLAIM_SILENCE: Duration = 300.milliseconds
 
 // Longer than a restart of all VMs at once takes until the first of them answers.
 private val LONE_CLAIM_SILENCE: Duration = 1500.milliseconds
--- a/core/src/main/kotlin/org/agatestream/core/Dispatch.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatch.kt
@@ -46,9 +46,12 @@
     /** The server refused the request as full or as not meant for it, and did not run it. */
     NOT_RUN,
 
-    /** The connection was refused or broke, or the server was silent. */
+    /** The connection broke, or the server was silent. */
     LOST,
 
+    /** No connection could be made. */
+    UNREACHABLE,
+
     /** The VM ended the run, or never began it. */
     STOPPED,
 }
--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -232,8 +232,9 @@
         spec: WorkspaceSpec,
         now: MonotonicTime,
     ): RateBucket {
-        val burst = spec.burst * share + spareBurst
-        return (buckets[spec.id] ?: RateBucket.start(burst, now)).fill(spec.ratePerSecond * share, burst, now)
+        val burst = spec.burst * share
+        val bucket = buckets[spec.id] ?: RateBucket.start(burst, spareBurst, now)
+        return bucket.fill(spec.ratePerSecond * share, burst + spareBurst, now)
     }
 
     private fun takeToken(id: WorkspaceId) {
--- a/core/src/main/kotlin/org/agatestream/core/RateBucket.kt
+++ b/core/src/main/kotlin/org/agatestream/core/RateBucket.kt
@@ -38,10 +38,11 @@
         // of a tenth of a 5 s window and 20 requests.
         private const val START_SHARE = 0.5
 
-        /** A bucket of a workspace whose earlier use is not known. */
+        /** A bucket of a workspace whose earlier use is not known, with [spare] tokens beyond its burst. */
         public fun start(
             burst: Double,
+            spare: Double,
             now: MonotonicTime,
-        ): RateBucket = RateBucket(burst * START_SHARE, now)
+        ): RateBucket = RateBucket(burst * START_SHARE + spare, now)
     }
 }
--- a/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
@@ -75,11 +75,11 @@
             }
 
             RunOutcome.LOST -> {
-                failures++
-                if (failures >= FAILURES_TO_DISTRUST) {
-                    onTrial = true
-                    pausedUntil = now + minOf(FAILURE_PAUSE * (1 shl minOf(failures, 4)), LONGEST_PAUSE)
-                }
+                distrust(1, now)
+            }
+
+            RunOutcome.UNREACHABLE -> {
+                distrust(FAILURES_TO_DISTRUST, now)
             }
 
             RunOutcome.STOPPED -> {}
@@ -91,13 +91,27 @@
         }
     }
 
+    /** Pauses the server after [FAILURES_TO_DISTRUST] in a row, and tries it with one run at a time until one succeeds. */
+    private fun distrust(
+        weight: Int,
+        now: MonotonicTime,
+    ) {
+        failures += weight
+        if (failures < FAILURES_TO_DISTRUST) return
+        onTrial = true
+        pausedUntil = now + minOf(FAILURE_PAUSE * (1 shl minOf(failures, MAX_DOUBLINGS)), LONGEST_PAUSE)
+    }
+
     private companion object {
         // The rules count requests to a cold server in any one second.
         val COLD_WINDOW = 1.seconds
 
         // A server that refused is full by runs that this coordinator does not know of; streams take some 0.7 s.
         val FULL_PAUSE = 100.milliseconds
+
+        // One answer is lost now and then by a sound server.
         const val FAILURES_TO_DISTRUST = 2
+        const val MAX_DOUBLINGS = 4
         val FAILURE_PAUSE = 100.milliseconds
         val LONGEST_PAUSE = 1.seconds
         const val SMOOTHING = 0.2
--- a/core/src/test/kotlin/org/agatestream/core/CoordinatorDoubtTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/CoordinatorDoubtTest.kt
@@ -12,6 +12,7 @@
                 named = VM_A,
                 silentSince = START,
                 isResigning = false,
+                isReplaced = false,
                 peersReached = 3,
                 peersHearing = 0,
                 peersKnown = 5,
@@ -23,8 +24,8 @@
         }
 
         test("a coordinator that nobody hears is replaced after two missed reports") {
-            silent.shouldClaim(START + 300.milliseconds) shouldBe false
-            silent.shouldClaim(START + 500.milliseconds) shouldBe true
+            silent.shouldClaim(START + 200.milliseconds) shouldBe false
+            silent.shouldClaim(START + 300.milliseconds) shouldBe true
         }
 
         test("a VM that is cut off leaves a coordinator alone that others hear") {
@@ -42,6 +43,10 @@
             silent.copy(silentSince = null, isResigning = true, peersHearing = 3).shouldClaim(START) shouldBe true
         }
 
+        test("a coordinator whose VM runs another process is replaced at once, even by a VM that reaches nobody") {
+            silent.copy(isReplaced = true, peersReached = 0).shouldClaim(START) shouldBe true
+        }
+
         test("a coordinator that is heard stays") {
             silent.copy(silentSince = null).shouldClaim(START + 60.seconds) shouldBe false
         }
--- a/http/src/main/kotlin/org/agatestream/http/HttpServer.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpServer.kt
@@ -17,6 +17,7 @@
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 
 /** The threads that all sockets of this process share. */
 public class EventLoops(
@@ -40,6 +41,7 @@
 public class HttpServer private constructor(
     private val channel: Channel,
     private val connections: MutableSet<ServerConnection>,
+    private val closing: AtomicBoolean,
 ) {
     /** The port the server listens on. */
     public val port: Int
@@ -49,6 +51,12 @@
     public val runningCalls: Int
         get() = connections.count { it.busy }
 
+    /** Closes each connection after its next answer, which says so; new connections are still taken. */
+    public fun announceClose() {
+        closing.set(true)
+        connections.forEach { it.closeAfterAnswer() }
+    }
+
     /** Takes no new connections; open ones are closed after the answer under way. */
     public fun stopAccepting() {
         channel.close().syncUninterruptibly()
@@ -71,12 +79,14 @@
             handler: suspend (HttpCall) -> Unit,
         ): HttpServer {
             val connections = ConcurrentHashMap.newKeySet<ServerConnection>()
+            val closing = AtomicBoolean()
             val initializer =
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(ch: SocketChannel) {
                         val encoder = ResponseEncoder()
                         val connection = ServerConnection(limits, encoder, scope, handler)
                         connections.add(connection)
+                        if (closing.get()) connection.closeAfterAnswer()
                         ch.closeFuture().addListener { connections.remove(connection) }
                         ch.pipeline().addLast(StrictRequestDecoder(limits, connection::bytesArrived), encoder)
                         ch.pipeline().addLast(FlowControlHandler(), connection)
@@ -94,7 +104,7 @@
                     .bind(bind)
                     .sync()
                     .channel()
-            return HttpServer(channel, connections)
+            return HttpServer(channel, connections, closing)
         }
     }
 }
--- a/http/src/main/kotlin/org/agatestream/http/ServerConnection.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ServerConnection.kt
@@ -108,6 +108,11 @@
         }
     }
 
+    /** Closes the connection after its next answer. */
+    fun closeAfterAnswer() {
+        closing = true
+    }
+
     /** Closes the connection once no request is under way. */
     fun closeWhenIdle() {
         closing = true
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -33,6 +33,7 @@
     private val onDecision: (DecisionAsk) -> Unit,
     private val unlist: suspend (String) -> Unit,
     private val listedVms: () -> Int,
+    private val isLeaving: () -> Boolean,
 ) {
     private class Follower(
         var vm: LiveVm,
@@ -47,6 +48,9 @@
     private val silent = HashMap<String, MonotonicTime>()
     private val inline = HashMap<CallId, CompletableDeferred<PlaceDecision>>()
     private val workspaces = HashMap<ItemRef, WorkspaceId?>()
+
+    // An item that was interrupted goes on at whichever VM runs it next.
+    private val partials = HashMap<ItemRef, PartialOutput>()
     private var ticking: Job? = null
 
     /** True if another VM should take this one's place, as it reaches the store and this one does not. */
@@ -92,6 +96,7 @@
         now: MonotonicTime,
     ) {
         workspaces.keys.removeAll { it.job == job }
+        partials.keys.removeAll { it.job == job }
         execute(dispatcher.onJobEnded(job, now))
     }
 
@@ -132,7 +137,11 @@
         ask: ItemAsk,
         now: MonotonicTime,
     ) {
-        if (ask.outcome == ItemOutcome.LISTED) workspaces -= ask.item
+        if (ask.outcome == ItemOutcome.LISTED) {
+            workspaces -= ask.item
+            partials -= ask.item
+        }
+        ask.partial?.let { if (it.lastEvent > (partials[ask.item]?.lastEvent ?: -1)) partials[ask.item] = it }
         execute(dispatcher.onItem(ask.item, CallId(from, ask.number), ask.outcome, now))
     }
 
@@ -174,7 +183,7 @@
             scope.launch { unlist(name) }
         }
         val others = followers.values.filter { it.vm.id != self }
-        setResigning(!view.hasStore(now) && others.any { it.hasStore }, now)
+        setResigning((isLeaving() || !view.hasStore(now)) && others.any { it.hasStore }, now)
         execute(dispatcher.tick(now))
     }
 
@@ -233,7 +242,8 @@
     }
 
     private fun start(action: DispatchAction.StartItem) {
-        val ask = RunItemAsk(action.call.number, action.item, workspaces[action.item], action.server)
+        val ask =
+            RunItemAsk(action.call.number, action.item, workspaces[action.item], action.server, partials[action.item])
         EventLog.info("item_placed", "item" to action.item, "vm" to action.call.vm, "server" to action.server)
         if (action.call.vm == self) {
             runItem(ask)
--- a/server/src/main/kotlin/org/agatestream/server/Coordinators.kt
+++ b/server/src/main/kotlin/org/agatestream/server/Coordinators.kt
@@ -3,10 +3,12 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
 import org.agatestream.core.CoordinatorDoubt
 import org.agatestream.core.ListedVm
@@ -18,6 +20,7 @@
 import org.agatestream.core.WriteResult
 import org.agatestream.core.shouldClaim
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -43,6 +46,7 @@
     private var isListed = false
     private var live: List<LiveVm> = emptyList()
     private var announcedLeaving = false
+    private val reportSoon = Channel<Unit>(Channel.CONFLATED)
 
     val self: VmId get() = network.self
 
@@ -81,7 +85,7 @@
         scope.launch {
             while (isActive) {
                 report(MonotonicTime.now())
-                delay(reportInterval())
+                withTimeoutOrNull(reportInterval()) { reportSoon.receive() }
             }
         }
     }
@@ -89,7 +93,7 @@
     /** Tells the coordinator and the store that this VM leaves. */
     suspend fun leave() {
         announcedLeaving = true
-        report(MonotonicTime.now())
+        reportSoon.trySend(Unit)
         store.write(emptyMap(), listOf(RowChange(FleetTables.vm(config.name), null)))
     }
 
@@ -109,7 +113,14 @@
 
     private fun isHearing(): Boolean = !isResigning && (named == self || (heardAt != null && silentSince == null))
 
-    private fun reportInterval() = maxOf(MIN_REPORT_INTERVAL, REPORT_INTERVAL_PER_VM * vms.size)
+    private fun reportInterval(): Duration =
+        if (silentSince !=
+            null
+        ) {
+            SILENT_REPORT_INTERVAL
+        } else {
+            maxOf(MIN_REPORT_INTERVAL, REPORT_INTERVAL_PER_VM * vms.size)
+        }
 
     private suspend fun report(now: MonotonicTime) {
         if (!isListed && !announcedLeaving) list()
@@ -157,13 +168,14 @@
 
     private suspend fun considerClaim(now: MonotonicTime) {
         if (named == self || !view.hasStore(now)) return
-        if (named != null && silentSince == null && !isResigning) return
+        if (named != null && silentSince == null && !isResigning && !isReplaced()) return
         val (reached, hearing) = askOthers()
         val doubt =
             CoordinatorDoubt(
                 named = named,
                 silentSince = silentSince,
                 isResigning = isResigning,
+                isReplaced = isReplaced(),
                 peersReached = reached,
                 peersHearing = hearing,
                 peersKnown = vms.values.count { it.id != self && it.id != named },
@@ -187,8 +199,14 @@
         return answers.size to answers.count { it.hears }
     }
 
+    /** Returns whether the VM of the named process has listed another process since. */
+    private fun isReplaced(): Boolean {
+        val named = record ?: return false
+        return vms.any { (name, vm) -> vm.id != named.vm && named.name == name } || named.name == config.name
+    }
+
     private suspend fun claim(doubt: CoordinatorDoubt) {
-        val own = CoordinatorRecord(self, config.peerAddress)
+        val own = CoordinatorRecord(self, config.name, config.peerAddress)
         val value = FleetTables.json.encodeToString(CoordinatorRecord.serializer(), own).encodeToByteArray()
         val change = RowChange(FleetTables.coordinator, value)
         val result = store.write(mapOf(FleetTables.coordinator to recordVersion), listOf(change))
@@ -220,7 +238,7 @@
 
     private fun adopt(answer: BootstrapAnswer) {
         val vm = answer.live.firstOrNull { it.id == answer.coordinator } ?: return
-        setCoordinator(CoordinatorRecord(vm.id, vm.peer), 0)
+        setCoordinator(CoordinatorRecord(vm.id, vm.name, vm.peer), 0)
     }
 
     private fun takeRows(
@@ -271,6 +289,7 @@
         EventLog.info("coordinator_named", "coordinator" to next?.vm, "version" to version)
         updateAddresses()
         onCoordinator(next?.vm)
+        reportSoon.trySend(Unit)
     }
 
     private fun updateAddresses() {
@@ -299,6 +318,7 @@
     private fun VmRecord.toLive(name: String): LiveVm = LiveVm(id, name, caller, peer, domain)
 
     private companion object {
+        val SILENT_REPORT_INTERVAL = 100.milliseconds
         val MIN_REPORT_INTERVAL = 250.milliseconds
 
         // Keeps a coordinator's reports below some 200 a second at any size.
--- a/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
@@ -81,8 +81,17 @@
     val item: ItemRef,
     val workspace: WorkspaceId?,
     val server: BackendServerId,
+    /** What earlier runs brought; null if nothing is known. */
+    val partial: PartialOutput?,
 ) : PeerAsk
 
+/** The data of an item's first events. */
+@Serializable
+internal class PartialOutput(
+    val lastEvent: Long,
+    val data: List<String>,
+)
+
 /** Tells a VM to end the run of an item. */
 @Serializable
 @SerialName("stop-item")
@@ -98,6 +107,8 @@
     val number: Long,
     val item: ItemRef,
     val outcome: ItemOutcome,
+    /** What the runs so far brought, if the item is to go on elsewhere. */
+    val partial: PartialOutput? = null,
 ) : PeerAsk
 
 /** Acknowledges an ask that has no other answer. */
--- a/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
@@ -23,6 +23,7 @@
 @Serializable
 internal data class CoordinatorRecord(
     val vm: VmId,
+    val name: String,
     val peer: String,
 )
 
--- a/server/src/main/kotlin/org/agatestream/server/ItemRuns.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemRuns.kt
@@ -40,6 +40,16 @@
     private class Output {
         val data = ArrayList<String>()
         var lastEvent: Long? = null
+
+        fun toPartial(): PartialOutput? = lastEvent?.let { PartialOutput(it, data.toList()) }
+
+        /** Takes over what another VM got, if that is more. */
+        fun catchUp(partial: PartialOutput) {
+            if (partial.lastEvent <= (lastEvent ?: -1)) return
+            data.clear()
+            data += partial.data
+            lastEvent = partial.lastEvent
+        }
     }
 
     private val running = HashMap<Long, Job>()
@@ -117,7 +127,7 @@
             }
 
             is ItemEnd.Interrupted -> {
-                report(ItemAsk(ask.number, ask.item, ItemOutcome.INTERRUPTED))
+                report(ItemAsk(ask.number, ask.item, ItemOutcome.INTERRUPTED, output?.toPartial()))
             }
         }
     }
@@ -151,12 +161,13 @@
                 is Outcome.Failed -> return ItemEnd.Interrupted("job_unavailable")
             }
         val output = outputs.getOrPut(ask.item) { Output() }
+        ask.partial?.let { output.catchUp(it) }
         val call = toCall(item, host, ask.workspace)
         val spec = BackendProtocol.request(call, server.id, server.address, RUN_LIMIT, output.lastEvent)
         val result = withTimeoutOrNull(SILENCE_LIMIT) { client.exchange(spec) }
         return when (result) {
             null -> ItemEnd.Interrupted("silent", RunOutcome.LOST)
-            is ExchangeResult.NotSent -> ItemEnd.Interrupted(result.reason, RunOutcome.LOST)
+            is ExchangeResult.NotSent -> ItemEnd.Interrupted(result.reason, RunOutcome.UNREACHABLE)
             is ExchangeResult.Lost -> ItemEnd.Interrupted(result.reason, RunOutcome.LOST)
             is ExchangeResult.Answered -> readAnswer(result.answer, output, onFirst)
         }
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -46,7 +46,7 @@
     private val network = KtorPeerNetwork(self, secret, metrics.registry)
     private val client = HttpClient(loops, CONNECT_TIMEOUT)
     private val store =
-        PlatformStore(client, config.storeAddress, STORE_TIMEOUT, ::onStoreCall)
+        PlatformStore(client, config.storeAddress, STORE_READ_TIMEOUT, STORE_WRITE_TIMEOUT, ::onStoreCall)
     private val view: PlatformView = PlatformView(store, ::onView)
     private val relay =
         StoreRelay(store, network, { view.hasStore(MonotonicTime.now()) }, { coordinators.storeHelpers() })
@@ -93,7 +93,8 @@
             val startedAt = MonotonicTime.now()
             leavingSince = startedAt
             EventLog.info("leaving", "vm" to self, "calls" to calls)
-            coordinators.leave()
+            servers.forEach { it.announceClose() }
+            scope.launch { coordinators.leave() }
             val grace = config.shutdownGraceSeconds.seconds
             while (MonotonicTime.now() - startedAt < grace - EXIT_MARGIN) {
                 val isOver = MonotonicTime.now() - startedAt >= refuseAfter() && calls == 0
@@ -304,6 +305,7 @@
                 onDecision = placer::onDecision,
                 unlist = coordinators::unlist,
                 listedVms = { coordinators.listed },
+                isLeaving = { leavingSince != null },
             )
         role = next
         next.start(MonotonicTime.now())
@@ -336,18 +338,21 @@
         const val JSON = "application/json"
         const val TEXT = "text/plain"
 
-        // A new connection takes two hops of some milliseconds; a server that is cut off never answers.
-        val CONNECT_TIMEOUT = 500.milliseconds
+        // Half of the latency target of 300 ms; a new connection takes two hops of some milliseconds.
+        val CONNECT_TIMEOUT = 150.milliseconds
 
-        // An object write takes 25 ms; a store that is slow takes up to a hundred times as long.
-        val STORE_TIMEOUT = 4.seconds
+        // A read takes 4 ms, and up to a hundred times as long while the store is slow.
+        val STORE_READ_TIMEOUT = 800.milliseconds
+
+        // An object's write takes 25 ms, and up to a hundred times as long.
+        val STORE_WRITE_TIMEOUT = 3.seconds
         val ITEM_REPORT_TIMEOUT = 500.milliseconds
         val ENTRY_TTL = 2.seconds
 
         // The platform's page: some callers keep an answer three times as long.
         const val ENTRY_LIFETIMES = 3
         const val TAKING_SHARE = 0.8
-        val EXIT_MARGIN = 400.milliseconds
+        val EXIT_MARGIN = 1.seconds
         val STOP_POLL = 20.milliseconds
 
         // Callers reuse connections that were idle for up to four fifths of the manifest's limit of 15 s.
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -143,7 +143,7 @@
             onFirst: () -> Unit,
         ): Attempt =
             when (val result = client.exchange(spec)) {
-                is ExchangeResult.NotSent -> Attempt.NotRun(result.reason, RunOutcome.LOST)
+                is ExchangeResult.NotSent -> Attempt.NotRun(result.reason, RunOutcome.UNREACHABLE)
                 is ExchangeResult.Lost -> Attempt.Lost(result.reason)
                 is ExchangeResult.Answered -> readAnswer(result.answer, onFirst)
             }
