Run an item once at a time after a change of coordinator

Two runs added to one output, so both broke off as out of order, 193 times, which made sound servers distrusted; a distrusted server then waited until it was empty. Ruled out: too few servers (104 slots for some 65 runs) and the engines. Change: reports mark an item as running whenever its job is read; a VM ends an earlier run of the same item first; a distrusted server gets one run at a time beside those that go on. Both tests failed before.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -396,10 +396,13 @@
         now: MonotonicTime,
     ) {
         val call = CallId(vm, running.number)
-        if (call in calls || call in released) return
-        val load = loads[running.server] ?: return
-        hold(call, load, running.item != null, now)
-        running.item?.let { jobs.onStarted(it, call, now) }
+        if (call in released) return
+        if (call !in calls) {
+            val load = loads[running.server] ?: return
+            hold(call, load, running.item != null, now)
+        }
+        // The job may have been read after the run was first reported.
+        running.item?.let { jobs.onReported(it, call, now) }
     }
 
     private fun stop(
--- a/core/src/main/kotlin/org/agatestream/core/JobBook.kt
+++ b/core/src/main/kotlin/org/agatestream/core/JobBook.kt
@@ -150,6 +150,15 @@
         calls[call] = ref
     }
 
+    /** Applies a VM's report that it runs an item. */
+    fun onReported(
+        ref: ItemRef,
+        call: CallId,
+        now: MonotonicTime,
+    ) {
+        if (item(ref)?.progress is Progress.Waiting) onStarted(ref, call, now)
+    }
+
     /** Applies the end of an item's run; returns the number of its failed attempts. */
     fun onOutcome(
         ref: ItemRef,
--- a/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
@@ -17,6 +17,7 @@
     private var pausedUntil = MonotonicTime.ZERO
     private var failures = 0
     private var onTrial = false
+    private var trial: CallId? = null
 
     /** The smoothed time from the start of a run to its first event, in milliseconds; 0 if not known. */
     var firstEventMillis: Double = 0.0
@@ -35,6 +36,7 @@
 
     fun remove(call: CallId): Boolean {
         stopping -= call
+        if (trial == call) trial = null
         return online.remove(call) or items.remove(call)
     }
 
@@ -44,7 +46,7 @@
         now: MonotonicTime,
     ): Boolean {
         if (free <= 0 || now < pausedUntil) return false
-        if (onTrial && running > 0) return false
+        if (onTrial && trial != null) return false
         if (coldRate <= 0.0 || !server.isCold(now)) return true
         while (coldStarts.isNotEmpty() && now - coldStarts.first() >= COLD_WINDOW) coldStarts.removeFirst()
         return coldStarts.size < coldRate.toInt().coerceAtLeast(1)
@@ -57,6 +59,7 @@
     ) {
         if (isItem) items += call else online += call
         if (server.isCold(now)) coldStarts += now
+        if (onTrial) trial = call
     }
 
     fun record(
--- a/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
@@ -165,6 +165,29 @@
             dispatcher.place(requestOf(1), START).shouldBeEmpty()
         }
 
+        test("a new coordinator does not start an item that a VM reported before its job was read") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
+            val job = jobOf("j", 1)
+            val running = listOf(RunningCall(7, BackendServerId("s1"), ItemRef(job.id, job.items.single().id)))
+            dispatcher.onReport(VM_A, running, emptyList(), START)
+            dispatcher.pauseItems()
+            dispatcher.onJob(job, emptySet(), START)
+            dispatcher.onReport(VM_A, running, emptyList(), START + 250.milliseconds)
+            dispatcher.allowItems(START)
+            dispatcher.tick(START + 1.seconds).started().shouldBeEmpty()
+        }
+
+        test("a server that lost two runs gets one at a time until one succeeds, whatever else runs there") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 8))
+            for (number in 1L..4L) dispatcher.place(requestOf(number), START)
+            for (number in 1L..2L) dispatcher.release(CallId(VM_A, number), RunOutcome.LOST, null, START)
+            val later = START + 2.seconds
+            dispatcher.place(requestOf(5, later), later).placed() shouldContainExactly listOf(5L)
+            dispatcher.place(requestOf(6, later), later).shouldBeEmpty()
+            val released = dispatcher.release(CallId(VM_A, 5), RunOutcome.ANSWERED, null, later)
+            released.placed() shouldContainExactly listOf(6L)
+        }
+
         test("a release that overtakes its request cancels it") {
             val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 1))
             dispatcher.release(CallId(VM_A, 1), RunOutcome.STOPPED, null, START)
--- a/server/src/main/kotlin/org/agatestream/server/ItemRuns.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemRuns.kt
@@ -1,8 +1,10 @@
 package org.agatestream.server
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
@@ -52,7 +54,12 @@
         }
     }
 
-    private val running = HashMap<Long, Job>()
+    private class ActiveRun(
+        val item: ItemRef,
+        val job: Job,
+    )
+
+    private val running = HashMap<Long, ActiveRun>()
     private val outputs = HashMap<ItemRef, Output>()
     private val listing = LinkedHashSet<ItemRef>()
 
@@ -62,14 +69,17 @@
     /** Starts the run that [ask] names. */
     fun start(ask: RunItemAsk) {
         placer.onItemStarted(RunningCall(ask.number, ask.server, ask.item))
-        val job = scope.launch { run(ask) }
-        running[ask.number] = job
+        // Two runs of an item would both add to its output; the one that the coordinator knows goes on.
+        val earlier = running.values.filter { it.item == ask.item }
+        // Undispatched, so that a run that is stopped at once still frees its slot.
+        val job = scope.launch(start = CoroutineStart.UNDISPATCHED) { run(ask, earlier) }
+        running[ask.number] = ActiveRun(ask.item, job)
         job.invokeOnCompletion { running -= ask.number }
     }
 
     /** Ends a run; what it brought is kept for the next one. */
     fun stop(ask: StopItemAsk) {
-        running[ask.number]?.cancel()
+        running[ask.number]?.job?.cancel()
     }
 
     /** Lists an item that is given up. */
@@ -81,11 +91,15 @@
         scope.launch { list(0, ref, workspace, null) }
     }
 
-    private suspend fun run(ask: RunItemAsk) {
+    private suspend fun run(
+        ask: RunItemAsk,
+        earlier: List<ActiveRun>,
+    ) {
         var outcome = RunOutcome.STOPPED
         var firstEvent: Duration? = null
         var end: ItemEnd = ItemEnd.Interrupted("stopped")
         try {
+            earlier.forEach { it.job.cancelAndJoin() }
             val startedAt = MonotonicTime.now()
             end = exchange(ask) { firstEvent = MonotonicTime.now() - startedAt }
             outcome = end.outcome
