Send the list of live VMs only when it changed; keep small VMs from coordinating

Cause: with 88 VMs each report was answered with some 9 kB, 14 Mbit/s in all, and any VM could become coordinator, also one with a third of a core. Change: the list has a version; a VM with less than half a core lets others claim first. Items are not sorted while requests wait for the same service.

--- a/core/src/main/kotlin/org/agatestream/core/CoordinatorDoubt.kt
+++ b/core/src/main/kotlin/org/agatestream/core/CoordinatorDoubt.kt
@@ -20,8 +20,10 @@
     val peersHearing: Int,
     /** The number of other VMs that are known. */
     val peersKnown: Int,
-    /** When the store last named another VM. */
+    /** When the store last named another VM, or when this one began to look. */
     val namedAt: MonotonicTime,
+    /** True if this VM has less of a processor than a coordinator should have. */
+    val isSmall: Boolean,
 )
 
 /**
@@ -31,10 +33,11 @@
  * the only one left, so it goes ahead after a longer silence, but not again and again.
  */
 public fun CoordinatorDoubt.shouldClaim(now: MonotonicTime): Boolean {
-    if (named == null) return true
-    if (isResigning || isReplaced) return true
+    val delay = if (isSmall) SMALL_DELAY else Duration.ZERO
+    if (named == null) return now - namedAt >= delay
+    if (isResigning || isReplaced) return now - (silentSince ?: namedAt) >= delay
     val since = silentSince ?: return false
-    val silence = now - since
+    val silence = now - since - delay
     return when {
         peersHearing > 0 -> false
         peersReached > 0 || peersKnown == 0 -> silence >= CLAIM_SILENCE
@@ -45,6 +48,9 @@
 // A report that was not answered in 200 ms, and the next one.
 private val CLAIM_SILENCE: Duration = 300.milliseconds
 
+// Long enough for the claims of larger VMs, which look again after 100 to 450 ms.
+private val SMALL_DELAY: Duration = 500.milliseconds
+
 // Longer than a restart of all VMs at once takes until the first of them answers.
 private val LONE_CLAIM_SILENCE: Duration = 1500.milliseconds
 
--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -318,6 +318,7 @@
         val spare = HashMap<ServiceId, Int>()
         for (load in loads.values) spare.merge(load.server.entry.service, maxOf(0, load.free), Int::plus)
         for (service in spare.keys.toList()) spare.computeIfPresent(service) { _, n -> n - headroom(service) }
+        online.forEach { spare[it.service] = 0 }
         if (spare.values.all { it <= 0 }) return
         for ((ref, plan) in jobs.waiting(now).take(MAX_ITEMS_LOOKED_AT)) {
             val service = serviceOf(ref, plan)
@@ -325,7 +326,7 @@
                 if (manifest != null) actions += DispatchAction.GiveUpItem(ref, "route_dropped")
                 continue
             }
-            if ((spare[service] ?: 0) <= 0 || online.any { it.service == service }) continue
+            if ((spare[service] ?: 0) <= 0) continue
             val load = choose(service, emptySet(), now) ?: continue
             val call = CallId(homeOf(ref), nextNumber++)
             spare.merge(service, -1, Int::plus)
--- a/core/src/test/kotlin/org/agatestream/core/CoordinatorDoubtTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/CoordinatorDoubtTest.kt
@@ -17,6 +17,7 @@
                 peersHearing = 0,
                 peersKnown = 5,
                 namedAt = START - 60.seconds,
+                isSmall = false,
             )
 
         test("a fleet without a coordinator gets one at once") {
@@ -47,6 +48,15 @@
             silent.copy(isReplaced = true, peersReached = 0).shouldClaim(START) shouldBe true
         }
 
+        test("a small VM leaves the place to larger ones for a moment") {
+            val small = silent.copy(isSmall = true)
+            small.shouldClaim(START + 500.milliseconds) shouldBe false
+            small.shouldClaim(START + 1.seconds) shouldBe true
+            val fresh = small.copy(named = null, silentSince = null, namedAt = START)
+            fresh.shouldClaim(START + 300.milliseconds) shouldBe false
+            fresh.shouldClaim(START + 1.seconds) shouldBe true
+        }
+
         test("a coordinator that is heard stays") {
             silent.copy(silentSince = null).shouldClaim(START + 60.seconds) shouldBe false
         }
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -57,7 +57,8 @@
     var isResigning = false
         private set
 
-    val live: List<LiveVm> get() = followers.values.filter { !it.isLeaving }.map { it.vm }
+    private var live: List<LiveVm> = emptyList()
+    private var liveVersion = 0L
 
     fun start(now: MonotonicTime) {
         view.manifest?.let { dispatcher.onManifest(it) }
@@ -168,7 +169,8 @@
         updateFollowers()
         execute(dispatcher.onReport(from, ask.running, ask.unlisted, now))
         val news = if (ask.hasStore) null else view.newsSince(ask.operatorVersion, ask.serverVersion)
-        return StatusAnswer(live, isResigning, news)
+        val list = live.takeIf { ask.liveVersion != liveVersion }
+        return StatusAnswer(list, liveVersion, isResigning, news)
     }
 
     private fun tick(now: MonotonicTime) {
@@ -209,7 +211,12 @@
     }
 
     private fun updateFollowers() {
-        val serving = followers.values.filter { !it.isLeaving }.map { it.vm.id }
+        val taking = followers.values.filter { !it.isLeaving }.map { it.vm }
+        if (taking != live) {
+            live = taking
+            liveVersion++
+        }
+        val serving = live.map { it.id }
         dispatcher.onFollowers(serving, maxOf(listedVms(), serving.size))
     }
 
--- a/server/src/main/kotlin/org/agatestream/server/Coordinators.kt
+++ b/server/src/main/kotlin/org/agatestream/server/Coordinators.kt
@@ -45,6 +45,10 @@
     private var isResigning = false
     private var isListed = false
     private var live: List<LiveVm> = emptyList()
+
+    /** The coordinator's version of the list of live VMs; 0 if none of its lists is known. */
+    var liveVersion = 0L
+        private set
     private var announcedLeaving = false
     private val reportSoon = Channel<Unit>(Channel.CONFLATED)
 
@@ -129,7 +133,7 @@
             null -> {}
 
             self -> {
-                onOwnReport(status())?.let { live = it.live }
+                onOwnReport(status())?.let { answer -> answer.live?.let { takeLive(it, answer.liveVersion) } }
             }
 
             else -> {
@@ -157,8 +161,7 @@
             silentSince = null
             heardAt = MonotonicTime.now()
             isResigning = answer.isResigning
-            live = answer.live
-            updateAddresses()
+            answer.live?.let { takeLive(it, answer.liveVersion) }
             answer.news?.let { view.onNews(it, MonotonicTime.now()) }
         } else if (silentSince == null) {
             silentSince = now
@@ -166,6 +169,15 @@
         }
     }
 
+    private fun takeLive(
+        vms: List<LiveVm>,
+        version: Long,
+    ) {
+        live = vms
+        liveVersion = version
+        updateAddresses()
+    }
+
     private suspend fun considerClaim(now: MonotonicTime) {
         if (named == self || !view.hasStore(now)) return
         if (named != null && silentSince == null && !isResigning && !isReplaced()) return
@@ -180,6 +192,7 @@
                 peersHearing = hearing,
                 peersKnown = vms.values.count { it.id != self && it.id != named },
                 namedAt = recordAt,
+                isSmall = config.cores < COORDINATOR_CORES,
             )
         if (doubt.shouldClaim(MonotonicTime.now())) claim(doubt)
     }
@@ -286,6 +299,7 @@
         silentSince = null
         heardAt = null
         isResigning = false
+        liveVersion = 0
         EventLog.info("coordinator_named", "coordinator" to next?.vm, "version" to version)
         updateAddresses()
         onCoordinator(next?.vm)
@@ -318,6 +332,8 @@
     private fun VmRecord.toLive(name: String): LiveVm = LiveVm(id, name, caller, peer, domain)
 
     private companion object {
+        // A coordinator of 90 VMs handles some thousand messages a second.
+        const val COORDINATOR_CORES = 0.5
         val SILENT_REPORT_INTERVAL = 100.milliseconds
         val MIN_REPORT_INTERVAL = 250.milliseconds
 
--- a/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
@@ -136,13 +136,17 @@
     /** The versions of the operators' and the servers' rows that this VM knows. */
     val operatorVersion: Long,
     val serverVersion: Long,
+    /** The version of the list of live VMs that it has from this coordinator. */
+    val liveVersion: Long,
 ) : PeerAsk
 
 /** The coordinator's answer to a [StatusAsk]. */
 @Serializable
 @SerialName("status-answer")
 internal class StatusAnswer(
-    val live: List<LiveVm>,
+    /** The VMs that take callers; null if the asking VM has this version. */
+    val live: List<LiveVm>?,
+    val liveVersion: Long,
     /** True if another VM should take the coordinator's place. */
     val isResigning: Boolean,
     /** What the asking VM lacks, if it does not reach the store itself. */
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -257,6 +257,7 @@
             unlisted = items.unlisted,
             operatorVersion = view.operatorVersion,
             serverVersion = view.serverVersion,
+            liveVersion = coordinators.liveVersion,
         )
 
     private fun reportItem(ask: ItemAsk) {
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVmConfig.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVmConfig.kt
@@ -23,6 +23,9 @@
     val seedPeers: List<String> = emptyList(),
     /** Host and port of the platform's store. */
     val storeAddress: String,
+    /** The part of a core that this VM has, and how many times as fast as a usual one the core is. */
+    val coreShare: Double = 1.0,
+    val coreSpeed: Double = 1.0,
     /** The largest value of a row, as base64, in bytes. */
     val rowBytes: Int,
     /** How long a process may take to end after SIGTERM, in seconds. */
@@ -33,4 +36,7 @@
     val resultsKeptSeconds: Double,
     /** The environment variable that holds the secret which VMs share. */
     val fleetSecretVariable: String = "AGATESTREAM_FLEET_SECRET",
-)
+) {
+    /** The processor time that this VM has in a second, in seconds of one usual core. */
+    val cores: Double get() = coreShare * coreSpeed
+}
