--- a/http/src/test/kotlin/org/agatestream/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/org/agatestream/http/HttpClientTest.kt
@@ -6,6 +6,7 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldStartWith
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.withTimeoutOrNull
 import java.net.ServerSocket
@@ -179,6 +180,48 @@
             }
         }
 
+        test("a late answer to an earlier request on the same connection is skipped") {
+            val server =
+                RawServer { socket ->
+                    while (socket.readMessage().isNotEmpty()) {
+                        socket.send("HTTP/1.1 200 OK\r\nx-id: other\r\ncontent-length: 4\r\n\r\nlate")
+                        socket.send("HTTP/1.1 200 OK\r\nx-id: own\r\ncontent-length: 3\r\n\r\nown")
+                    }
+                }
+            server.use {
+                val spec = HttpRequestSpec(server.address, "GET", "/", echo = "x-id" to "own")
+                val result = withTimeout(3.seconds) { HttpClient(loops).exchange(spec) }
+                result.shouldBeInstanceOf<ExchangeResult.Answered>().answer.readText() shouldBe "own"
+            }
+        }
+
+        test("a body that ends with its connection is whole after a close and broken after a reset") {
+            val resets = AtomicInteger()
+            val server =
+                RawServer { socket ->
+                    socket.readMessage()
+                    socket.send("HTTP/1.1 200 OK\r\n\r\nbody")
+                    if (resets.getAndIncrement() > 0) socket.reset()
+                }
+            server.use {
+                HttpClient(loops).get(server).readText() shouldBe "body"
+                HttpClient(loops).get(server).readText() shouldBe null
+            }
+        }
+
+        test("a connection is not used again when its server may be closing it as idle") {
+            val head = "HTTP/1.1 200 OK\r\nkeep-alive: timeout=1\r\ncontent-length: 2\r\n\r\nok"
+            RawServer { socket -> while (socket.readMessage().isNotEmpty()) socket.send(head) }.use { server ->
+                val client = HttpClient(loops)
+                client.get(server).readText() shouldBe "ok"
+                client.get(server).readText() shouldBe "ok"
+                server.accepted.get() shouldBe 1
+                delay(700.milliseconds)
+                client.get(server).readText() shouldBe "ok"
+                server.accepted.get() shouldBe 2
+            }
+        }
+
         test("the request carries method, headers and body") {
             val seen = CopyOnWriteArrayList<String>()
             RawServer { socket ->
--- a/http/src/test/kotlin/org/agatestream/http/RawSocket.kt
+++ b/http/src/test/kotlin/org/agatestream/http/RawSocket.kt
@@ -18,6 +18,12 @@
         socket.getOutputStream().flush()
     }
 
+    /** Closes the connection by a reset. */
+    fun reset() {
+        socket.setSoLinger(true, 0)
+        socket.close()
+    }
+
     /** Reads a head up to its blank line; empty if the peer closed. */
     fun readHead(): String {
         val out = ByteArrayOutputStream()
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -10,8 +10,10 @@
 import org.agatestream.core.CallId
 import org.agatestream.core.DispatchAction
 import org.agatestream.core.Dispatcher
+import org.agatestream.core.ItemId
 import org.agatestream.core.ItemOutcome
 import org.agatestream.core.ItemRef
+import org.agatestream.core.JobId
 import org.agatestream.core.JobPlan
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.PlaceRequest
@@ -85,7 +87,7 @@
 
     fun onJob(
         plan: JobPlan,
-        done: Set<org.agatestream.core.ItemId>,
+        done: Set<ItemId>,
         now: MonotonicTime,
     ) {
         plan.items.forEach { workspaces[ItemRef(plan.id, it.id)] = plan.workspace }
@@ -93,7 +95,7 @@
     }
 
     fun onJobEnded(
-        job: org.agatestream.core.JobId,
+        job: JobId,
         now: MonotonicTime,
     ) {
         workspaces.keys.removeAll { it.job == job }
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -14,6 +14,7 @@
 import org.agatestream.core.Outcome
 import org.agatestream.core.RouteKind
 import org.agatestream.core.VmId
+import org.agatestream.core.WorkspaceId
 import org.agatestream.core.admit
 import org.agatestream.core.getOrElse
 import org.agatestream.http.EventLoops
@@ -176,7 +177,7 @@
 
     private suspend fun serveJob(
         call: HttpCall,
-        block: suspend (org.agatestream.core.WorkspaceId?) -> Unit,
+        block: suspend (WorkspaceId?) -> Unit,
     ) {
         val manifest = view.manifest ?: return respondFailure(call, NOT_READY)
         val workspace = CallerProtocol.key(call)?.let { manifest.workspaceOfKey(it) }
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -16,6 +16,7 @@
 import org.agatestream.http.HttpAnswer
 import org.agatestream.http.HttpCall
 import org.agatestream.http.HttpClient
+import org.agatestream.http.HttpRequestSpec
 import org.agatestream.http.readBody
 import org.agatestream.platform.BackendCall
 import org.agatestream.platform.BackendProtocol
@@ -139,7 +140,7 @@
         }
 
         private suspend fun exchange(
-            spec: org.agatestream.http.HttpRequestSpec,
+            spec: HttpRequestSpec,
             onFirst: () -> Unit,
         ): Attempt =
             when (val result = client.exchange(spec)) {
