Remove old jobs from the store, and trust no unsigned promise of a server

Cause: nothing removed jobs, and the store holds 400 MB; an answer such as 503 without signature and without the not-run mark was passed on, although it says that the request did not run. Change: the coordinator removes jobs past the time that results are kept; such answers count as lost. JobStoreTest covers the removal.

--- a/server/src/main/kotlin/org/agatestream/server/JobStore.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobStore.kt
@@ -151,8 +151,11 @@
         return results.toOk()
     }
 
+    private fun parseResult(row: StoredRow): ResultRow? =
+        row.value?.let { FleetTables.json.decodeFromString(ResultRow.serializer(), it.decodeToString()) }
+
     private suspend fun readResult(row: StoredRow): ListedResult? {
-        val stored = FleetTables.json.decodeFromString(ResultRow.serializer(), row.value!!.decodeToString())
+        val stored = parseResult(row) ?: return null
         val name = stored.outputObject ?: return ListedResult(stored.item, stored.output)
         val output = (store.getObject(name) as? StoreRead.Found)?.value ?: return null
         return ListedResult(stored.item, output.decodeToString())
@@ -222,6 +225,25 @@
         }
     }
 
+    /** Removes all that the store keeps of a job; returns false if it must be tried again. */
+    suspend fun drop(row: JobRow): Boolean {
+        val part = FleetTables.part(row.workspace)
+        val from = "${row.id}/"
+        val to = FleetTables.keyAfter(row.id)
+        val results = store.readAll(FleetTables.RESULTS, part, from, to) ?: return false
+        val done = store.readAll(FleetTables.DONE, part, from, to) ?: return false
+        // The job's own row goes last, so that a job that is half removed is found again.
+        val names =
+            (results.first + done.first).map { it.name } + FleetTables.end(part, row.id) + FleetTables.job(part, row.id)
+        for (some in names.chunked(MAX_CHANGES)) {
+            if (store.write(emptyMap(), some.map { RowChange(it, null) }) !is WriteResult.Written) return false
+        }
+        val outputs = results.first.mapNotNull { parseResult(it)?.outputObject }
+        outputs.forEach { store.dropObject(it) }
+        store.dropObject(FleetTables.bodies(part, row.id))
+        return true
+    }
+
     private suspend fun nextPosition(
         part: String,
         job: JobId,
@@ -265,6 +287,9 @@
         // Some 200 kB each.
         const val CACHED_BODIES = 40
         const val MAX_RESULTS_READ = 40
+
+        // What one transaction of the store may hold.
+        const val MAX_CHANGES = 100
         const val MAX_ANSWER_BYTES = 700_000
         val ENDED = "{}".encodeToByteArray()
         val FULL_RETRY = 1.seconds
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -63,6 +63,7 @@
     private val jobs = JobCalls(self, jobStore, ::respondFailure)
     private var role: CoordinatorRole? = null
     private var watch: Job? = null
+    private var cleaner: Job? = null
     private var leavingSince: MonotonicTime? = null
     private var calls = 0
     private val servers = ArrayList<HttpServer>()
@@ -324,6 +325,7 @@
                 onJob = next::onJob,
                 onEnded = next::onJobEnded,
             ).start(scope)
+        cleaner = JobCleaner(store, jobStore, config.resultsKeptSeconds.seconds).start(scope)
     }
 
     private fun endRole() {
@@ -331,6 +333,7 @@
         val last = role
         role = null
         watch?.cancel()
+        cleaner?.cancel()
         scope.launch { last?.stop() }
     }
 
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -182,7 +182,7 @@
                     is Outcome.Ok -> read.value
                     is Outcome.Failed -> return Attempt.Lost(read.failure.message)
                 }
-            if (reply.status in SUCCESSES && !reply.isSigned) return Attempt.Lost("unsigned success")
+            if (!reply.isSigned && reply.status in SIGNED_ONLY) return Attempt.Lost("unsigned status ${reply.status}")
             if (writer != null) return Attempt.Lost("status ${reply.status} for a resumed stream")
             call.respond(reply.status, answer.header("content-type") ?: DEFAULT_TYPE, body, headers(answer))
             return Attempt.Answered(reply.status)
@@ -320,7 +320,9 @@
     private companion object {
         const val STATUS_OK = 200
         val FINAL_OUTCOMES = setOf("answered", "refused", "failed")
-        val SUCCESSES = 200..299
+
+        // A success must be the server's own, and these promise that the request did not run.
+        val SIGNED_ONLY = (200..299).toSet() + setOf(408, 421, 429, 503)
         const val MAX_REFUSALS = 3
         const val MAX_ERROR_BYTES = 64 * 1024
         const val MAX_ANSWER_BYTES = 16 * 1024 * 1024
--- a/server/src/test/kotlin/org/agatestream/server/JobStoreTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/JobStoreTest.kt
@@ -18,6 +18,7 @@
 import org.agatestream.core.WorkspaceId
 import org.agatestream.platform.ListedResult
 import org.agatestream.platform.parseJob
+import kotlin.time.Duration.Companion.seconds
 
 private val TEAM = WorkspaceId("team")
 private val JOB = JobId("job")
@@ -124,6 +125,22 @@
             jobs.find(TEAM, JOB).kind() shouldBe ErrorKind.PLATFORM_UNAVAILABLE
         }
 
+        test("an old job is removed once it is done or ended, with all that belongs to it") {
+            val store = FakeRowStore()
+            val jobs = JobStore(store, 1_000)
+            val cleaner = JobCleaner(store, jobs, 120.seconds)
+            jobs.submit()
+            jobs.list(TEAM, ItemRef(JOB, ItemId("i1")), "x".repeat(5_000))
+            cleaner.clean(nowMillis = 200_000)
+            store.rows.keys.filter { it.table == FleetTables.JOBS } shouldHaveSize 1
+            jobs.list(TEAM, ItemRef(JOB, ItemId("i2")), null)
+            cleaner.clean(nowMillis = 130_000)
+            store.rows.keys.filter { it.table == FleetTables.JOBS } shouldHaveSize 1
+            cleaner.clean(nowMillis = 200_000)
+            store.rows.size shouldBe 0
+            store.objects.size shouldBe 0
+        }
+
         test("a job of another workspace is unknown") {
             val store = FakeRowStore()
             JobStore(store, 65_536).submit()
