--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -33,6 +33,7 @@
     private val stopItem: (StopItemAsk) -> Unit,
     private val giveUpItem: (ItemRef, WorkspaceId?) -> Unit,
     private val onDecision: (DecisionAsk) -> Unit,
+    private val markSilent: suspend (String) -> Unit,
     private val unlist: suspend (String) -> Unit,
     private val listedVms: () -> Int,
     private val isLeaving: () -> Boolean,
@@ -48,6 +49,7 @@
         Dispatcher(nextNumber = System.currentTimeMillis() shl ITEM_NUMBER_BITS, random = kotlin.random.Random.Default)
     private val followers = LinkedHashMap<VmId, Follower>()
     private val silent = HashMap<String, MonotonicTime>()
+    private val marked = HashSet<String>()
     private val inline = HashMap<CallId, CompletableDeferred<PlaceDecision>>()
     private val workspaces = HashMap<ItemRef, WorkspaceId?>()
 
@@ -182,6 +184,10 @@
             silent[follower.vm.name] = now
         }
         val gone = silent.filterValues { now - it > UNLIST_SILENCE }.keys.toList()
+        val quiet = silent.filterValues { now - it > MARK_SILENCE }.keys - marked
+        marked += quiet
+        marked.retainAll(silent.keys)
+        quiet.forEach { name -> scope.launch { markSilent(name) } }
         for (name in gone) {
             silent -= name
             scope.launch { unlist(name) }
@@ -285,6 +291,9 @@
         val TAKEOVER_WAIT = 800.milliseconds
         val FOLLOWER_SILENCE = 1.seconds
 
+        // With the silence before it, half of the 6 s for which a dead VM may be named to callers.
+        val MARK_SILENCE = 2.seconds
+
         // Longer than the cuts of single VMs that the users play, so that a VM that is cut off keeps its share.
         val UNLIST_SILENCE = 15.seconds
         val PUSH_TIMEOUT = 300.milliseconds
--- a/server/src/main/kotlin/org/agatestream/server/Coordinators.kt
+++ b/server/src/main/kotlin/org/agatestream/server/Coordinators.kt
@@ -37,6 +37,7 @@
     private val onOwnReport: (StatusAsk) -> StatusAnswer?,
 ) {
     private val vms = HashMap<String, VmRecord>()
+    private val vmVersions = HashMap<String, Long>()
     private var record: CoordinatorRecord? = null
     private var recordVersion = 0L
     private var recordAt = MonotonicTime.now()
@@ -63,8 +64,13 @@
     /** Returns the coordinator if it may be asked now; null while it is not heard. */
     fun reachable(): VmId? = record?.vm?.takeIf { it == self || (heardAt != null && silentSince == null) }
 
-    /** The VMs that take callers, as far as this one knows. */
-    val callers: List<LiveVm> get() = live.ifEmpty { vms.map { (name, vm) -> vm.toLive(name) } }
+    /** The VMs that take callers: as the coordinator hears them, or as the store lists them while it is not heard. */
+    val callers: List<LiveVm>
+        get() {
+            val listed = vms.filterValues { !it.isSilent }.map { (name, vm) -> vm.toLive(name) }
+            val isHeard = reachable() != null && live.isNotEmpty()
+            return if (isHeard || listed.isEmpty()) live else listed
+        }
 
     /** Other VMs that may reach the store in place of this one, the coordinator first. */
     fun storeHelpers(): List<VmId> {
@@ -101,6 +107,15 @@
         store.write(emptyMap(), listOf(RowChange(FleetTables.vm(config.name), null)))
     }
 
+    /** Marks the record of a VM that is not heard, so that VMs which do not hear the coordinator know of it too. */
+    suspend fun markSilent(name: String) {
+        val vm = vms[name] ?: return
+        EventLog.info("vm_marked_silent", "vm" to vm.id)
+        val value = FleetTables.json.encodeToString(VmRecord.serializer(), vm.copy(isSilent = true)).encodeToByteArray()
+        val row = FleetTables.vm(name)
+        store.write(mapOf(row to (vmVersions[name] ?: 0L)), listOf(RowChange(row, value)))
+    }
+
     /** Drops the record of a VM that has been silent for long. */
     suspend fun unlist(name: String) {
         vms[name] ?: return
@@ -268,7 +283,7 @@
             val key = row.name.key
             when {
                 row.name == FleetTables.coordinator -> readCoordinator(row)
-                key.startsWith(FleetTables.VM_PREFIX) -> readVm(key.removePrefix(FleetTables.VM_PREFIX), row.value)
+                key.startsWith(FleetTables.VM_PREFIX) -> readVm(key.removePrefix(FleetTables.VM_PREFIX), row)
             }
         }
         updateAddresses()
@@ -276,11 +291,12 @@
 
     private fun readVm(
         name: String,
-        value: ByteArray?,
+        row: StoredRow,
     ) {
-        val vm = value?.let { decode(VmRecord.serializer(), it) }
+        val vm = row.value?.let { decode(VmRecord.serializer(), it) }
         if (vm == null) vms -= name else vms[name] = vm
-        if (name == config.name) isListed = vm?.id == self
+        vmVersions[name] = row.version
+        if (name == config.name) isListed = vm?.id == self && !vm.isSilent
     }
 
     private fun readCoordinator(row: StoredRow) {
--- a/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
@@ -17,6 +17,8 @@
     val caller: String,
     val peer: String,
     val domain: FailureDomainId,
+    /** True if the coordinator has not heard it of late; the VM lists itself anew when it sees that. */
+    val isSilent: Boolean = false,
 )
 
 /** The VM that the store names as coordinator. */
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -306,6 +306,7 @@
                 stopItem = items::stop,
                 giveUpItem = items::giveUp,
                 onDecision = placer::onDecision,
+                markSilent = coordinators::markSilent,
                 unlist = coordinators::unlist,
                 listedVms = { coordinators.listed },
                 isLeaving = { leavingSince != null },
--- /dev/null
+++ b/standins/src/test/kotlin/org/agatestream/standin/PlatformVmTest.kt
@@ -0,0 +1,189 @@
+package org.agatestream.standin
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import kotlinx.coroutines.withTimeout
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import org.agatestream.core.FailureDomainId
+import org.agatestream.core.Outcome
+import org.agatestream.http.EventLoops
+import org.agatestream.http.ExchangeResult
+import org.agatestream.http.HttpClient
+import org.agatestream.http.HttpRequestSpec
+import org.agatestream.http.readBody
+import org.agatestream.server.PlatformVm
+import org.agatestream.server.PlatformVmConfig
+import kotlin.time.Duration.Companion.seconds
+
+private val PATIENCE = 10.seconds
+private const val MANIFEST =
+    """{"Version":1,"Routes":[
+    {"Name":"ask","Hostname":"h.example","Prefix":"/ask/","Type":"stream","Service":"s","SloMs":300,"TimeoutMs":5000},
+    {"Name":"lot","Hostname":"h.example","Prefix":"/lot/","Type":"batch","Service":"s","CompletionTargetMs":9000,
+     "KeepS":60,"MaxAttempts":3}],
+    "Services":[{"Name":"s"}],"Tenants":[{"Name":"team","ApiKeys":["secret-key"]}]}"""
+
+/** Two VMs, a store and a backend server on loopback. */
+private class PlatformFleet : AutoCloseable {
+    val store = RowStoreStandIn()
+    val server = PlatformServerStandIn("i-1")
+    private val loops = EventLoops(1)
+    private val client = HttpClient(loops)
+    private val storeAddress = "127.0.0.1:${store.listen(0)}"
+    private val configs = listOf("a", "b").map { configOf(it) }
+    val vms = configs.map { PlatformVm(it, "secret".encodeToByteArray()) }
+
+    suspend fun start() {
+        val port = server.listen(0)
+        store.put("op", "config", MANIFEST)
+        store.put(
+            "servers",
+            "i-1",
+            """{"Service":"s","Address":"127.0.0.1:$port","Zone":"d","Slots":4,"State":"ready"}""",
+        )
+        vms.forEach { it.start() }
+        for (vm in configs.indices) eventually(PATIENCE) { send(vm, "GET", "/ask/1").first shouldBe 200 }
+    }
+
+    /** Sends a request to the VM number [vm] and returns status and body; status 0 if there was no answer. */
+    suspend fun send(
+        vm: Int,
+        method: String,
+        target: String,
+        key: String? = "secret-key",
+        id: String = "r1",
+        body: String = "",
+    ): Pair<Int, String> =
+        withTimeout(PATIENCE) {
+            val headers = listOf("host" to "h.example", "x-agatestream-attempt-id" to id, "x-custom" to "kept")
+            val all = headers + listOfNotNull(key?.let { "api-key" to it })
+            val spec = HttpRequestSpec(configs[vm].callerAddress, method, target, all, body.encodeToByteArray())
+            when (val result = client.exchange(spec)) {
+                is ExchangeResult.Answered -> {
+                    val content = (result.answer.readBody(1_000_000) as? Outcome.Ok)?.value
+                    (if (content == null) 0 else result.answer.status) to content?.decodeToString().orEmpty()
+                }
+
+                is ExchangeResult.NotSent, is ExchangeResult.Lost -> {
+                    0 to ""
+                }
+            }
+        }
+
+    override fun close() {
+        store.close()
+        server.close()
+        loops.close()
+    }
+
+    private fun configOf(name: String): PlatformVmConfig =
+        PlatformVmConfig(
+            name = name,
+            failureDomain = FailureDomainId("d"),
+            callerAddress = FreePorts.nextAddress(),
+            entryAddress = FreePorts.nextAddress(),
+            readyAddress = FreePorts.nextAddress(),
+            peerAddress = FreePorts.nextAddress(),
+            storeAddress = storeAddress,
+            rowBytes = 65_536,
+            shutdownGraceSeconds = 3.0,
+            entryTtlMaxSeconds = 0.1,
+            resultsKeptSeconds = 120.0,
+        )
+}
+
+private suspend fun withFleet(block: suspend (PlatformFleet) -> Unit) {
+    PlatformFleet().use {
+        it.start()
+        block(it)
+        it.vms.forEach { vm -> vm.stop() }
+    }
+}
+
+class PlatformVmTest :
+    FunSpec({
+        timeout = 60_000
+
+        test("a streamed answer comes whole through each VM, and the server sees the workspace but no key") {
+            withFleet { fleet ->
+                for (vm in 0..1) {
+                    val (status, body) = fleet.send(vm, "POST", "/ask/1?q=2", id = "own$vm", body = "hello")
+                    status shouldBe 200
+                    body shouldBe (0 until 5).joinToString("") { "id: $it\ndata: own$vm-$it\n\n" }
+                }
+                val headers = fleet.server.requests.last()
+                headers.any { it.second == "secret-key" } shouldBe false
+                headers.single { it.first == "x-agatestream-tenant" }.second shouldBe "team"
+                headers.single { it.first == "x-custom" }.second shouldBe "kept"
+            }
+        }
+
+        test("what the manifest does not allow is refused") {
+            withFleet { fleet ->
+                fleet.send(0, "GET", "/ask/1", key = "other").first shouldBe 401
+                fleet.send(0, "GET", "/ask/1", key = null).first shouldBe 401
+                fleet.send(0, "GET", "/none/1").first shouldBe 404
+            }
+        }
+
+        test("a job that one VM accepted is read whole at another, each item once") {
+            withFleet { fleet ->
+                val items = (1..6).joinToString(",") { """{"Id":"i$it","Path":"/lot/$it","Body":"YQ==","Tokens":10}""" }
+                repeat(2) {
+                    fleet.send(it, "POST", "/lot/j", id = "job1", body = """{"Requests":[$items]}""").first shouldBe
+                        202
+                }
+                eventually(PATIENCE) {
+                    val (status, body) = fleet.send(1, "GET", "/-/lots/job1?After=0")
+                    status shouldBe 200
+                    val results =
+                        Json
+                            .parseToJsonElement(body)
+                            .jsonObject
+                            .getValue("Results")
+                            .jsonArray
+                    val ids =
+                        results.map {
+                            it.jsonObject
+                                .getValue("Id")
+                                .jsonPrimitive.content
+                        }
+                    ids shouldContainExactlyInAnyOrder (1..6).map { "i$it" }
+                    results.forEach {
+                        it.jsonObject
+                            .getValue("State")
+                            .jsonPrimitive.content shouldBe "completed"
+                    }
+                }
+                fleet.send(0, "GET", "/-/lots/unknown?After=0").first shouldBe 404
+                fleet.send(0, "GET", "/-/items/job1?Id=i2").second shouldBe "a"
+                fleet.send(0, "DELETE", "/-/lots/job1").first shouldBe 200
+            }
+        }
+
+        test("callers are served while the store is away, and jobs are refused as not run") {
+            withFleet { fleet ->
+                fleet.store.isDown = true
+                fleet.send(0, "GET", "/ask/1").first shouldBe 200
+                fleet.send(0, "POST", "/lot/j", id = "job2", body = """{"Requests":[]}""").first shouldBe 503
+                fleet.send(0, "GET", "/-/lots/job2?After=0").first shouldBe 503
+                fleet.store.isDown = false
+            }
+        }
+
+        test("callers are served by the VM that is left, whichever coordinated") {
+            PlatformFleet().use { fleet ->
+                fleet.start()
+                fleet.vms[0].stop()
+                repeat(20) { fleet.send(1, "GET", "/ask/1", id = "r$it").second shouldContain "r$it-4" }
+                eventually(PATIENCE) { fleet.send(1, "GET", "/ask/1").first shouldBe 200 }
+                fleet.vms[1].stop()
+            }
+        }
+    })
