--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -18,11 +18,11 @@
     /** The number of the first item that this coordinator starts; above those of earlier coordinators. */
     private var nextNumber: Long,
     /** Spreads requests over servers that are equally good, so that VMs that choose apart choose differently. */
-    private val random: Random = Random.Default,
+    random: Random = Random.Default,
 ) {
-    private val loads = LinkedHashMap<BackendServerId, ServerLoad>()
+    private val servers = ServerPool(random)
     private val online = ArrayList<PlaceRequest>()
-    private val buckets = HashMap<WorkspaceId, RateBucket>()
+    private val rates = WorkspaceRates()
     private val calls = HashMap<CallId, BackendServerId>()
     private val startedAt = HashMap<CallId, MonotonicTime>()
     private val released = LinkedHashMap<CallId, MonotonicTime>()
@@ -30,8 +30,6 @@
     private val runMillis = HashMap<ServiceId, Double>()
     private var manifest: Manifest? = null
     private var followers: List<VmId> = emptyList()
-    private var share = 1.0
-    private var spareBurst = 0.0
     private var itemsFrom: MonotonicTime? = null
 
     /** The number of requests that wait for a slot. */
@@ -46,7 +44,8 @@
     /** Applies a version of the manifest. */
     public fun onManifest(manifest: Manifest) {
         this.manifest = manifest
-        buckets.keys.removeAll { manifest.workspace(it) == null }
+        servers.onManifest(manifest)
+        rates.onManifest(manifest)
     }
 
     /** Applies the servers that may get work. */
@@ -54,13 +53,7 @@
         usable: Collection<UsableServer>,
         now: MonotonicTime,
     ): List<DispatchAction> {
-        val ids = usable.mapTo(HashSet()) { it.entry.id }
-        for (server in usable) {
-            val load = loads[server.entry.id]
-            if (load == null) loads[server.entry.id] = ServerLoad(server) else load.server = server
-        }
-        val gone = loads.keys.filter { it !in ids }
-        gone.forEach { loads -= it }
+        servers.onUsable(usable)
         return fill(now)
     }
 
@@ -75,9 +68,10 @@
         expected: Int,
         spareBurst: Double = 0.0,
     ) {
-        this.spareBurst = spareBurst
         this.followers = followers
-        share = if (expected <= 0) 1.0 else minOf(1.0, followers.size.toDouble() / expected)
+        val share = if (expected <= 0) 1.0 else minOf(1.0, followers.size.toDouble() / expected)
+        rates.onShare(share, spareBurst)
+        servers.onShare(share)
     }
 
     /** Allows items to start from [at] on; until then running ones may still be unknown. */
@@ -97,7 +91,7 @@
     ): List<DispatchAction> {
         if (released.remove(request.call) != null) return emptyList()
         refusal(request, now)?.let { return listOf(it) }
-        request.metered?.let { takeToken(it) }
+        request.metered?.let { rates.take(it) }
         online += request
         return fill(now)
     }
@@ -116,7 +110,7 @@
             return emptyList()
         }
         val started = startedAt.remove(call)
-        val load = loads[server] ?: return fill(now)
+        val load = servers.find(server) ?: return fill(now)
         load.remove(call)
         load.record(outcome, firstEvent, now)
         if (outcome == RunOutcome.ANSWERED && started != null && jobs.itemOf(call) == null) {
@@ -211,16 +205,10 @@
         request: PlaceRequest,
         now: MonotonicTime,
     ): DispatchAction? {
-        val spec = request.metered?.let { manifest?.workspace(it) }
-        if (spec != null && spec.ratePerSecond > 0.0) {
-            val bucket = filled(spec, now)
-            buckets[spec.id] = bucket
-            if (!bucket.hasToken) {
-                val wait = bucket.secondsToToken(spec.ratePerSecond * share).seconds
-                return DispatchAction.Refuse(request.call, ErrorKind.RATE_EXCEEDED, wait)
-            }
+        request.metered?.let { rates.waitForToken(it, now) }?.let { wait ->
+            return DispatchAction.Refuse(request.call, ErrorKind.RATE_EXCEEDED, wait)
         }
-        if (loads.values.none { it.server.entry.service == request.service }) {
+        if (servers.slots(request.service) == 0) {
             return DispatchAction.Refuse(request.call, ErrorKind.NO_CAPACITY, NO_SERVER_RETRY)
         }
         val wait = expectedWait(request.service)
@@ -228,32 +216,18 @@
         return null
     }
 
-    private fun filled(
-        spec: WorkspaceSpec,
-        now: MonotonicTime,
-    ): RateBucket {
-        val burst = spec.burst * share
-        val bucket = buckets[spec.id] ?: RateBucket.start(burst, spareBurst, now)
-        return bucket.fill(spec.ratePerSecond * share, burst + spareBurst, now)
-    }
-
-    private fun takeToken(id: WorkspaceId) {
-        buckets.computeIfPresent(id) { _, bucket -> bucket.take() }
-    }
-
     private fun refuse(
         request: PlaceRequest,
         kind: ErrorKind,
         retryAfter: Duration,
     ): DispatchAction {
-        request.metered?.let { id -> buckets.computeIfPresent(id) { _, bucket -> bucket.giveBack() } }
+        request.metered?.let { rates.giveBack(it) }
         return DispatchAction.Refuse(request.call, kind, retryAfter)
     }
 
     /** Estimates how long a request that comes now would wait for a slot. */
     private fun expectedWait(service: ServiceId): Duration {
-        val servers = loads.values.filter { it.server.entry.service == service }
-        val slots = servers.sumOf { it.server.entry.slots }
+        val slots = servers.slots(service)
         if (slots == 0) return NO_SERVER_RETRY
         val ahead = online.count { it.service == service }
         if (ahead == 0) return Duration.ZERO
@@ -280,7 +254,7 @@
                 .filter { it.service == service }
                 .sortedWith(compareBy({ now > it.onTimeBy }, { it.priority }))
         for (request in order) {
-            val load = choose(service, request.excluded, now) ?: makeRoom(request, now, actions) ?: continue
+            val load = servers.choose(service, request.excluded, now) ?: makeRoom(request, now, actions) ?: continue
             online.remove(request)
             hold(request.call, load, isItem = false, now)
             actions += DispatchAction.Place(request.call, load.id)
@@ -294,8 +268,9 @@
         actions: MutableList<DispatchAction>,
     ): ServerLoad? {
         val candidates =
-            loads.values
-                .filter { it.server.entry.service == request.service && it.id !in request.excluded }
+            servers
+                .of(request.service)
+                .filter { it.id !in request.excluded }
                 .flatMap { load -> load.stoppableItems().map { load to it } }
         val order =
             compareBy<Pair<ServerLoad, CallId>>({ (_, call) -> !jobs.canBeOnTime(call, now) }, { (_, call) ->
@@ -304,7 +279,7 @@
             })
         val (load, call) = candidates.maxWithOrNull(order) ?: return null
         load.stop(call)
-        if (!load.mayStart(coldRate(load), now)) return null
+        if (!servers.mayStart(load, now)) return null
         actions += stop(call, "online_request")
         return load
     }
@@ -316,7 +291,7 @@
         val from = itemsFrom ?: return
         if (now < from || followers.isEmpty()) return
         val spare = HashMap<ServiceId, Int>()
-        for (load in loads.values) spare.merge(load.server.entry.service, maxOf(0, load.free), Int::plus)
+        for (load in servers.all) spare.merge(load.server.entry.service, maxOf(0, load.free), Int::plus)
         for (service in spare.keys.toList()) spare.computeIfPresent(service) { _, n -> n - headroom(service) }
         online.forEach { spare[it.service] = 0 }
         if (spare.values.all { it <= 0 }) return
@@ -327,7 +302,7 @@
                 continue
             }
             if ((spare[service] ?: 0) <= 0) continue
-            val load = choose(service, emptySet(), now) ?: continue
+            val load = servers.choose(service, emptySet(), now) ?: continue
             val call = CallId(homeOf(ref), nextNumber++)
             spare.merge(service, -1, Int::plus)
             hold(call, load, isItem = true, now)
@@ -337,10 +312,7 @@
     }
 
     /** Slots that items leave free, so that the next online requests need not stop one. */
-    private fun headroom(service: ServiceId): Int {
-        val slots = loads.values.filter { it.server.entry.service == service }.sumOf { it.server.entry.slots }
-        return ceil(slots * HEADROOM_SHARE).toInt()
-    }
+    private fun headroom(service: ServiceId): Int = ceil(servers.slots(service) * HEADROOM_SHARE).toInt()
 
     private fun homeOf(ref: ItemRef): VmId {
         jobs.home(ref)?.takeIf { it in followers }?.let { return it }
@@ -359,27 +331,6 @@
         return manifest?.route(host, jobs.path(ref) ?: return null)
     }
 
-    private fun choose(
-        service: ServiceId,
-        excluded: Set<BackendServerId>,
-        now: MonotonicTime,
-    ): ServerLoad? {
-        val open =
-            loads.values.filter {
-                it.server.entry.service == service && it.id !in excluded && it.mayStart(coldRate(it), now)
-            }
-        if (open.isEmpty()) return null
-        val usual = open.map { it.firstEventMillis }.sorted()[open.size / 2]
-        return open.shuffled(random).minWith(
-            compareBy({ it.firstEventMillis > maxOf(usual * SLOW_FACTOR, SLOW_MILLIS) }, { -it.free }),
-        )
-    }
-
-    private fun coldRate(load: ServerLoad): Double {
-        val rate = manifest?.services?.get(load.server.entry.service)?.coldRatePerSecond ?: 0.0
-        return rate * share
-    }
-
     private fun hold(
         call: CallId,
         load: ServerLoad,
@@ -399,7 +350,7 @@
         val call = CallId(vm, running.number)
         if (call in released) return
         if (call !in calls) {
-            val load = loads[running.server] ?: return
+            val load = servers.find(running.server) ?: return
             hold(call, load, running.item != null, now)
         }
         // The job may have been read after the run was first reported.
@@ -410,13 +361,13 @@
         call: CallId,
         reason: String,
     ): DispatchAction {
-        loads[calls[call]]?.stop(call)
+        calls[call]?.let { servers.find(it) }?.stop(call)
         return DispatchAction.StopItem(call, reason)
     }
 
     private fun drop(call: CallId) {
         startedAt -= call
-        calls.remove(call)?.let { loads[it]?.remove(call) }
+        calls.remove(call)?.let { servers.find(it) }?.remove(call)
     }
 
     private fun remember(
@@ -439,8 +390,6 @@
         const val MAX_ITEMS_LOOKED_AT = 256
         const val HEADROOM_SHARE = 0.04
         const val RUN_SMOOTHING = 0.1
-        const val SLOW_FACTOR = 2.5
-        const val SLOW_MILLIS = 120.0
 
         /** The time that a run is taken for before one has been seen. */
         val ASSUMED_RUN = 700.milliseconds
