--- /dev/null
+++ b/server/src/main/kotlin/org/agatestream/server/CallerRoutes.kt
@@ -0,0 +1,108 @@
+package org.agatestream.server
+
+import org.agatestream.core.ErrorKind
+import org.agatestream.core.Failure
+import org.agatestream.core.MonotonicTime
+import org.agatestream.core.RouteKind
+import org.agatestream.core.WorkspaceId
+import org.agatestream.core.admit
+import org.agatestream.core.getOrElse
+import org.agatestream.http.HttpCall
+import org.agatestream.http.readBody
+import org.agatestream.platform.CallerAsk
+import org.agatestream.platform.CallerProtocol
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Serves the calls of callers, and the platform's question whether this VM is ready. */
+internal class CallerRoutes(
+    private val config: PlatformVmConfig,
+    private val view: PlatformView,
+    private val coordinators: Coordinators,
+    private val forwarder: RouteForwarder,
+    private val jobs: JobCalls,
+    private val shutdown: GracefulShutdown,
+    /** How long callers may use an answer of the entry addresses. */
+    private val entryTtl: Duration,
+) {
+    /** Serves [call] on any of this VM's addresses for callers and the platform. */
+    suspend fun serve(call: HttpCall) {
+        when (val ask = CallerProtocol.parse(call)) {
+            is CallerAsk.Readiness -> respondReadiness(call)
+            is CallerAsk.EntryAddresses -> respondAddresses(call)
+            is CallerAsk.ToRoute -> serveRoute(call)
+            is CallerAsk.Results -> serveJob(call) { jobs.results(call, it, ask.job, ask.after) }
+            is CallerAsk.ItemBody -> serveJob(call) { jobs.itemBody(call, it, ask.job, ask.item) }
+            is CallerAsk.EndJob -> serveJob(call) { jobs.end(call, it, ask.job) }
+        }
+    }
+
+    private suspend fun serveRoute(call: HttpCall) {
+        val now = MonotonicTime.now()
+        if (shutdown.refusesRequests()) return call.respondNotServed(SHUTTING_DOWN)
+        val manifest = view.manifest ?: return call.respondNotServed(NOT_READY)
+        val admission =
+            manifest
+                .admit(CallerProtocol.host(call), call.path, CallerProtocol.key(call))
+                .getOrElse { return refuse(call, it) }
+        val body = call.readBody(manifest.maxBodyBytes).getOrElse { return refuse(call, it) }
+        if (admission.route.kind == RouteKind.BATCH) {
+            jobs.submit(call, admission, body, System.currentTimeMillis())
+        } else {
+            forwarder.forward(call, admission, body, manifest.version, now)
+        }
+    }
+
+    private suspend fun serveJob(
+        call: HttpCall,
+        block: suspend (WorkspaceId?) -> Unit,
+    ) {
+        val manifest = view.manifest ?: return call.respondNotServed(NOT_READY)
+        val workspace = CallerProtocol.key(call)?.let { manifest.workspaceOfKey(it) }
+        if (workspace == null && manifest.workspaces.isNotEmpty()) {
+            return refuse(call, Failure(ErrorKind.UNKNOWN_KEY, "the key is missing or unknown"))
+        }
+        block(workspace?.id)
+    }
+
+    private suspend fun respondReadiness(call: HttpCall) {
+        val isReady = view.manifest != null && !shutdown.hasBegun
+        call.respond(if (isReady) STATUS_OK else ErrorKind.NOT_CURRENT.status, TEXT, ByteArray(0))
+    }
+
+    private suspend fun respondAddresses(call: HttpCall) {
+        val own = if (!shutdown.hasBegun) listOf(config.callerAddress) else emptyList()
+        val others = coordinators.callers.filter { it.name != config.name }.map { it.caller }
+        val addresses = (own + others).distinct().shuffled()
+        call.respond(STATUS_OK, JSON, CallerProtocol.entryAnswer(addresses, entryTtl))
+    }
+
+    private suspend fun refuse(
+        call: HttpCall,
+        failure: Failure,
+    ) {
+        EventLog.info(
+            "request",
+            "id" to CallerProtocol.requestId(call),
+            "outcome" to "refused",
+            "detail" to failure.kind.code,
+            "manifest" to view.manifest?.version,
+        )
+        call.respondNotServed(failure)
+    }
+
+    private companion object {
+        const val STATUS_OK = 200
+        const val JSON = "application/json"
+        const val TEXT = "text/plain"
+        val NOT_READY = Failure(ErrorKind.NOT_CURRENT, "this VM knows no manifest yet", 500.milliseconds)
+        val SHUTTING_DOWN = Failure(ErrorKind.SHUTTING_DOWN, "this VM is about to stop", 10.milliseconds)
+    }
+}
+
+/** Answers with the status that [failure] stands for, unless an answer has begun. */
+internal suspend fun HttpCall.respondNotServed(failure: Failure) {
+    if (answered) return
+    val body = "${failure.kind.code}: ${failure.message}\n".encodeToByteArray()
+    respond(failure.kind.status, "text/plain", body, CallerProtocol.refusalHeaders(failure))
+}
--- a/server/src/main/kotlin/org/agatestream/server/Coordinators.kt
+++ b/server/src/main/kotlin/org/agatestream/server/Coordinators.kt
@@ -9,7 +9,6 @@
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlinx.serialization.SerializationException
 import org.agatestream.core.CoordinatorDoubt
 import org.agatestream.core.ListedVm
 import org.agatestream.core.MonotonicTime
@@ -28,29 +27,29 @@
 internal class Coordinators(
     private val config: PlatformVmConfig,
     private val store: RowStore,
+    private val roster: VmRoster,
     private val network: PeerTransport,
     private val view: PlatformView,
     private val status: () -> StatusAsk,
     private val random: Random,
+    private val scope: CoroutineScope,
     private val onCoordinator: (VmId?) -> Unit,
     /** Takes this VM's own report while it is the coordinator. */
     private val onOwnReport: (StatusAsk) -> StatusAnswer?,
 ) {
-    private val vms = HashMap<String, VmRecord>()
-    private val vmVersions = HashMap<String, Long>()
     private var record: CoordinatorRecord? = null
     private var recordVersion = 0L
     private var recordAt = MonotonicTime.now()
     private var silentSince: MonotonicTime? = null
     private var heardAt: MonotonicTime? = null
     private var isResigning = false
-    private var isListed = false
     private var live: List<LiveVm> = emptyList()
 
     /** The coordinator's version of the list of live VMs; 0 if none of its lists is known. */
     var liveVersion = 0L
         private set
     private var announcedLeaving = false
+    private var isClaiming = false
     private val reportSoon = Channel<Unit>(Channel.CONFLATED)
 
     val self: VmId get() = network.self
@@ -59,7 +58,7 @@
     val named: VmId? get() = record?.vm
 
     /** The number of VMs that are listed as serving. */
-    val listed: Int get() = vms.size
+    val listed: Int get() = roster.size
 
     /** Returns the coordinator if it may be asked now; null while it is not heard. */
     fun reachable(): VmId? = record?.vm?.takeIf { it == self || (heardAt != null && silentSince == null) }
@@ -67,7 +66,7 @@
     /** The VMs that take callers: as the coordinator hears them, or as the store lists them while it is not heard. */
     val callers: List<LiveVm>
         get() {
-            val listed = vms.filterValues { !it.isSilent }.map { (name, vm) -> vm.toLive(name) }
+            val listed = roster.heard
             val isHeard = reachable() != null && live.isNotEmpty()
             return if (isHeard || listed.isEmpty()) live else listed
         }
@@ -88,10 +87,16 @@
         EventLog.warn("coordinator_silent", "coordinator" to vm, "reason" to "request_unanswered")
     }
 
-    fun start(scope: CoroutineScope) {
+    fun start() {
         val feed = TableFeed(store, FleetTables.FLEET, ::takeRows, { rows, _ -> changeRows(rows) })
         scope.launch { feed.run() }
         scope.launch { bootstrap() }
+        scope.launch {
+            while (isActive) {
+                if (!announcedLeaving) roster.keepListed()
+                delay(MIN_REPORT_INTERVAL)
+            }
+        }
         scope.launch {
             while (isActive) {
                 report(MonotonicTime.now())
@@ -104,23 +109,7 @@
     suspend fun leave() {
         announcedLeaving = true
         reportSoon.trySend(Unit)
-        store.write(emptyMap(), listOf(RowChange(FleetTables.vm(config.name), null)))
-    }
-
-    /** Marks the record of a VM that is not heard, so that VMs which do not hear the coordinator know of it too. */
-    suspend fun markSilent(name: String) {
-        val vm = vms[name] ?: return
-        EventLog.info("vm_marked_silent", "vm" to vm.id)
-        val value = FleetTables.json.encodeToString(VmRecord.serializer(), vm.copy(isSilent = true)).encodeToByteArray()
-        val row = FleetTables.vm(name)
-        store.write(mapOf(row to (vmVersions[name] ?: 0L)), listOf(RowChange(row, value)))
-    }
-
-    /** Drops the record of a VM that has been silent for long. */
-    suspend fun unlist(name: String) {
-        vms[name] ?: return
-        EventLog.info("vm_unlisted", "vm" to name)
-        store.write(emptyMap(), listOf(RowChange(FleetTables.vm(name), null)))
+        roster.unlist(config.name)
     }
 
     fun answer(ask: PeerAsk): PeerAnswer? =
@@ -138,11 +127,10 @@
         ) {
             SILENT_REPORT_INTERVAL
         } else {
-            maxOf(MIN_REPORT_INTERVAL, REPORT_INTERVAL_PER_VM * vms.size)
+            maxOf(MIN_REPORT_INTERVAL, REPORT_INTERVAL_PER_VM * roster.size)
         }
 
     private suspend fun report(now: MonotonicTime) {
-        if (!isListed && !announcedLeaving) list()
         val coordinator = record?.vm
         when (coordinator) {
             null -> {}
@@ -158,13 +146,6 @@
         if (!announcedLeaving) considerClaim(MonotonicTime.now())
     }
 
-    private suspend fun list() {
-        val own = VmRecord(self, config.callerAddress, config.peerAddress, config.failureDomain)
-        val value = FleetTables.json.encodeToString(VmRecord.serializer(), own).encodeToByteArray()
-        val result = store.write(emptyMap(), listOf(RowChange(FleetTables.vm(config.name), value)))
-        isListed = result is WriteResult.Written
-    }
-
     private suspend fun reportTo(
         coordinator: VmId,
         now: MonotonicTime,
@@ -205,18 +186,21 @@
                 isReplaced = isReplaced(),
                 peersReached = reached,
                 peersHearing = hearing,
-                peersKnown = vms.values.count { it.id != self && it.id != named },
+                peersKnown = roster.all.count { it.id != self && it.id != named },
                 namedAt = recordAt,
                 isSmall = config.cores < COORDINATOR_CORES,
             )
-        if (doubt.shouldClaim(MonotonicTime.now())) claim(doubt)
+        if (!doubt.shouldClaim(MonotonicTime.now()) || isClaiming) return
+        isClaiming = true
+        // A slow store must not keep this VM from reporting to a coordinator that is named meanwhile.
+        scope.launch { claim(doubt) }
     }
 
     /** Asks some other VMs whether they hear the named one; returns how many answered, and how many do. */
     private suspend fun askOthers(): Pair<Int, Int> {
         val coordinator = named ?: return 0 to 0
         val others =
-            vms.values
+            roster.all
                 .filter { it.id != self && it.id != coordinator }
                 .shuffled(random)
                 .take(PEERS_ASKED)
@@ -230,7 +214,7 @@
     /** Returns whether the VM of the named process has listed another process since. */
     private fun isReplaced(): Boolean {
         val named = record ?: return false
-        return vms.any { (name, vm) -> vm.id != named.vm && named.name == name } || named.name == config.name
+        return named.name == config.name || roster.all.any { it.name == named.name && it.id != named.vm }
     }
 
     private suspend fun claim(doubt: CoordinatorDoubt) {
@@ -245,6 +229,7 @@
             "reached" to doubt.peersReached,
             "result" to result::class.simpleName,
         )
+        isClaiming = false
         if (result is WriteResult.Conflict) changeRows(result.current)
     }
 
@@ -273,8 +258,7 @@
         rows: List<StoredRow>,
         @Suppress("UNUSED_PARAMETER") version: Long,
     ) {
-        vms.clear()
-        isListed = false
+        roster.clear()
         changeRows(rows)
     }
 
@@ -283,25 +267,15 @@
             val key = row.name.key
             when {
                 row.name == FleetTables.coordinator -> readCoordinator(row)
-                key.startsWith(FleetTables.VM_PREFIX) -> readVm(key.removePrefix(FleetTables.VM_PREFIX), row)
+                key.startsWith(FleetTables.VM_PREFIX) -> roster.read(key.removePrefix(FleetTables.VM_PREFIX), row)
             }
         }
         updateAddresses()
     }
 
-    private fun readVm(
-        name: String,
-        row: StoredRow,
-    ) {
-        val vm = row.value?.let { decode(VmRecord.serializer(), it) }
-        if (vm == null) vms -= name else vms[name] = vm
-        vmVersions[name] = row.version
-        if (name == config.name) isListed = vm?.id == self && !vm.isSilent
-    }
-
     private fun readCoordinator(row: StoredRow) {
         if (row.version <= recordVersion) return
-        setCoordinator(row.value?.let { decode(CoordinatorRecord.serializer(), it) }, row.version)
+        setCoordinator(row.value?.let { FleetTables.decode(CoordinatorRecord.serializer(), it) }, row.version)
     }
 
     private fun setCoordinator(
@@ -323,9 +297,8 @@
     }
 
     private fun updateAddresses() {
-        val known = vms.map { (name, vm) -> vm.toLive(name) } + live
         val listed =
-            known
+            (roster.all + live)
                 .filter { it.id != self }
                 .distinctBy { it.id }
                 .map { ListedVm(it.id, it.domain, it.caller, it.peer) }
@@ -334,19 +307,6 @@
         network.updateAddresses(listed + listOfNotNull(extra))
     }
 
-    private fun <T> decode(
-        strategy: kotlinx.serialization.DeserializationStrategy<T>,
-        value: ByteArray,
-    ): T? =
-        try {
-            FleetTables.json.decodeFromString(strategy, value.decodeToString())
-        } catch (e: SerializationException) {
-            EventLog.warn("fleet_row_unreadable", "reason" to e.message)
-            null
-        }
-
-    private fun VmRecord.toLive(name: String): LiveVm = LiveVm(id, name, caller, peer, domain)
-
     private companion object {
         // A coordinator of 90 VMs handles some thousand messages a second.
         const val COORDINATOR_CORES = 0.5
--- a/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
@@ -1,6 +1,8 @@
 package org.agatestream.server
 
+import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.agatestream.core.FailureDomainId
 import org.agatestream.core.ItemId
@@ -72,6 +74,18 @@
 
     val json = Json { ignoreUnknownKeys = true }
 
+    /** Decodes a row of the system's own; null, with a line in the log, if another writer left something else. */
+    fun <T> decode(
+        strategy: DeserializationStrategy<T>,
+        value: ByteArray,
+    ): T? =
+        try {
+            json.decodeFromString(strategy, value.decodeToString())
+        } catch (e: SerializationException) {
+            EventLog.warn("fleet_row_unreadable", "shape" to strategy.descriptor.serialName, "reason" to e.message)
+            null
+        }
+
     fun vm(name: String): RowName = RowName(FLEET, "", VM_PREFIX + name)
 
     val coordinator: RowName = RowName(FLEET, "", COORDINATOR_KEY)
--- a/server/src/main/kotlin/org/agatestream/server/GracefulShutdown.kt
+++ b/server/src/main/kotlin/org/agatestream/server/GracefulShutdown.kt
@@ -21,6 +21,9 @@
     public var state: ShutdownState = ShutdownState.Running
         private set
 
+    /** True once the VM was told to stop. */
+    public val hasBegun: Boolean get() = state != ShutdownState.Running
+
     /** Adds what must happen before callers are refused, such as handing on batch chunks; hooks run in order. */
     public fun onDrain(hook: suspend () -> Unit) {
         hooks.add(hook)
--- a/server/src/main/kotlin/org/agatestream/server/JobCalls.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobCalls.kt
@@ -18,7 +18,6 @@
 internal class JobCalls(
     private val self: VmId,
     private val jobs: JobStore,
-    private val respond: suspend (HttpCall, Failure) -> Unit,
 ) {
     /** Accepts the job in [body], received at [nowMillis] of the Unix clock. */
     suspend fun submit(
@@ -28,8 +27,8 @@
         nowMillis: Long,
     ) {
         val id = CallerProtocol.requestId(call)?.value?.let { JobId(it) }
-        if (id == null || !isStorable(id.value)) return respond(call, BAD_ID)
-        val items = parseJob(body).getOrElse { return respond(call, it) }
+        if (id == null || !isStorable(id.value)) return call.respondNotServed(BAD_ID)
+        val items = parseJob(body).getOrElse { return call.respondNotServed(it) }
         val row =
             JobRow(
                 id = id,
@@ -44,7 +43,7 @@
         log("job_submitted", row.workspace, id, accepted, "items" to items.size)
         when (accepted) {
             is Outcome.Ok -> call.respond(STATUS_ACCEPTED, JSON, "{}".encodeToByteArray())
-            is Outcome.Failed -> respond(call, accepted.failure)
+            is Outcome.Failed -> call.respondNotServed(accepted.failure)
         }
     }
 
@@ -73,7 +72,8 @@
     ) {
         jobs.find(workspace, job).getOrElse { return refuse(call, "item_read", workspace, job, it) }
         val items = jobs.items(workspace, job).getOrElse { return refuse(call, "item_read", workspace, job, it) }
-        val body = items[item]?.body ?: return respond(call, Failure(ErrorKind.UNKNOWN_JOB, "there is no such item"))
+        val body =
+            items[item]?.body ?: return call.respondNotServed(Failure(ErrorKind.UNKNOWN_JOB, "there is no such item"))
         call.respond(STATUS_OK, BYTES, body)
     }
 
@@ -87,7 +87,7 @@
         log("job_ended", workspace, job, ended)
         when (ended) {
             is Outcome.Ok -> call.respond(STATUS_OK, JSON, "{}".encodeToByteArray())
-            is Outcome.Failed -> respond(call, ended.failure)
+            is Outcome.Failed -> call.respondNotServed(ended.failure)
         }
     }
 
@@ -99,7 +99,7 @@
         failure: Failure,
     ) {
         log(event, workspace, job, Outcome.Failed(failure))
-        respond(call, failure)
+        call.respondNotServed(failure)
     }
 
     private fun log(
--- a/server/src/main/kotlin/org/agatestream/server/JobStore.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobStore.kt
@@ -152,7 +152,7 @@
     }
 
     private fun parseResult(row: StoredRow): ResultRow? =
-        row.value?.let { FleetTables.json.decodeFromString(ResultRow.serializer(), it.decodeToString()) }
+        row.value?.let { FleetTables.decode(ResultRow.serializer(), it) }
 
     private suspend fun readResult(row: StoredRow): ListedResult? {
         val stored = parseResult(row) ?: return null
@@ -326,13 +326,7 @@
 }
 
 /** Parses a row of the table of jobs; null if it was removed or can't be read. */
-internal fun parseJobRow(row: StoredRow): JobRow? =
-    try {
-        row.value?.let { FleetTables.json.decodeFromString(JobRow.serializer(), it.decodeToString()) }
-    } catch (e: kotlinx.serialization.SerializationException) {
-        EventLog.warn("job_row_unreadable", "key" to row.name.key, "reason" to e.message)
-        null
-    }
+internal fun parseJobRow(row: StoredRow): JobRow? = row.value?.let { FleetTables.decode(JobRow.serializer(), it) }
 
 private fun <K, V> lru(size: Int): LinkedHashMap<K, V> =
     object : LinkedHashMap<K, V>(16, 0.75f, true) {
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -52,19 +52,29 @@
     private val relay =
         StoreRelay(store, network, { view.hasStore(MonotonicTime.now()) }, { coordinators.storeHelpers() })
     private val jobStore = JobStore(relay, config.rowBytes)
+    private val roster = VmRoster(config, self, store)
     private val coordinators: Coordinators =
-        Coordinators(config, store, network, view, ::status, Random.Default, ::onCoordinator) { ask ->
+        Coordinators(config, store, roster, network, view, ::status, Random.Default, scope, ::onCoordinator) { ask ->
             role?.onStatus(self, ask, MonotonicTime.now())
         }
     private val placer: Placer =
         Placer(self, network, view, scope, coordinators, { role })
     private val items = ItemRuns(placer, view, jobStore, client, scope, ::reportItem)
-    private val forwarder = RouteForwarder(placer, client, metrics, ::respondFailure)
-    private val jobs = JobCalls(self, jobStore, ::respondFailure)
+    private val entryTtl = minOf(ENTRY_TTL, config.entryTtlMaxSeconds.seconds)
+    private val shutdown = gracefulShutdown()
+    private val routes =
+        CallerRoutes(
+            config = config,
+            view = view,
+            coordinators = coordinators,
+            forwarder = RouteForwarder(placer, client, metrics),
+            jobs = JobCalls(self, jobStore),
+            shutdown = shutdown,
+            entryTtl = entryTtl,
+        )
     private var role: CoordinatorRole? = null
     private var watch: Job? = null
     private var cleaner: Job? = null
-    private var leavingSince: MonotonicTime? = null
     private var calls = 0
     private val servers = ArrayList<HttpServer>()
 
@@ -79,7 +89,7 @@
         startMetrics()
         scope.launch {
             view.start(this@PlatformVm.scope)
-            coordinators.start(this@PlatformVm.scope)
+            coordinators.start()
         }
         EventLog.info(
             "serving",
@@ -92,17 +102,7 @@
     /** Leaves the fleet, serves the callers that still hold this VM's address, and stops. */
     public suspend fun stop() {
         withContext(loops.dispatcher) {
-            val startedAt = MonotonicTime.now()
-            leavingSince = startedAt
-            EventLog.info("leaving", "vm" to self, "calls" to calls)
-            servers.forEach { it.announceClose() }
-            scope.launch { coordinators.leave() }
-            val grace = config.shutdownGraceSeconds.seconds
-            while (MonotonicTime.now() - startedAt < grace - EXIT_MARGIN) {
-                val isOver = MonotonicTime.now() - startedAt >= refuseAfter() && calls == 0
-                if (isOver) break
-                delay(STOP_POLL)
-            }
+            shutdown.run { calls }
             EventLog.info("stopped", "vm" to self, "calls" to calls)
         }
         network.close()
@@ -128,17 +128,21 @@
         call.respond(STATUS_OK, TEXT, metrics.registry.scrape().encodeToByteArray())
     }
 
-    /** How long after SIGTERM new requests are still taken: callers may hold the address for three lifetimes. */
-    private fun refuseAfter(): Duration =
-        minOf(entryTtl() * ENTRY_LIFETIMES, config.shutdownGraceSeconds.seconds * TAKING_SHARE)
-
-    private fun entryTtl(): Duration = minOf(ENTRY_TTL, config.entryTtlMaxSeconds.seconds)
+    /** Callers may hold this VM's address for some lifetimes of an answer, and are served for as long. */
+    private fun gracefulShutdown(): GracefulShutdown {
+        val grace = config.shutdownGraceSeconds.seconds
+        val opensFor = minOf(entryTtl * ENTRY_LIFETIMES, grace * TAKING_SHARE)
+        val shutdown = GracefulShutdown(opensFor, grace - EXIT_MARGIN - opensFor)
+        shutdown.onDrain { servers.forEach { it.announceClose() } }
+        shutdown.onDrain { scope.launch { coordinators.leave() } }
+        return shutdown
+    }
 
     private suspend fun answer(call: HttpCall) {
         calls++
         try {
             coroutineScope {
-                val work = launch { serve(call) }
+                val work = launch { routes.serve(call) }
                 val watcher = call.callerGone.invokeOnCompletion { work.cancel() }
                 work.join()
                 watcher.dispose()
@@ -148,81 +152,6 @@
         }
     }
 
-    private suspend fun serve(call: HttpCall) {
-        when (val ask = CallerProtocol.parse(call)) {
-            is CallerAsk.Readiness -> respondReadiness(call)
-            is CallerAsk.EntryAddresses -> respondAddresses(call)
-            is CallerAsk.ToRoute -> serveRoute(call)
-            is CallerAsk.Results -> serveJob(call) { jobs.results(call, it, ask.job, ask.after) }
-            is CallerAsk.ItemBody -> serveJob(call) { jobs.itemBody(call, it, ask.job, ask.item) }
-            is CallerAsk.EndJob -> serveJob(call) { jobs.end(call, it, ask.job) }
-        }
-    }
-
-    private suspend fun serveRoute(call: HttpCall) {
-        val now = MonotonicTime.now()
-        val since = leavingSince
-        if (since != null && now - since > refuseAfter()) return respondFailure(call, SHUTTING_DOWN)
-        val manifest = view.manifest ?: return respondFailure(call, NOT_READY)
-        val admission =
-            manifest
-                .admit(CallerProtocol.host(call), call.path, CallerProtocol.key(call))
-                .getOrElse { return refuse(call, it) }
-        val body = call.readBody(manifest.maxBodyBytes).getOrElse { return refuse(call, it) }
-        if (admission.route.kind == RouteKind.BATCH) {
-            jobs.submit(call, admission, body, System.currentTimeMillis())
-        } else {
-            forwarder.forward(call, admission, body, manifest.version, now)
-        }
-    }
-
-    private suspend fun serveJob(
-        call: HttpCall,
-        block: suspend (WorkspaceId?) -> Unit,
-    ) {
-        val manifest = view.manifest ?: return respondFailure(call, NOT_READY)
-        val workspace = CallerProtocol.key(call)?.let { manifest.workspaceOfKey(it) }
-        if (workspace == null && manifest.workspaces.isNotEmpty()) {
-            return refuse(call, Failure(ErrorKind.UNKNOWN_KEY, "the key is missing or unknown"))
-        }
-        block(workspace?.id)
-    }
-
-    private suspend fun respondReadiness(call: HttpCall) {
-        val isReady = view.manifest != null && leavingSince == null
-        call.respond(if (isReady) STATUS_OK else ErrorKind.NOT_CURRENT.status, TEXT, ByteArray(0))
-    }
-
-    private suspend fun respondAddresses(call: HttpCall) {
-        val own = if (leavingSince == null) listOf(config.callerAddress) else emptyList()
-        val others = coordinators.callers.filter { it.id != self && it.name != config.name }.map { it.caller }
-        val addresses = (own + others).distinct().shuffled()
-        call.respond(STATUS_OK, JSON, CallerProtocol.entryAnswer(addresses, entryTtl()))
-    }
-
-    private suspend fun refuse(
-        call: HttpCall,
-        failure: Failure,
-    ) {
-        EventLog.info(
-            "request",
-            "id" to CallerProtocol.requestId(call),
-            "outcome" to "refused",
-            "detail" to failure.kind.code,
-            "manifest" to view.manifest?.version,
-        )
-        respondFailure(call, failure)
-    }
-
-    private suspend fun respondFailure(
-        call: HttpCall,
-        failure: Failure,
-    ) {
-        if (call.answered) return
-        val body = "${failure.kind.code}: ${failure.message}\n".encodeToByteArray()
-        call.respond(failure.kind.status, TEXT, body, CallerProtocol.refusalHeaders(failure))
-    }
-
     private suspend fun answerPeer(
         from: VmId,
         ask: PeerAsk,
@@ -253,7 +182,7 @@
             caller = config.callerAddress,
             peer = config.peerAddress,
             domain = config.failureDomain,
-            isLeaving = leavingSince != null,
+            isLeaving = shutdown.hasBegun,
             hasStore = view.hasStore(MonotonicTime.now()),
             running = placer.runningCalls,
             unlisted = items.unlisted,
@@ -306,10 +235,10 @@
                 stopItem = items::stop,
                 giveUpItem = items::giveUp,
                 onDecision = placer::onDecision,
-                markSilent = coordinators::markSilent,
-                unlist = coordinators::unlist,
+                markSilent = roster::markSilent,
+                unlist = roster::unlist,
                 listedVms = { coordinators.listed },
-                isLeaving = { leavingSince != null },
+                isLeaving = { shutdown.hasBegun },
             )
         role = next
         next.start(MonotonicTime.now())
@@ -341,7 +270,14 @@
     private companion object {
         const val ID_RADIX = 36
         const val STATUS_OK = 200
-        const val JSON = "application/json"
+        val ENTRY_TTL = 2.seconds
+
+        // The platform's page: some callers keep an answer three times as long.
+        const val ENTRY_LIFETIMES = 3
+        const val TAKING_SHARE = 0.8
+
+        // A process that is still there at the end of the grace time is killed; ending takes some 0.1 s.
+        val EXIT_MARGIN = 1.seconds
         const val TEXT = "text/plain"
 
         // Half of the latency target of 300 ms; a new connection takes two hops of some milliseconds.
@@ -353,17 +289,8 @@
         // An object's write takes 25 ms, and up to a hundred times as long.
         val STORE_WRITE_TIMEOUT = 3.seconds
         val ITEM_REPORT_TIMEOUT = 500.milliseconds
-        val ENTRY_TTL = 2.seconds
-
-        // The platform's page: some callers keep an answer three times as long.
-        const val ENTRY_LIFETIMES = 3
-        const val TAKING_SHARE = 0.8
-        val EXIT_MARGIN = 1.seconds
-        val STOP_POLL = 20.milliseconds
 
         // Callers reuse connections that were idle for up to four fifths of the manifest's limit of 15 s.
         val CALLER_LIMITS = HttpLimits(maxRequestLineBytes = 16_384, keepAliveTimeout = 120.seconds)
-        val NOT_READY = Failure(ErrorKind.NOT_CURRENT, "this VM knows no manifest yet", 500.milliseconds)
-        val SHUTTING_DOWN = Failure(ErrorKind.SHUTTING_DOWN, "this VM is about to stop", 10.milliseconds)
     }
 }
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -30,7 +30,6 @@
     private val placer: Placer,
     private val client: HttpClient,
     private val metrics: VmMetrics,
-    private val respond: suspend (HttpCall, Failure) -> Unit,
 ) {
     /** Serves [call], whose body is [body]; it came at [arrivedAt]. */
     suspend fun forward(
@@ -40,7 +39,7 @@
         manifestVersion: Long,
         arrivedAt: MonotonicTime,
     ) {
-        val id = CallerProtocol.requestId(call)?.value ?: return respond(call, NO_ID)
+        val id = CallerProtocol.requestId(call)?.value ?: return call.respondNotServed(NO_ID)
         val request =
             BackendCall(
                 id,
@@ -258,7 +257,7 @@
         private suspend fun refuse(reason: Failure) {
             if (writer != null || runs > 0) return fail(reason.message)
             log("refused", null, reason.kind.code)
-            respond(call, reason)
+            call.respondNotServed(reason)
         }
 
         private suspend fun fail(reason: String) {
@@ -268,7 +267,9 @@
                 writer.abort()
             } else {
                 val isLate = MonotonicTime.now() >= endAt
-                respond(call, Failure(if (isLate) ErrorKind.DEADLINE_EXCEEDED else ErrorKind.BACKEND_FAILED, reason))
+                call.respondNotServed(
+                    Failure(if (isLate) ErrorKind.DEADLINE_EXCEEDED else ErrorKind.BACKEND_FAILED, reason),
+                )
             }
         }
 
