Run the items first that need the least

Ruled out: lost progress; the items' lines show that runs go on after their last event. Change: among items that can be on time, those with the least left go first, and those with the most left make way first. The new test failed before.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -261,7 +261,10 @@
         }
     }
 
-    /** Stops an item that is late anyway, or else the one that is due last, so that [request] may take its slot. */
+    /**
+     * Stops an item, so that [request] may take its slot: one that is late anyway, or else the one that has the most
+     * left, and of these the one due last.
+     */
     private fun makeRoom(
         request: PlaceRequest,
         now: MonotonicTime,
@@ -273,10 +276,11 @@
                 .filter { it.id !in request.excluded }
                 .flatMap { load -> load.stoppableItems().map { load to it } }
         val order =
-            compareBy<Pair<ServerLoad, CallId>>({ (_, call) -> !jobs.canBeOnTime(call, now) }, { (_, call) ->
-                jobs.dueAt(call)
-                    ?: now
-            })
+            compareBy<Pair<ServerLoad, CallId>>(
+                { (_, call) -> !jobs.canBeOnTime(call, now) },
+                { (_, call) -> jobs.stepsLeft(call, now) },
+                { (_, call) -> jobs.dueAt(call) ?: now },
+            )
         val (load, call) = candidates.maxWithOrNull(order) ?: return null
         load.stop(call)
         if (!servers.mayStart(load, now)) return null
--- a/core/src/main/kotlin/org/agatestream/core/JobBook.kt
+++ b/core/src/main/kotlin/org/agatestream/core/JobBook.kt
@@ -88,7 +88,12 @@
         return running
     }
 
-    /** Returns the waiting items, those first that can still be done when they are due, and of these the first due. */
+    /**
+     * Returns the waiting items, those first that can still be done when they are due.
+     *
+     * Of these the items that need the least go first: with more work than slots, an item that is nearly done is worth
+     * more than the start of another. Then the first due decides.
+     */
     fun waiting(now: MonotonicTime): List<Pair<ItemRef, JobPlan>> {
         val waiting =
             jobs.values.flatMap { job ->
@@ -97,8 +102,13 @@
                     .map { job to it }
             }
         return waiting
-            .sortedWith(compareBy({ (job, item) -> !canBeOnTime(job, item, now) }, { (job, _) -> job.plan.dueAt }))
-            .map { (job, item) -> ItemRef(job.plan.id, item.plan.id) to job.plan }
+            .sortedWith(
+                compareBy(
+                    { (job, item) -> !canBeOnTime(job, item, now) },
+                    { (_, item) -> stepsLeft(item, now) },
+                    { (job, _) -> job.plan.dueAt },
+                ),
+            ).map { (job, item) -> ItemRef(job.plan.id, item.plan.id) to job.plan }
     }
 
     /** Returns whether the item of the run [call] can still be done when it is due; false if the run is not known. */
@@ -115,12 +125,28 @@
         job: Job,
         item: Item,
         now: MonotonicTime,
-    ): Boolean {
+    ): Boolean = now + left(item, now) <= job.plan.dueAt
+
+    /** Returns how long the item still has to run, by what items take on average. */
+    private fun left(
+        item: Item,
+        now: MonotonicTime,
+    ): Duration {
         val running = (item.progress as? Progress.Running)?.let { now - it.since } ?: Duration.ZERO
-        val left = (wholeRun - item.ranFor - running).coerceAtLeast(SHORTEST_REST)
-        return now + left <= job.plan.dueAt
+        return (wholeRun - item.ranFor - running).coerceAtLeast(SHORTEST_REST)
     }
 
+    private fun stepsLeft(
+        item: Item,
+        now: MonotonicTime,
+    ): Long = left(item, now).inWholeMilliseconds / STEP.inWholeMilliseconds
+
+    /** Returns how much of an item the run [call] has left, in steps that matter; 0 if the run is not known. */
+    fun stepsLeft(
+        call: CallId,
+        now: MonotonicTime,
+    ): Long = calls[call]?.let { item(it) }?.let { stepsLeft(it, now) } ?: 0
+
     fun path(ref: ItemRef): String? = item(ref)?.plan?.path
 
     fun host(ref: ItemRef): String? = jobs[ref.job]?.plan?.host
@@ -253,6 +279,9 @@
         val SHORTEST_REST: Duration = 300.milliseconds
         const val SMOOTHING = 0.1
 
+        // Items that differ by less are taken as equally far.
+        val STEP: Duration = 500.milliseconds
+
         // An item that failed at one server may run at another at once; the pause keeps poison from spinning.
         val RETRY_PAUSE: Duration = 50.milliseconds
     }
--- a/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
@@ -125,6 +125,21 @@
             stopped.call.number shouldBe 1_000
         }
 
+        test("with more jobs than slots, an item that is nearly done goes before one that has not begun") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 2))
+            val begun = dispatcher.onJob(jobOf("begun", 1, dueIn = 18.seconds), emptySet(), START).started().single()
+            val later = START + 3.seconds
+            dispatcher.place(requestOf(1, later), later)
+            dispatcher.place(requestOf(2, later), later)
+            dispatcher.release(begun.call, RunOutcome.STOPPED, null, later)
+            dispatcher.onItem(begun.item, begun.call, ItemOutcome.INTERRUPTED, later)
+            dispatcher.onJob(jobOf("other", 1, dueIn = 12.seconds), emptySet(), later).started().shouldBeEmpty()
+            val started =
+                dispatcher.release(CallId(VM_A, 1), RunOutcome.ANSWERED, null, later).started() +
+                    dispatcher.release(CallId(VM_A, 2), RunOutcome.ANSWERED, null, later).started()
+            started.map { it.item.job.value } shouldContainExactly listOf("begun")
+        }
+
         test("an item that failed as often as its route allows is given up") {
             val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
             var started = dispatcher.onJob(jobOf("j", 1), emptySet(), START).started()
