Follow jobs from before their workspaces are listed

Cause: the watch listed the workspaces of the table of jobs first and read the version from which its feed goes on afterwards. A first job of a new workspace written between the two was in neither: accepted, never run until the watch started anew. Found by reading; JobWatchTest plays that order and failed first. Ruled out: a feed per workspace (a VM would need to know them all at once). Change: the version is read first and the feed goes on from it. The place of a result starts at a hint for each job and is counted by the small marks of finished items, not by reading all outputs. Before: JobWatchTest red. After: JobWatchTest, JobStoreTest, StoreRelayTest and PlatformVmTest pass in a clean clone.

--- a/server/src/main/kotlin/org/agatestream/server/Coordinators.kt
+++ b/server/src/main/kotlin/org/agatestream/server/Coordinators.kt
@@ -96,7 +96,13 @@
     }
 
     fun start() {
-        val feed = TableFeed(store, FleetTables.FLEET, { rows, _ -> takeRows(rows) }, { rows, _ -> changeRows(rows) })
+        val feed =
+            TableFeed.of(
+                store,
+                FleetTables.FLEET,
+                { rows, _ -> takeRows(rows) },
+                { rows, _ -> changeRows(rows) },
+            )
         scope.launch { feed.run() }
         scope.launch { bootstrap() }
         scope.launch {
--- a/server/src/main/kotlin/org/agatestream/server/JobCleaner.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobCleaner.kt
@@ -30,13 +30,13 @@
         val parts = (store.parts(FleetTables.JOBS) as? StoreRead.Found)?.value ?: return
         for (part in parts) {
             val state = PartState()
-            state.add(store.readAll(FleetTables.JOBS, part)?.first ?: return)
+            state.add(store.readAll(FleetTables.JOBS, part)?.rows ?: return)
             val old =
                 state.jobs.values.filter {
                     (nowMillis - it.receivedAtMillis).milliseconds > keptFor + CLOCK_MARGIN
                 }
             if (old.isEmpty()) continue
-            state.addDone(store.readAll(FleetTables.DONE, part)?.first ?: return)
+            state.addDone(store.readAll(FleetTables.DONE, part)?.rows ?: return)
             for (job in old.filterNot { state.isOpen(it) }) {
                 EventLog.info("job_removed", "job" to job.id, "removed" to jobs.drop(job))
             }
--- a/server/src/main/kotlin/org/agatestream/server/JobStore.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobStore.kt
@@ -30,6 +30,9 @@
     private val rowBytes: Int,
 ) {
     private val jobs = BoundedMap<String, JobRow>(CACHED_JOBS)
+
+    // Where the next result of a job probably goes; other VMs may have listed some.
+    private val positions = BoundedMap<String, Int>(CACHED_JOBS)
     private val bodies = BoundedMap<String, Map<ItemId, SubmittedItem>>(CACHED_BODIES)
 
     /** Stores a job once; a repeat of it is accepted again. */
@@ -42,7 +45,7 @@
         coroutineScope {
             val part = FleetTables.part(row.workspace)
             val put = async { store.putObject(FleetTables.bodies(part, row.id), content) }
-            val known = readPart(part)
+            val known = store.readJobs(part)
             if (known == null) {
                 put.await()
                 return@coroutineScope unavailable()
@@ -204,12 +207,14 @@
         val part = FleetTables.part(workspace)
         val value = resultValue(part, ref, output)
         val done = FleetTables.done(part, ref)
-        var position = 0
+        val job = FleetTables.bodies(part, ref.job)
+        var position = positions[job] ?: 0
         while (true) {
             val place = FleetTables.result(part, ref.job, position)
             val changes = listOf(RowChange(place, value), RowChange(done, ENDED))
             when (val result = store.write(mapOf(done to 0L, place to 0L), changes)) {
                 is WriteResult.Written -> {
+                    positions[job] = position + 1
                     return
                 }
 
@@ -234,24 +239,21 @@
         val done = store.readAll(FleetTables.DONE, part, from, to) ?: return false
         // The job's own row goes last, so that a job that is half removed is found again.
         val names =
-            (results.first + done.first).map { it.name } + FleetTables.end(part, row.id) + FleetTables.job(part, row.id)
+            (results.rows + done.rows).map { it.name } + FleetTables.end(part, row.id) + FleetTables.job(part, row.id)
         for (some in names.chunked(MAX_CHANGES)) {
             if (store.write(emptyMap(), some.map { RowChange(it, null) }) !is WriteResult.Written) return false
         }
-        val outputs = results.first.mapNotNull { parseResult(it)?.outputObject }
+        val outputs = results.rows.mapNotNull { parseResult(it)?.outputObject }
         outputs.forEach { store.dropObject(it) }
         store.dropObject(FleetTables.bodies(part, row.id))
         return true
     }
 
+    /** Returns the number of results of [job], which is the first free position; each has a small mark of its own. */
     private suspend fun nextPosition(
         part: String,
         job: JobId,
-    ): Int? {
-        val prefix = FleetTables.result(part, job, 0).key
-        val read = store.readAll(FleetTables.RESULTS, part, prefix, FleetTables.keyAfter(job)) ?: return null
-        return read.first.size
-    }
+    ): Int? = store.readAll(FleetTables.DONE, part, "$job/", FleetTables.keyAfter(job))?.rows?.size
 
     private suspend fun resultValue(
         part: String,
@@ -268,15 +270,6 @@
 
     private fun encode(row: ResultRow): ByteArray = FleetTables.encode(ResultRow.serializer(), row)
 
-    private suspend fun readPart(part: String): PartState? {
-        val rows = store.readAll(FleetTables.JOBS, part) ?: return null
-        val done = store.readAll(FleetTables.DONE, part) ?: return null
-        val state = PartState()
-        state.add(rows.first)
-        state.addDone(done.first)
-        return state
-    }
-
     private fun <T> unavailable(): Outcome<T> =
         Outcome.Failed(Failure(ErrorKind.PLATFORM_UNAVAILABLE, "the store does not answer", UNAVAILABLE_RETRY))
 
@@ -296,33 +289,3 @@
         val LIST_RETRY = 200.milliseconds
     }
 }
-
-/** The jobs of one part of the table and which of their items are done. */
-internal class PartState {
-    val jobs = LinkedHashMap<JobId, JobRow>()
-    val ended = HashSet<JobId>()
-    val done = HashMap<JobId, HashSet<ItemId>>()
-
-    fun add(rows: List<StoredRow>) {
-        for (row in rows) {
-            val end = FleetTables.endedJob(row.name.key)
-            if (end != null) ended += end else parseJobRow(row)?.let { jobs[it.id] = it }
-        }
-    }
-
-    fun addDone(rows: List<StoredRow>) {
-        for (row in rows) {
-            val ref = FleetTables.doneItem(row.name.key)
-            done.getOrPut(ref.job) { HashSet() } += ref.item
-        }
-    }
-
-    /** The tokens of items that are neither done nor of an ended job. */
-    fun waitingTokens(route: String): Long =
-        jobs.values
-            .filter { it.route == route && it.id !in ended }
-            .sumOf { job -> job.items.filter { it.id !in done[job.id].orEmpty() }.sumOf { it.tokens } }
-}
-
-/** Parses a row of the table of jobs; null if it was removed or can't be read. */
-internal fun parseJobRow(row: StoredRow): JobRow? = row.value?.let { FleetTables.decode(JobRow.serializer(), it) }
--- a/server/src/main/kotlin/org/agatestream/server/JobWatch.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobWatch.kt
@@ -26,47 +26,30 @@
     private val onEnded: (JobId, MonotonicTime) -> Unit,
 ) {
     private val seen = HashSet<JobId>()
-    private var state = PartState()
 
     fun start(scope: CoroutineScope): Job {
-        val feed = TableFeed(store, FleetTables.JOBS, { _, _ -> takeAll() }, { rows, _ -> change(rows) }, ::readAll)
+        val feed =
+            TableFeed(store, FleetTables.JOBS, ::readWhole, { parts, _ -> take(parts) }, { rows, _ -> change(rows) })
         return scope.launch { feed.run() }
     }
 
-    /** Reads the jobs of all parts and which items are done. */
-    private suspend fun readAll(): Pair<List<StoredRow>, Long>? {
+    /** Reads the jobs of all parts and which items are done, as of the returned version or later. */
+    private suspend fun readWhole(): Pair<List<PartState>, Long>? {
+        // Read first, so that the feed shows what is written while the parts are listed and read.
+        val start = (store.rows(FleetTables.JOBS, "", limit = 1) as? StoreRead.Found)?.value ?: return null
         val parts = (store.parts(FleetTables.JOBS) as? StoreRead.Found)?.value ?: return null
-        val fresh = PartState()
-        // The feed goes on from the oldest of the reads, so that nothing between them is missed.
-        var version = store.readAll(FleetTables.JOBS, "")?.second ?: return null
-        for (some in parts.chunked(PARTS_AT_ONCE)) {
-            for (read in readParts(some)) {
-                val (rows, done) = read ?: return null
-                fresh.add(rows.first)
-                fresh.addDone(done.first)
-                version = minOf(version, rows.second)
-            }
-        }
-        state = fresh
-        return emptyList<StoredRow>() to version
+        val states = parts.chunked(PARTS_AT_ONCE).flatMap { readParts(it) }
+        return if (null in states) null else states.filterNotNull() to start.version
     }
 
-    /** Reads the jobs and the done items of [parts] at the same time; null for each part that could not be read. */
-    private suspend fun readParts(parts: List<String>) =
-        coroutineScope {
-            parts
-                .map { part ->
-                    async {
-                        val rows = store.readAll(FleetTables.JOBS, part)
-                        val done = store.readAll(FleetTables.DONE, part)
-                        if (rows == null || done == null) null else rows to done
-                    }
-                }.awaitAll()
-        }
+    private suspend fun readParts(parts: List<String>): List<PartState?> =
+        coroutineScope { parts.map { part -> async { store.readJobs(part) } }.awaitAll() }
 
-    private fun takeAll() {
-        for (job in state.jobs.values) {
-            if (job.id in state.ended) end(job.id) else add(job, state.done[job.id].orEmpty())
+    private fun take(parts: List<PartState>) {
+        for (part in parts) {
+            for (job in part.jobs.values) {
+                if (job.id in part.ended) end(job.id) else add(job, part.done[job.id].orEmpty())
+            }
         }
     }
 
--- a/server/src/main/kotlin/org/agatestream/server/PlatformView.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformView.kt
@@ -11,7 +11,6 @@
 import org.agatestream.core.RowStore
 import org.agatestream.core.ServerEntry
 import org.agatestream.core.ServerRegistry
-import org.agatestream.core.StoreRead
 import org.agatestream.core.StoredRow
 import org.agatestream.platform.OperatorRow
 import org.agatestream.platform.PlatformNames
@@ -19,89 +18,6 @@
 import org.agatestream.platform.parseServerEntry
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
-
-/** Follows a table of the store: reads it whole, then its changes, and again from the start after any gap. */
-internal class TableFeed(
-    private val store: RowStore,
-    private val table: String,
-    private val onSnapshot: (List<StoredRow>, Long) -> Unit,
-    private val onChanges: (List<StoredRow>, Long) -> Unit,
-    /** Reads all rows, or null if the store does not answer; by default those of the empty part. */
-    private val readAll: suspend () -> Pair<List<StoredRow>, Long>? = { store.readAll(table, "") },
-) {
-    suspend fun run() {
-        while (true) {
-            val snapshot = readAll()
-            if (snapshot == null) {
-                delay(RETRY_PAUSE)
-                continue
-            }
-            onSnapshot(snapshot.first, snapshot.second)
-            follow(snapshot.second)
-        }
-    }
-
-    private suspend fun follow(from: Long) {
-        var version = from
-        var failures = 0
-        while (true) {
-            when (val read = store.changes(table, version, FEED_WAIT)) {
-                is StoreRead.Found -> {
-                    failures = 0
-                    if (read.value.rows.isNotEmpty()) onChanges(read.value.rows, read.value.version)
-                    version = maxOf(version, read.value.version)
-                }
-
-                is StoreRead.Gone -> {
-                    EventLog.info("feed_reset", "table" to table, "after" to version, "reason" to "history_dropped")
-                    return
-                }
-
-                is StoreRead.Unavailable -> {
-                    failures++
-                    if (failures == 1) {
-                        EventLog.warn("feed_lost", "table" to table, "after" to version, "reason" to read.reason)
-                    }
-                    delay(RETRY_PAUSE)
-                    if (failures >= FAILURES_TO_READ_ANEW) return
-                }
-            }
-        }
-    }
-
-    private companion object {
-        // Half of the shortest bound on a change of the manifest, so that a silent connection shows in time.
-        val FEED_WAIT = 1.seconds
-        val RETRY_PAUSE = 100.milliseconds
-
-        // A feed that was away may have missed entries that lapsed and returned; a whole read is cheap then.
-        const val FAILURES_TO_READ_ANEW = 1
-    }
-}
-
-/** Reads all rows of a part, or returns null if the store does not answer. */
-internal suspend fun RowStore.readAll(
-    table: String,
-    part: String,
-    from: String? = null,
-    to: String? = null,
-): Pair<List<StoredRow>, Long>? {
-    val rows = ArrayList<StoredRow>()
-    var start = from
-    while (true) {
-        val page =
-            when (val read = rows(table, part, start, to)) {
-                is StoreRead.Found -> read.value
-                is StoreRead.Gone, is StoreRead.Unavailable -> return null
-            }
-        rows += page.rows
-        if (!page.hasMore || page.rows.isEmpty()) return rows to page.version
-        start = page.rows
-            .last()
-            .name.key + '\u0000'
-    }
-}
 
 /** What this VM knows of the manifest and the backend servers, from the store or, without it, from other VMs. */
 internal class PlatformView(
@@ -148,8 +64,8 @@
     }
 
     fun start(scope: CoroutineScope) {
-        val operators = TableFeed(store, PlatformNames.OPERATOR_TABLE, ::takeOperatorRows, ::changeOperatorRows)
-        val servers = TableFeed(store, PlatformNames.SERVER_TABLE, ::takeServerRows, ::changeServerRows)
+        val operators = TableFeed.of(store, PlatformNames.OPERATOR_TABLE, ::takeOperatorRows, ::changeOperatorRows)
+        val servers = TableFeed.of(store, PlatformNames.SERVER_TABLE, ::takeServerRows, ::changeServerRows)
         scope.launch { operators.run() }
         scope.launch { servers.run() }
         scope.launch {
--- /dev/null
+++ b/server/src/test/kotlin/org/agatestream/server/JobWatchTest.kt
@@ -0,0 +1,81 @@
+package org.agatestream.server
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import org.agatestream.core.ItemId
+import org.agatestream.core.JobId
+import org.agatestream.core.JobPlan
+import org.agatestream.core.RowChange
+import org.agatestream.core.RowPage
+import org.agatestream.core.RowStore
+import org.agatestream.core.StoreRead
+import org.agatestream.core.VmId
+import org.agatestream.core.WorkspaceId
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private suspend fun FakeRowStore.addJob(
+    workspace: String,
+    job: String,
+) {
+    val row =
+        JobRow(JobId(job), WorkspaceId(workspace), "h", "r", 0, VmId("v"), listOf(JobRowItem(ItemId("i"), "/", 1)))
+    write(
+        emptyMap(),
+        listOf(RowChange(FleetTables.job(workspace, row.id), FleetTables.encode(JobRow.serializer(), row))),
+    )
+}
+
+/** Adds the first job of a workspace right after the workspaces were listed. */
+private class RacingStore(
+    private val rows: FakeRowStore,
+) : RowStore by rows {
+    private var isAdded = false
+
+    override suspend fun parts(table: String): StoreRead<List<String>> {
+        val parts = rows.parts(table)
+        if (!isAdded) rows.addJob("late", "late-job")
+        isAdded = true
+        return parts
+    }
+
+    override suspend fun changes(
+        table: String,
+        after: Long,
+        wait: Duration,
+    ): StoreRead<RowPage> {
+        delay(5.milliseconds)
+        return rows.changes(table, after, wait)
+    }
+}
+
+class JobWatchTest :
+    FunSpec({
+        test("a job of a workspace that the list of workspaces did not show yet is found") {
+            val rows = FakeRowStore()
+            rows.addJob("early", "early-job")
+            val seen = CopyOnWriteArrayList<JobPlan>()
+            coroutineScope {
+                val watch =
+                    JobWatch(
+                        RacingStore(rows),
+                        { null },
+                        { plan, _, _ -> seen += plan },
+                        { _, _ -> },
+                    ).start(this)
+                try {
+                    eventually(3.seconds) {
+                        seen.map { it.id.value } shouldContainExactlyInAnyOrder listOf("early-job", "late-job")
+                    }
+                } finally {
+                    watch.cancelAndJoin()
+                }
+            }
+        }
+    })
