Let idle cold servers and those that were slow once get work again

The choice of a backend server weighs the time to its first byte, and what a VM saw last stayed valid for ever: a server whose last answers were slow and that got none since is never tried again at low load. The same holds for a server that has few slots because it is still cold: the request itself counted 1/slots. Change: a latency older than 4 s is not weighed, and the first answer after that replaces it. The request itself weighs the same on every server.

--- a/core/src/main/kotlin/org/agatestream/core/BackendChoice.kt
+++ b/core/src/main/kotlin/org/agatestream/core/BackendChoice.kt
@@ -68,16 +68,20 @@
         val typical = servers.mapNotNull { it.latency }.sorted().let { if (it.isEmpty()) null else it[it.size / 2] }
         val healthy = servers.filterNot { it.failedWithin(avoidance) }.ifEmpty { servers }
         val drawn = healthy.sample(sample, random)
-        return (drawn + healthy.filter { it.cached }).minBy { cost(it, typical) }
+        val mostSlots = servers.maxOf { it.slots }.coerceAtLeast(1)
+        return (drawn + healthy.filter { it.cached }).minBy { cost(it, typical, mostSlots) }
     }
 
     private fun LeastDelay.cost(
         server: ServerView,
         typical: Duration?,
+        mostSlots: Int,
     ): Double {
-        val load = (server.load() + 1.0 - (if (server.cached) cacheGain else 0.0)) / server.slots.coerceAtLeast(1)
+        // The request itself weighs the same on each server, else an idle one with few slots would never warm up.
+        val added = (1.0 - (if (server.cached) cacheGain else 0.0)) / mostSlots
+        val load = server.load().toDouble() / server.slots.coerceAtLeast(1) + added
         val slowness = if (typical == null || server.latency == null) 1.0 else server.latency.over(typical)
-        return load * slowness + if (server.near) 0.0 else farCost / server.slots.coerceAtLeast(1)
+        return load * slowness + if (server.near) 0.0 else farCost / mostSlots
     }
 
     private fun Duration.over(typical: Duration): Double =
--- a/core/src/test/kotlin/org/agatestream/core/BackendChoiceTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/BackendChoiceTest.kt
@@ -29,6 +29,19 @@
             chosen shouldBe setOf(good.id)
         }
 
+        test("IdleColdServer: it gets one request at a time while warm ones have room") {
+            fun chosen(
+                cold: Int,
+                warm: Int,
+            ): String {
+                val servers = listOf(view("cold", own = cold).copy(slots = 2)) + List(3) { view("warm", own = warm) }
+                return checkNotNull(ChoicePolicy.LeastDelay(sample = 8).choose(servers, Random(1))).value
+            }
+            chosen(cold = 0, warm = 1) shouldBe "cold"
+            chosen(cold = 1, warm = 1) shouldBe "warm"
+            chosen(cold = 1, warm = 5) shouldBe "cold"
+        }
+
         test("the same random source gives the same choice") {
             val servers = List(20) { view("s$it", own = it % 3) }
             for (policy in listOf(ChoicePolicy.AnyServer, ChoicePolicy.TwoChoices, ChoicePolicy.LeastDelay())) {
--- a/core/src/test/kotlin/org/agatestream/core/ChoiceModel.kt
+++ b/core/src/test/kotlin/org/agatestream/core/ChoiceModel.kt
@@ -65,7 +65,8 @@
                 server.running--
                 own[server.number]--
                 server.warm++
-                watches[server.number] = watches[server.number].answered(queue.time - began)
+                watches[server.number] =
+                    watches[server.number].answered(queue.time - began, MonotonicTime(0) + queue.time)
                 latencies += queue.time - began
             }
         }
@@ -79,7 +80,7 @@
                         reported = reported.getOrNull(it.number)?.first,
                         ownThen = reported.getOrNull(it.number)?.second ?: 0,
                         slots = 32,
-                        latency = watches[it.number].typical,
+                        latency = watches[it.number].recent(MonotonicTime(0) + queue.time),
                     )
                 }
             return checkNotNull(policy.choose(views, random)).value.toInt()
--- /dev/null
+++ b/core/src/test/kotlin/org/agatestream/core/LatencyWatchTest.kt
@@ -0,0 +1,51 @@
+package org.agatestream.core
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class LatencyWatchTest :
+    FunSpec({
+        val start = MonotonicTime(0)
+
+        test("three slow answers in a row are a jump, also after a silence") {
+            val usual = LatencyWatch().answered(40.milliseconds, start)
+            var watch = usual
+            repeat(3) { watch = watch.answered(900.milliseconds, start + 20.seconds) }
+            watch.isSudden shouldBe true
+            usual.answered(900.milliseconds, start + 1.seconds).isSudden shouldBe false
+        }
+
+        test("the first answer after a silence replaces what was usual") {
+            val watch = LatencyWatch().answered(900.milliseconds, start).answered(40.milliseconds, start + 20.seconds)
+            watch.typical shouldBe 40.milliseconds
+        }
+
+        test("ServerSlowAtFirst: a server whose only answers were slow gets work within 5 s of its return") {
+            val slow = BackendServerId("engine-2")
+            val servers = listOf(BackendServerId("engine-1"), slow, BackendServerId("engine-3"))
+            val watches = servers.associateWithTo(HashMap()) { LatencyWatch() }
+            val away = 2.seconds..9.seconds
+            val random = Random(1)
+            var sent = 0
+            for (index in 0 until 14 * 13) {
+                val at: Duration = index.seconds / 13
+                val now = start + at
+                val open = if (at in away) servers - slow else servers
+                val home = servers.random(random)
+                val views =
+                    open.map {
+                        ServerView(it, own = 0, slots = 8, cached = it == home, latency = watches[it]?.recent(now))
+                    }
+                val chosen = checkNotNull(ChoicePolicy.LeastDelay().choose(views, random))
+                val took = if (chosen == slow && at < away.start) 900.milliseconds else 40.milliseconds
+                watches[chosen] = watches.getValue(chosen).answered(took, now)
+                if (chosen == slow && at > away.endInclusive) sent++
+            }
+            sent shouldBeGreaterThan 0
+        }
+    })
--- a/server/src/main/kotlin/org/agatestream/server/OwnedBackendSlots.kt
+++ b/server/src/main/kotlin/org/agatestream/server/OwnedBackendSlots.kt
@@ -119,7 +119,7 @@
                 slots = client.news?.cap ?: setting.coldSlots,
                 near = setting.failureDomain == failureDomain,
                 cached = cached,
-                latency = seen?.latency?.typical,
+                latency = seen?.latency?.recent(now),
                 sinceFailure = seen?.failedAt?.let { now - it },
             )
         return base.withNewest(client.news, seen)
--- a/server/src/main/kotlin/org/agatestream/server/SeenServer.kt
+++ b/server/src/main/kotlin/org/agatestream/server/SeenServer.kt
@@ -42,7 +42,7 @@
     ): ServerResults =
         when (result) {
             is SlotResult.Answered -> {
-                answered(result)
+                answered(result, now)
             }
 
             SlotResult.Failed -> {
@@ -60,8 +60,11 @@
             }
         }
 
-    private fun answered(result: SlotResult.Answered): ServerResults {
-        latency = latency.answered(result.firstByteAfter)
+    private fun answered(
+        result: SlotResult.Answered,
+        now: MonotonicTime,
+    ): ServerResults {
+        latency = latency.answered(result.firstByteAfter, now)
         return ServerResults(succeeded = 1, restarted = latency.isSudden, incarnation = result.incarnation)
     }
 }
