Leave a server alone that holds runs without an event

Ruled out: ending such runs sooner (a server's silence is no reason to end an answer); checks of servers (priced, and they say little of a frozen engine). Change: VMs report for each streamed run whether its first event has come and for how long it waits. A server with a run silent for 400 ms, the longest pause between events on both sheets, gets nothing more until an event comes from any run there; if the run ends without one, the server gets one run at a time until one is answered. Reports carry the age, so a new coordinator knows it from its first ones. No item makes way at such a server.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatch.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatch.kt
@@ -79,6 +79,10 @@
     val server: BackendServerId,
     /** The item that runs; null for online requests. */
     val item: ItemRef? = null,
+    /** True once its first event has come. */
+    val hasBegun: Boolean = false,
+    /** How long it has waited for its first event; null if it has come or none is due before the end. */
+    val silentMillis: Long? = null,
 )
 
 /** An instruction of the [Dispatcher]. */
--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -111,8 +111,9 @@
         }
         val started = startedAt.remove(call)
         val load = servers.find(server) ?: return fill(now)
+        val wasSilent = load.isSilent()
         load.remove(call)
-        load.record(outcome, firstEvent, now)
+        load.record(outcome, firstEvent, now, wasSilent)
         if (outcome == RunOutcome.ANSWERED && started != null && jobs.itemOf(call) == null) {
             recordRun(load.server.entry.service, now - started)
         }
@@ -273,7 +274,7 @@
         val candidates =
             servers
                 .of(request.service)
-                .filter { it.id !in request.excluded }
+                .filter { it.id !in request.excluded && !it.isSilent() }
                 .flatMap { load -> load.stoppableItems().map { load to it } }
         val order =
             compareBy<Pair<ServerLoad, CallId>>(
@@ -359,6 +360,7 @@
         }
         // The job may have been read after the run was first reported.
         running.item?.let { jobs.onReported(it, call, now) }
+        calls[call]?.let { servers.find(it) }?.noteEvents(running, call, now)
     }
 
     private fun stop(
--- a/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
@@ -19,6 +19,11 @@
     private var onTrial = false
     private var trial: CallId? = null
 
+    // Runs that wait for their first event for too long, with when they were sent.
+    private val silent = HashMap<CallId, MonotonicTime>()
+    private val begun = HashSet<CallId>()
+    private var lastEventAt = MonotonicTime.ZERO
+
     /** The smoothed time from the start of a run to its first event, in milliseconds; 0 if not known. */
     var firstEventMillis: Double = 0.0
         private set
@@ -34,7 +39,23 @@
         stopping += call
     }
 
+    /** Applies what the VM of a run here reports of its events. */
+    fun noteEvents(
+        run: RunningCall,
+        call: CallId,
+        now: MonotonicTime,
+    ) {
+        val silence = run.silentMillis?.milliseconds
+        if (run.hasBegun && begun.add(call)) lastEventAt = now
+        if (silence != null && silence >= SILENCE) silent[call] = now - silence else silent -= call
+    }
+
+    /** Returns whether a run has had no event for long, and no other one has had any since it was sent. */
+    fun isSilent(): Boolean = silent.values.any { it > lastEventAt }
+
     fun remove(call: CallId) {
+        silent -= call
+        begun -= call
         stopping -= call
         online -= call
         items -= call
@@ -46,7 +67,7 @@
         coldRate: Double,
         now: MonotonicTime,
     ): Boolean {
-        if (free <= 0 || now < pausedUntil) return false
+        if (free <= 0 || now < pausedUntil || isSilent()) return false
         if (onTrial && trial != null) return false
         if (coldRate <= 0.0 || !server.isCold(now)) return true
         while (coldStarts.isNotEmpty() && now - coldStarts.first() >= COLD_WINDOW) coldStarts.removeFirst()
@@ -67,9 +88,11 @@
         outcome: RunOutcome,
         firstEvent: Duration?,
         now: MonotonicTime,
+        wasSilent: Boolean,
     ) {
         when (outcome) {
             RunOutcome.ANSWERED -> {
+                lastEventAt = now
                 failures = 0
                 onTrial = false
             }
@@ -79,16 +102,19 @@
             }
 
             RunOutcome.LOST -> {
-                distrust(1, now)
+                distrust(if (wasSilent) FAILURES_TO_DISTRUST else 1, now)
             }
 
             RunOutcome.UNREACHABLE -> {
                 distrust(FAILURES_TO_DISTRUST, now)
             }
 
-            RunOutcome.STOPPED -> {}
+            RunOutcome.STOPPED -> {
+                if (wasSilent) distrust(FAILURES_TO_DISTRUST, now)
+            }
         }
         if (firstEvent != null) {
+            lastEventAt = now
             val millis = firstEvent.toDouble(DurationUnit.MILLISECONDS)
             firstEventMillis =
                 if (firstEventMillis == 0.0) millis else firstEventMillis + SMOOTHING * (millis - firstEventMillis)
@@ -110,6 +136,9 @@
         // The rules count requests to a cold server in any one second.
         val COLD_WINDOW = 1.seconds
 
+        // The longest pause between two events of an answer that both sites' sheets allow.
+        val SILENCE = 400.milliseconds
+
         // A server that refused is full by runs that this coordinator does not know of; streams take some 0.7 s.
         val FULL_PAUSE = 100.milliseconds
 
--- a/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
@@ -203,6 +203,55 @@
             released.placed() shouldContainExactly listOf(6L)
         }
 
+        test("SilentServer: a server whose run has no event for long gets no more until one comes") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 8))
+            dispatcher.place(requestOf(1), START).placed() shouldContainExactly listOf(1L)
+            val later = START + 500.milliseconds
+            dispatcher.onReport(VM_A, listOf(waiting(1, "s1", 500)), emptyList(), later)
+            dispatcher.place(requestOf(2, later), later).shouldBeEmpty()
+            val begun = waiting(1, "s1", null).copy(hasBegun = true)
+            dispatcher.onReport(VM_A, listOf(begun), emptyList(), later + 250.milliseconds)
+            dispatcher.tick(later + 250.milliseconds).placed() shouldContainExactly listOf(2L)
+        }
+
+        test("SilentServer: after its runs are given up it gets one at a time") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 8))
+            for (number in 1L..2L) dispatcher.place(requestOf(number), START)
+            val silent = (1L..2L).map { waiting(it, "s1", 1_900) }
+            dispatcher.onReport(VM_A, silent, emptyList(), START + 1_900.milliseconds)
+            for (number in 1L..2L) {
+                dispatcher.release(CallId(VM_A, number), RunOutcome.STOPPED, null, START + 2.seconds)
+            }
+            val later = START + 4.seconds
+            dispatcher.place(requestOf(5, later), later).placed() shouldContainExactly listOf(5L)
+            dispatcher.place(requestOf(6, later), later).shouldBeEmpty()
+        }
+
+        test("SilentServer: a run of one VM without events does not count while another VM's has some") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 8))
+            val later = START + 1.seconds
+            dispatcher.onReport(VM_A, listOf(waiting(7, "s1", 500)), emptyList(), later)
+            dispatcher.onReport(VM_B, listOf(waiting(8, "s1", null).copy(hasBegun = true)), emptyList(), later)
+            dispatcher.place(requestOf(1, later), later).placed() shouldContainExactly listOf(1L)
+        }
+
+        test("SilentServer: a new coordinator learns of it from the reports") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 8), serverOf("s2", slots = 2))
+            dispatcher.onReport(VM_B, listOf(waiting(7, "s1", 2_000)), emptyList(), START)
+            val place = dispatcher.place(requestOf(1), START).single()
+            place shouldBe DispatchAction.Place(CallId(VM_A, 1), BackendServerId("s2"))
+        }
+
+        test("SilentServer: no item makes way there for a request that could not start") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 2))
+            val item = dispatcher.onJob(jobOf("j", 1), emptySet(), START).started().single()
+            val later = START + 600.milliseconds
+            dispatcher.place(requestOf(9, later), later).placed() shouldContainExactly listOf(9L)
+            val silent = RunningCall(item.call.number, item.server, item.item, silentMillis = 600)
+            dispatcher.onReport(item.call.vm, listOf(silent), emptyList(), later)
+            dispatcher.place(requestOf(1, later), later).shouldBeEmpty()
+        }
+
         test("a release that overtakes its request cancels it") {
             val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 1))
             dispatcher.release(CallId(VM_A, 1), RunOutcome.STOPPED, null, START)
@@ -219,3 +268,9 @@
             actions.started().shouldBeEmpty()
         }
     })
+
+private fun waiting(
+    number: Long,
+    server: String,
+    silentMillis: Long?,
+) = RunningCall(number, BackendServerId(server), silentMillis = silentMillis)
--- a/server/src/main/kotlin/org/agatestream/server/ItemRuns.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemRuns.kt
@@ -101,7 +101,12 @@
         try {
             earlier.forEach { it.job.cancelAndJoin() }
             val startedAt = MonotonicTime.now()
-            end = exchange(ask) { firstEvent = MonotonicTime.now() - startedAt }
+            placer.onSent(ask.number, startedAt)
+            end =
+                exchange(ask) {
+                    firstEvent = MonotonicTime.now() - startedAt
+                    placer.onBegun(ask.number)
+                }
             outcome = end.outcome
         } finally {
             withContext(NonCancellable) {
--- a/server/src/main/kotlin/org/agatestream/server/Placer.kt
+++ b/server/src/main/kotlin/org/agatestream/server/Placer.kt
@@ -54,11 +54,29 @@
 ) {
     private val waiting = HashMap<Long, CompletableDeferred<PlaceDecision>>()
     private val running = LinkedHashMap<Long, RunningCall>()
+
+    // Runs that wait for their first event.
+    private val sentAt = HashMap<Long, MonotonicTime>()
     private val local = Dispatcher(nextNumber = 0)
     private var nextNumber = 1L
 
-    /** All runs that this VM carries. */
-    val runningCalls: List<RunningCall> get() = running.values.toList()
+    /** All runs that this VM carries, with what is known of their events at [now]. */
+    fun runningCalls(now: MonotonicTime): List<RunningCall> =
+        running.values.map { it.copy(silentMillis = sentAt[it.number]?.let { at -> (now - at).inWholeMilliseconds }) }
+
+    /** Notes that the run was sent and that an event is due. */
+    fun onSent(
+        number: Long,
+        now: MonotonicTime,
+    ) {
+        if (number in running) sentAt[number] = now
+    }
+
+    /** Notes the first event of a run. */
+    fun onBegun(number: Long) {
+        sentAt -= number
+        running.computeIfPresent(number) { _, call -> call.copy(hasBegun = true) }
+    }
 
     /** Applies a change of the manifest or of the servers. */
     fun onView(now: MonotonicTime) {
@@ -130,6 +148,7 @@
         firstEvent: Duration?,
     ) {
         running -= slot.number
+        sentAt -= slot.number
         local.release(CallId(self, slot.number), outcome, firstEvent, MonotonicTime.now())
         tellReleased(slot.coordinator, slot.number, outcome, firstEvent)
     }
@@ -141,6 +160,7 @@
         firstEvent: Duration?,
     ) {
         running -= number
+        sentAt -= number
         tellReleased(coordinators.reachable(), number, outcome, firstEvent)
     }
 
@@ -211,7 +231,7 @@
     ): PlaceDecision {
         val vms = maxOf(1, coordinators.listed)
         local.onFollowers(listOf(self), vms, SPARE_REQUESTS / vms)
-        local.onReport(self, runningCalls, emptyList(), now)
+        local.onReport(self, runningCalls(now), emptyList(), now)
         val call = CallId(self, number)
         // Nothing tells this VM of a slot that others free, so a request that finds none does not wait.
         val request =
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -173,7 +173,7 @@
             domain = config.failureDomain,
             isLeaving = shutdown.hasBegun,
             hasStore = view.hasStore(MonotonicTime.now()),
-            running = placer.runningCalls,
+            running = placer.runningCalls(MonotonicTime.now()),
             unlisted = items.unlisted,
             operatorVersion = view.operatorVersion,
             serverVersion = view.serverVersion,
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -125,12 +125,18 @@
             val sentAt = MonotonicTime.now()
             var outcome = RunOutcome.STOPPED
             var firstEvent: Duration? = null
+            if (isStream) placer.onSent(slot.number, sentAt)
             try {
                 val timeLeft = arrivedAt + patience - sentAt
                 val resumeFrom = lastEvent.takeIf { writer != null }
                 val spec = BackendProtocol.request(request, slot.server.id, slot.server.address, timeLeft, resumeFrom)
                 val end =
-                    withTimeoutOrNull(endAt - sentAt) { exchange(spec) { firstEvent = MonotonicTime.now() - sentAt } }
+                    withTimeoutOrNull(endAt - sentAt) {
+                        exchange(spec) {
+                            firstEvent = MonotonicTime.now() - sentAt
+                            placer.onBegun(slot.number)
+                        }
+                    }
                 outcome = end?.outcome ?: RunOutcome.LOST
                 return end ?: Attempt.Lost("timeout")
             } finally {
