Log which servers the coordinator holds back and who decided on a request

Cause: the coordinator's doubts of a server showed in no line, and a refused request's line said coordinator=null whoever had refused it, while an answered one named the coordinator that was asked even if it did not answer and the VM chose alone. An event without an end could fill a VM's memory. A stream whose event is longer than 1 MiB is given up as lost. Ruled out: the deciding VM's name in the answer to callers. Tests: DispatcherTest on the doubts, EventCutterTest on the bound (a new bound, so there was nothing to fail before it), PlatformVmTest.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatch.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatch.kt
@@ -85,6 +85,15 @@
     val silentMillis: Long? = null,
 )
 
+/** Why a coordinator gives a server less than its slots, or nothing. */
+public enum class ServerDoubt {
+    /** A run there waits for its first event for too long, and no other run has had one since. */
+    SILENT,
+
+    /** Runs there failed, so that it gets one at a time. */
+    FAILING,
+}
+
 /** An instruction of the [Dispatcher]. */
 public sealed interface DispatchAction {
     /** The request may run at [server]. */
--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -41,6 +41,10 @@
     /** The number of jobs with items that are not done. */
     public val openJobs: Int get() = jobs.openJobs
 
+    /** The servers that get less than their slots, and why. */
+    public val doubted: Map<BackendServerId, ServerDoubt>
+        get() = servers.all.mapNotNull { load -> load.doubt?.let { load.id to it } }.toMap()
+
     /** Applies a version of the manifest. */
     public fun onManifest(manifest: Manifest) {
         this.manifest = manifest
--- a/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
@@ -33,6 +33,14 @@
     /** Slots that no run holds; the slot of an item that is being stopped counts as free. */
     val free: Int get() = server.entry.slots - running + stopping.size
 
+    val doubt: ServerDoubt?
+        get() =
+            when {
+                isSilent() -> ServerDoubt.SILENT
+                onTrial -> ServerDoubt.FAILING
+                else -> null
+            }
+
     fun stoppableItems(): List<CallId> = items.filter { it !in stopping }
 
     fun stop(call: CallId) {
--- a/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
@@ -199,6 +199,7 @@
             val later = START + 2.seconds
             dispatcher.place(requestOf(5, later), later).placed() shouldContainExactly listOf(5L)
             dispatcher.place(requestOf(6, later), later).shouldBeEmpty()
+            dispatcher.doubted shouldBe mapOf(BackendServerId("s1") to ServerDoubt.FAILING)
             val released = dispatcher.release(CallId(VM_A, 5), RunOutcome.ANSWERED, null, later)
             released.placed() shouldContainExactly listOf(6L)
         }
@@ -209,8 +210,10 @@
             val later = START + 500.milliseconds
             dispatcher.onReport(VM_A, listOf(waiting(1, "s1", 500)), emptyList(), later)
             dispatcher.place(requestOf(2, later), later).shouldBeEmpty()
+            dispatcher.doubted shouldBe mapOf(BackendServerId("s1") to ServerDoubt.SILENT)
             val begun = waiting(1, "s1", null).copy(hasBegun = true)
             dispatcher.onReport(VM_A, listOf(begun), emptyList(), later + 250.milliseconds)
+            dispatcher.doubted shouldBe emptyMap()
             dispatcher.tick(later + 250.milliseconds).placed() shouldContainExactly listOf(2L)
         }
 
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import org.agatestream.core.BackendServerId
 import org.agatestream.core.CallId
 import org.agatestream.core.DispatchAction
 import org.agatestream.core.Dispatcher
@@ -18,6 +19,7 @@
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.PlaceRequest
 import org.agatestream.core.RunOutcome
+import org.agatestream.core.ServerDoubt
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
 import kotlin.time.Duration.Companion.milliseconds
@@ -61,6 +63,7 @@
     var isResigning = false
         private set
 
+    private var doubted: Map<BackendServerId, ServerDoubt> = emptyMap()
     private var live: List<LiveVm> = emptyList()
     private var liveVersion = 0L
 
@@ -195,6 +198,17 @@
         val others = followers.values.filter { it.vm.id != self }
         setResigning((isLeaving() || !view.hasStore(now)) && others.any { it.hasStore }, now)
         execute(dispatcher.tick(now))
+        noteDoubts()
+    }
+
+    private fun noteDoubts() {
+        val now = dispatcher.doubted
+        if (now == doubted) return
+        for (server in doubted.keys - now.keys) EventLog.info("server_trusted", "server" to server)
+        for ((server, doubt) in now) {
+            if (doubted[server] != doubt) EventLog.info("server_doubted", "server" to server, "reason" to doubt)
+        }
+        doubted = now
     }
 
     private fun setResigning(
--- a/server/src/main/kotlin/org/agatestream/server/EventCutter.kt
+++ b/server/src/main/kotlin/org/agatestream/server/EventCutter.kt
@@ -30,6 +30,9 @@
     /** Bytes of an event whose end has not come. */
     val remainder: ByteArray get() = rest
 
+    /** True once an event is longer than any that is passed on, so that its stream is to be given up. */
+    val isOverlong: Boolean get() = rest.size > MAX_EVENT_BYTES
+
     /** Takes in [bytes] and returns the events that they complete. */
     fun feed(bytes: ByteArray): List<StreamEvent> {
         val all = if (rest.isEmpty()) bytes else rest + bytes
@@ -77,6 +80,9 @@
         const val LF = '\n'.code.toByte()
         const val CR = '\r'.code.toByte()
         const val ID = "id:"
+
+        // Over two thousand times the longest event of the users' sheets, and a small part of a VM's memory.
+        const val MAX_EVENT_BYTES = 1 shl 20
     }
 }
 
--- a/server/src/main/kotlin/org/agatestream/server/ItemRuns.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemRuns.kt
@@ -257,6 +257,7 @@
                         onFirst()
                         isFirst = false
                     }
+                    if (cutter.isOverlong) return ItemEnd.Interrupted("event too long", RunOutcome.LOST)
                     if (!output.take(events)) return ItemEnd.Interrupted("event out of order", RunOutcome.LOST)
                 }
 
--- a/server/src/main/kotlin/org/agatestream/server/Placer.kt
+++ b/server/src/main/kotlin/org/agatestream/server/Placer.kt
@@ -11,7 +11,6 @@
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.Failure
 import org.agatestream.core.MonotonicTime
-import org.agatestream.core.Outcome
 import org.agatestream.core.PlaceRequest
 import org.agatestream.core.RunOutcome
 import org.agatestream.core.RunningCall
@@ -19,8 +18,6 @@
 import org.agatestream.core.ServiceId
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
-import org.agatestream.core.toFailed
-import org.agatestream.core.toOk
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -39,8 +36,29 @@
 internal class Slot(
     val number: Long,
     val server: ServerEntry,
-    /** The coordinator that gave it, or null if this VM chose by itself. */
+    /** The coordinator that is told of its release: it gave the slot, or was asked and may have. */
     val coordinator: VmId?,
+    /** Who chose the server: the coordinator, or this VM if none answered. */
+    val chosenBy: VmId,
+)
+
+/** What came of the search for a slot. */
+internal sealed interface Placement {
+    class Given(
+        val slot: Slot,
+    ) : Placement
+
+    class Refused(
+        val failure: Failure,
+        /** Who refused: the coordinator, or this VM if none answered. */
+        val by: VmId,
+    ) : Placement
+}
+
+/** A decision on a slot and the VM that took it. */
+private class Decided(
+    val decision: PlaceDecision,
+    val by: VmId,
 )
 
 /** Gets slots from the coordinator, or chooses by this VM's own part of each rate while there is none. */
@@ -105,20 +123,20 @@
     suspend fun acquire(
         need: SlotNeed,
         excluded: Set<BackendServerId>,
-    ): Outcome<Slot> {
+    ): Placement {
         var metered = need.metered
         val avoided = HashSet(excluded)
         repeat(MAX_DECISIONS) {
             val number = nextNumber++
             val from = coordinators.reachable()
-            val decision = decide(number, need, metered, avoided, from)
-            when (decision) {
+            val decided = decide(number, need, metered, avoided, from)
+            when (val decision = decided.decision) {
                 is PlaceDecision.Placed -> {
                     metered = null
                     val server = view.registry.usable(decision.server)?.entry
                     if (server != null && server.service == need.service) {
                         running[number] = RunningCall(number, server.id)
-                        return Slot(number, server, from).toOk()
+                        return Placement.Given(Slot(number, server, from, decided.by))
                     }
                     // This VM knows better, or not yet; either way it must not send there.
                     tellReleased(from, number, RunOutcome.STOPPED, null)
@@ -126,10 +144,9 @@
                 }
 
                 is PlaceDecision.Refused -> {
-                    return decision.kind.toFailed(
-                        "no slot: ${decision.kind.code}",
-                        decision.retryAfterMillis.milliseconds,
-                    )
+                    val retryAfter = decision.retryAfterMillis.milliseconds
+                    val failure = Failure(decision.kind, "no slot: ${decision.kind.code}", retryAfter)
+                    return Placement.Refused(failure, decided.by)
                 }
 
                 is PlaceDecision.Queued -> {
@@ -170,11 +187,12 @@
         metered: WorkspaceId?,
         avoided: Set<BackendServerId>,
         from: VmId?,
-    ): PlaceDecision {
+    ): Decided {
         val now = MonotonicTime.now()
         val later = CompletableDeferred<PlaceDecision>()
         waiting[number] = later
         var isDecided = false
+        var by = from ?: self
         try {
             val ask =
                 PlaceAsk(
@@ -190,6 +208,7 @@
             val decision =
                 when (first) {
                     null -> {
+                        by = self
                         placeLocally(number, need, metered, avoided, now)
                     }
 
@@ -202,7 +221,7 @@
                     }
                 }
             isDecided = decision != null && decision !is PlaceDecision.Queued
-            return decision ?: PlaceDecision.Queued
+            return Decided(decision ?: PlaceDecision.Queued, by)
         } finally {
             waiting -= number
             if (!isDecided) tellReleased(from, number, RunOutcome.STOPPED, null)
@@ -262,8 +281,8 @@
         }
     }
 
-    private fun noCapacity(): Outcome<Slot> =
-        Outcome.Failed(Failure(ErrorKind.NO_CAPACITY, "no server has a free slot", LOCAL_RETRY))
+    private fun noCapacity(): Placement =
+        Placement.Refused(Failure(ErrorKind.NO_CAPACITY, "no server has a free slot", LOCAL_RETRY), self)
 
     private companion object {
         const val MAX_DECISIONS = 5
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -10,6 +10,7 @@
 import org.agatestream.core.Outcome
 import org.agatestream.core.RouteKind
 import org.agatestream.core.RunOutcome
+import org.agatestream.core.VmId
 import org.agatestream.http.BodyPart
 import org.agatestream.http.BodyWriter
 import org.agatestream.http.ExchangeResult
@@ -79,8 +80,8 @@
             while (true) {
                 val slot =
                     when (val got = placer.acquire(need(), excluded)) {
-                        is Outcome.Ok -> got.value
-                        is Outcome.Failed -> return refuse(got.failure)
+                        is Placement.Given -> got.slot
+                        is Placement.Refused -> return refuse(got.failure, got.by)
                     }
                 metered = null
                 when (val end = attempt(slot)) {
@@ -204,6 +205,7 @@
                 when (val part = answer.nextChunk()) {
                     is BodyPart.Chunk -> {
                         val events = cutter.feed(part.bytes)
+                        if (cutter.isOverlong) return Attempt.Lost("event too long")
                         if (events.isEmpty()) continue
                         if (isFirst) {
                             onFirst()
@@ -260,9 +262,12 @@
         private fun headers(answer: HttpAnswer): Map<String, String> =
             BackendProtocol.answerHeaders(answer).filter { it.first != "content-type" }.toMap()
 
-        private suspend fun refuse(reason: Failure) {
+        private suspend fun refuse(
+            reason: Failure,
+            by: VmId? = null,
+        ) {
             if (writer != null || runs > 0) return fail(reason.message)
-            log("refused", null, reason.kind.code)
+            log("refused", null, reason.kind.code, by)
             call.respondNotServed(reason)
         }
 
@@ -283,6 +288,7 @@
             outcome: String,
             slot: Slot?,
             detail: Any,
+            by: VmId? = slot?.chosenBy,
         ) {
             val took = MonotonicTime.now() - arrivedAt
             if (outcome in FINAL_OUTCOMES) metrics.onRequest(route.name, outcome, detail.toString(), took)
@@ -295,7 +301,7 @@
                 "detail" to detail,
                 "manifest" to manifestVersion,
                 "server" to slot?.server?.id,
-                "coordinator" to slot?.coordinator,
+                "decided_by" to by,
                 "events" to lastEvent,
                 "took" to took,
             )
--- a/server/src/test/kotlin/org/agatestream/server/EventCutterTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/EventCutterTest.kt
@@ -18,6 +18,16 @@
             }
         }
 
+        test("an event of over 1 MiB is overlong, whole events of any number are not") {
+            val cutter = EventCutter()
+            val event = ("data: " + "x".repeat(100_000) + "\n\n").encodeToByteArray()
+            repeat(20) { cutter.feed(event).size shouldBe 1 }
+            cutter.isOverlong shouldBe false
+            val chunk = ByteArray(64 * 1024) { 'x'.code.toByte() }
+            repeat(17) { cutter.feed(chunk).size shouldBe 0 }
+            cutter.isOverlong shouldBe true
+        }
+
         test("an event without a number or data has neither") {
             val event = EventCutter().feed(": comment\n\n".encodeToByteArray()).single()
             event.id shouldBe null
