Hold only silent runs' own ends against a server

Cause: found on reading the change on silent servers: while one run waited without an event, the end of any other run there put the server on trial, also of one that had events and whose caller left. That says nothing of the server. Change: only the end of a run that is itself silent counts. Before: the new case in DispatcherTest red. After: DispatcherTest and DispatchModelTest pass.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -115,7 +115,7 @@
         }
         val started = startedAt.remove(call)
         val load = servers.find(server) ?: return fill(now)
-        val wasSilent = load.isSilent()
+        val wasSilent = load.isSilent(call)
         load.remove(call)
         load.record(outcome, firstEvent, now, wasSilent)
         if (outcome == RunOutcome.ANSWERED && started != null && jobs.itemOf(call) == null) {
--- a/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
@@ -61,6 +61,9 @@
     /** Returns whether a run has had no event for long, and no other one has had any since it was sent. */
     fun isSilent(): Boolean = silent.values.any { it > lastEventAt }
 
+    /** Returns whether [call] is such a run. */
+    fun isSilent(call: CallId): Boolean = silent[call]?.let { it > lastEventAt } == true
+
     fun remove(call: CallId) {
         silent -= call
         begun -= call
--- a/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.collections.shouldNotContain
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlin.time.Duration.Companion.milliseconds
@@ -238,6 +239,17 @@
             dispatcher.place(requestOf(1, later), later).placed() shouldContainExactly listOf(1L)
         }
 
+        test("SilentServer: the end of a run that had events says nothing of the server") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 8))
+            for (number in 1L..2L) dispatcher.place(requestOf(number), START)
+            val begun = waiting(1, "s1", null).copy(hasBegun = true)
+            dispatcher.onReport(VM_A, listOf(begun), emptyList(), START + 250.milliseconds)
+            val later = START + 1.seconds
+            dispatcher.onReport(VM_A, listOf(begun, waiting(2, "s1", 500)), emptyList(), later)
+            dispatcher.release(CallId(VM_A, 1), RunOutcome.STOPPED, 60.milliseconds, later)
+            dispatcher.doubted.values shouldNotContain ServerDoubt.FAILING
+        }
+
         test("SilentServer: a new coordinator learns of it from the reports") {
             val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 8), serverOf("s2", slots = 2))
             dispatcher.onReport(VM_B, listOf(waiting(7, "s1", 2_000)), emptyList(), START)
