Count a run at the server where its VM says that it runs

Cause: a VM that hears nothing from the coordinator for 100 ms chooses by itself. If the coordinator had given the request a slot meanwhile, it went on counting the run there, and the server that carried it had one slot too many on the account until the run ended. Found on reading. Change: a reported run that is held at another server is moved. Ruled out: telling the coordinator of the choice in a message of its own; the next report says it within 250 ms. Before: the new case in DispatcherTest red (a fifth run was given to a full server). After: DispatcherTest and DispatchModelTest pass.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -358,7 +358,9 @@
     ) {
         val call = CallId(vm, running.number)
         if (call in released) return
-        if (call !in calls) {
+        // A VM that had no answer in time chose by itself, perhaps another server than the one given here.
+        if (calls[call] != running.server) {
+            drop(call)
             val load = servers.find(running.server) ?: return
             hold(call, load, running.item != null, now)
         }
--- a/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
@@ -181,6 +181,16 @@
             dispatcher.place(requestOf(1), START).shouldBeEmpty()
         }
 
+        test("a run that its VM sent elsewhere by itself counts where it runs") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 3), serverOf("s2", slots = 1))
+            val given = dispatcher.place(requestOf(1), START).single().shouldBeInstanceOf<DispatchAction.Place>()
+            given.server shouldBe BackendServerId("s1")
+            // The answer was lost on its way, so the VM chose.
+            dispatcher.onReport(VM_A, listOf(RunningCall(1, BackendServerId("s2"))), emptyList(), START)
+            val free = (2L..5L).flatMap { dispatcher.place(requestOf(it), START) }
+            free.filterIsInstance<DispatchAction.Place>().map { it.server.value } shouldContainExactly List(3) { "s1" }
+        }
+
         test("a new coordinator does not start an item that a VM reported before its job was read") {
             val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
             val job = jobOf("j", 1)
--- a/server/src/main/kotlin/org/agatestream/server/Placer.kt
+++ b/server/src/main/kotlin/org/agatestream/server/Placer.kt
@@ -192,7 +192,6 @@
         val later = CompletableDeferred<PlaceDecision>()
         waiting[number] = later
         var isDecided = false
-        var by = from ?: self
         try {
             val ask =
                 PlaceAsk(
@@ -208,7 +207,6 @@
             val decision =
                 when (first) {
                     null -> {
-                        by = self
                         placeLocally(number, need, metered, avoided, now)
                     }
 
@@ -221,6 +219,7 @@
                     }
                 }
             isDecided = decision != null && decision !is PlaceDecision.Queued
+            val by = if (first == null || from == null) self else from
             return Decided(decision ?: PlaceDecision.Queued, by)
         } finally {
             waiting -= number
