Keep a run's server and start in one place in the dispatcher

Cause: two maps with the same keys said where a run holds a slot and since when, and had to change together; a missing start needed a default that can't occur. A reported run notes its events at the server that it names, which it holds by then. Behaviour is the same. Ruled out: joining the reading loops of RouteForwarder and ItemRuns; one relays and one collects, and what they share is the cutter already. Checked: format and lint; DispatcherTest, DispatchModelTest, PlatformVmTest and the tests of jobs, relay and manifest pass.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -23,8 +23,7 @@
     private val servers = ServerPool(random)
     private val online = ArrayList<PlaceRequest>()
     private val rates = WorkspaceRates()
-    private val calls = HashMap<CallId, BackendServerId>()
-    private val startedAt = HashMap<CallId, MonotonicTime>()
+    private val calls = HashMap<CallId, Hold>()
     private val released = LinkedHashMap<CallId, MonotonicTime>()
     private val jobs = JobBook()
     private val runMillis = HashMap<ServiceId, Double>()
@@ -32,6 +31,12 @@
     private var followers: List<VmId> = emptyList()
     private var itemsFrom: MonotonicTime? = null
 
+    /** A slot that a run holds. */
+    private class Hold(
+        val server: BackendServerId,
+        val since: MonotonicTime,
+    )
+
     /** The number of requests that wait for a slot. */
     public val waitingRequests: Int get() = online.size
 
@@ -108,18 +113,17 @@
         now: MonotonicTime,
     ): List<DispatchAction> {
         if (online.removeAll { it.call == call }) return fill(now)
-        val server = calls.remove(call)
-        if (server == null) {
-            remember(call, now)
+        val held = calls.remove(call)
+        if (held == null) {
+            released[call] = now
             return emptyList()
         }
-        val started = startedAt.remove(call)
-        val load = servers.find(server) ?: return fill(now)
+        val load = servers.find(held.server) ?: return fill(now)
         val wasSilent = load.isSilent(call)
         load.remove(call)
         load.record(outcome, firstEvent, now, wasSilent)
-        if (outcome == RunOutcome.ANSWERED && started != null && jobs.itemOf(call) == null) {
-            recordRun(load.server.entry.service, now - started)
+        if (outcome == RunOutcome.ANSWERED && jobs.itemOf(call) == null) {
+            recordRun(load.server.entry.service, now - held.since)
         }
         return fill(now)
     }
@@ -172,10 +176,9 @@
     ): List<DispatchAction> {
         val numbers = running.mapTo(HashSet()) { it.number }
         val stale =
-            calls.keys.filter { call ->
-                call.vm == vm && call.number !in numbers &&
-                    now - (startedAt[call] ?: MonotonicTime.ZERO) > REPORT_LAG
-            }
+            calls
+                .filter { (call, held) -> call.vm == vm && call.number !in numbers && now - held.since > REPORT_LAG }
+                .keys
         for (call in stale) {
             jobs.itemOf(call)?.let { jobs.onOutcome(it, call, ItemOutcome.INTERRUPTED, now) }
             drop(call)
@@ -346,8 +349,7 @@
         isItem: Boolean,
         now: MonotonicTime,
     ) {
-        calls[call] = load.id
-        startedAt[call] = now
+        calls[call] = Hold(load.id, now)
         load.started(call, isItem, now)
     }
 
@@ -359,34 +361,26 @@
         val call = CallId(vm, running.number)
         if (call in released) return
         // A VM that had no answer in time chose by itself, perhaps another server than the one given here.
-        if (calls[call] != running.server) {
+        if (calls[call]?.server != running.server) {
             drop(call)
             val load = servers.find(running.server) ?: return
             hold(call, load, running.item != null, now)
         }
         // The job may have been read after the run was first reported.
         running.item?.let { jobs.onReported(it, call, now) }
-        calls[call]?.let { servers.find(it) }?.noteEvents(running, call, now)
+        servers.find(running.server)?.noteEvents(running, call, now)
     }
 
     private fun stop(
         call: CallId,
         reason: String,
     ): DispatchAction {
-        calls[call]?.let { servers.find(it) }?.stop(call)
+        calls[call]?.let { servers.find(it.server) }?.stop(call)
         return DispatchAction.StopItem(call, reason)
     }
 
     private fun drop(call: CallId) {
-        startedAt -= call
-        calls.remove(call)?.let { servers.find(it) }?.remove(call)
-    }
-
-    private fun remember(
-        call: CallId,
-        now: MonotonicTime,
-    ) {
-        released[call] = now
+        calls.remove(call)?.let { servers.find(it.server) }?.remove(call)
     }
 
     private fun recordRun(
