Learn the newer coordinator and manifest from any VM while the store is away

The store turned four VMs away, the coordinator among them. The others named a new one; the four went on with the old one, which knew of neither the new one nor any later manifest (version 2 against 19). Two accounts filled the same slots, so requests queued at servers. Ruled out: too few slots (104 slots, 70 requests a second of 0.7 s); slow or silent servers (doubted only after the queues had grown). Change: a VM that the store does not answer asks any other VM, four times a second, for newer rows and for a later named coordinator, by its row's version. The ask that a starting VM sends to the seeds is the same one now. Before: the new test in PlatformVmTest red (a VM that is turned away answers 404 on a route of the newer manifest for 10 s). After: PlatformVmTest passes.

--- a/server/src/main/kotlin/org/agatestream/server/Coordinators.kt
+++ b/server/src/main/kotlin/org/agatestream/server/Coordinators.kt
@@ -104,7 +104,7 @@
                 { rows, _ -> changeRows(rows) },
             )
         scope.launch { feed.run() }
-        scope.launch { bootstrap() }
+        scope.launch { followPeers() }
         scope.launch {
             while (isActive) {
                 if (!announcedLeaving) roster.keepListed()
@@ -129,10 +129,13 @@
     fun answer(ask: PeerAsk): PeerAnswer? =
         when (ask) {
             is HearsAsk -> HearsAnswer(ask.coordinator == reachable() && !isResigning)
-            is BootstrapAsk -> BootstrapAnswer(view.newsSince(0, 0), callers, named)
+            is NewsAsk -> NewsAnswer(view.newsSince(ask.operatorVersion, ask.serverVersion), callers, newerThan(ask))
             else -> null
         }
 
+    private fun newerThan(ask: NewsAsk): NamedCoordinator? =
+        record?.takeIf { recordVersion > ask.coordinatorVersion }?.let { NamedCoordinator(it, recordVersion) }
+
     private fun reportInterval(): Duration =
         if (silentSince != null) {
             SILENT_REPORT_INTERVAL
@@ -244,25 +247,40 @@
         if (result is WriteResult.Conflict) changeRows(result.current)
     }
 
-    /** Learns of the fleet from the seeds while the store has not answered. */
-    private suspend fun bootstrap() {
-        while (view.manifest == null) {
-            for (seed in config.seedPeers) {
-                if (view.manifest != null || seed == config.peerAddress) continue
-                val answer = network.askAddress(seed, BootstrapAsk, BOOTSTRAP_TIMEOUT) as? BootstrapAnswer ?: continue
-                answer.news?.let { view.onNews(it, MonotonicTime.now()) }
-                if (live.isEmpty()) live = answer.live
-                if (record == null) adopt(answer)
-                updateAddresses()
-                EventLog.info("bootstrapped", "seed" to seed, "manifest" to (view.manifest != null))
+    /** Learns from other VMs, from the seeds first, what the store does not tell this one. */
+    private suspend fun followPeers() {
+        while (true) {
+            if (view.manifest == null) {
+                config.seedPeers.filter { it != config.peerAddress }.forEach { askSeed(it) }
+                delay(BOOTSTRAP_PAUSE)
+            } else {
+                if (!view.hasStore(MonotonicTime.now())) askPeer()
+                delay(NEWS_INTERVAL)
             }
-            delay(BOOTSTRAP_PAUSE)
         }
     }
 
-    private fun adopt(answer: BootstrapAnswer) {
-        val vm = answer.live.firstOrNull { it.id == answer.coordinator } ?: return
-        setCoordinator(CoordinatorRecord(vm.id, vm.name, vm.peer), 0)
+    private suspend fun askSeed(seed: String) {
+        if (view.manifest != null) return
+        val answer = network.askAddress(seed, newsAsk(), BOOTSTRAP_TIMEOUT) as? NewsAnswer ?: return
+        takeNews(answer)
+        EventLog.info("bootstrapped", "seed" to seed, "manifest" to (view.manifest != null))
+    }
+
+    /** A coordinator that lost the store too knows nothing new, so any other VM is asked. */
+    private suspend fun askPeer() {
+        val others = (roster.all + live).map { it.id }.distinct().filter { it != self }
+        if (others.isEmpty()) return
+        (network.ask(others.random(random), newsAsk(), REPORT_TIMEOUT) as? NewsAnswer)?.let { takeNews(it) }
+    }
+
+    private fun newsAsk(): NewsAsk = NewsAsk(view.operatorVersion, view.serverVersion, recordVersion)
+
+    private fun takeNews(answer: NewsAnswer) {
+        answer.news?.let { view.onNews(it, MonotonicTime.now()) }
+        if (live.isEmpty()) live = answer.live
+        answer.coordinator?.let { if (it.version > recordVersion) setCoordinator(it.record, it.version) }
+        updateAddresses()
     }
 
     private fun takeRows(rows: List<StoredRow>) {
@@ -329,5 +347,8 @@
         const val PEERS_ASKED = 3
         val BOOTSTRAP_TIMEOUT = 500.milliseconds
         val BOOTSTRAP_PAUSE = 1.seconds
+
+        // An eighth of the 2 s in which a change of the manifest is to be in force.
+        val NEWS_INTERVAL = 250.milliseconds
     }
 }
--- a/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
@@ -192,15 +192,29 @@
     val hears: Boolean,
 ) : PeerAnswer
 
-/** Asks for all that a starting VM needs if the store is away. */
+/** Asks for what a VM lacks while the store does not answer it; a version is 0 for what it does not know at all. */
 @Serializable
-@SerialName("bootstrap")
-internal data object BootstrapAsk : PeerAsk
+@SerialName("news")
+internal class NewsAsk(
+    val operatorVersion: Long,
+    val serverVersion: Long,
+    val coordinatorVersion: Long,
+) : PeerAsk
 
 @Serializable
-@SerialName("bootstrap-answer")
-internal class BootstrapAnswer(
+@SerialName("news-answer")
+internal class NewsAnswer(
+    /** What is newer than the asking VM knows. */
     val news: PlatformNews?,
+    /** The VMs that take callers. */
     val live: List<LiveVm>,
-    val coordinator: VmId?,
+    /** The coordinator, if the store named it later than the one that the asking VM knows. */
+    val coordinator: NamedCoordinator?,
 ) : PeerAnswer
+
+/** The coordinator that the store named with its row's version [version]. */
+@Serializable
+internal class NamedCoordinator(
+    val record: CoordinatorRecord,
+    val version: Long,
+)
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -155,7 +155,7 @@
             is DecisionAsk -> taken { placer.onDecision(ask) }
             is RunItemAsk -> taken { items.start(ask) }
             is StopItemAsk -> taken { items.stop(ask) }
-            is HearsAsk, is BootstrapAsk -> coordinators.answer(ask)
+            is HearsAsk, is NewsAsk -> coordinators.answer(ask)
             is StoreAsk -> relay.answer(ask)
             else -> null
         }
--- a/standins/src/main/kotlin/org/agatestream/standin/RowStoreStandIn.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/RowStoreStandIn.kt
@@ -11,6 +11,7 @@
 /** Stands in for the users' platform's store of rows and objects. */
 internal class RowStoreStandIn : AutoCloseable {
     private val server = StandInServer(::handle)
+    private val restricted = StandInServer { if (turnsSomeAway) refuse(it) else handle(it) }
     private val rows = LinkedHashMap<Triple<String, String, String>, StoreRow>()
     private val objects = HashMap<String, ByteArray>()
     private var version = 0L
@@ -19,9 +20,16 @@
     @Volatile
     var isDown: Boolean = false
 
+    /** True while every call at the second address is refused. */
+    @Volatile
+    var turnsSomeAway: Boolean = false
+
     /** Listens on loopback and returns the port; 0 takes a free one. */
     fun listen(port: Int): Int = server.listen(port)
 
+    /** Listens at a second address, whose callers may be turned away, and returns its port; 0 takes a free one. */
+    fun listenForSome(port: Int): Int = restricted.listen(port)
+
     /** Writes a row of an operator or a backend server. */
     fun put(
         table: String,
@@ -32,10 +40,24 @@
         synchronized(rows) { apply(StoreTransaction(upserts = listOf(StoreRow(table, "", key, value)))) }
     }
 
-    override fun close(): Unit = server.close()
+    /** Returns the text of a row, or null if there is none. */
+    fun valueOf(
+        table: String,
+        key: String,
+    ): String? {
+        val value = synchronized(rows) { rows[Triple(table, "", key)]?.value } ?: return null
+        return Base64.getDecoder().decode(value).decodeToString()
+    }
+
+    override fun close() {
+        server.close()
+        restricted.close()
+    }
+
+    private suspend fun refuse(received: StandInCall): Unit = received.call.respond(STATUS_REFUSED, JSON, ByteArray(0))
 
     private suspend fun handle(received: StandInCall) {
-        if (isDown) return received.call.respond(STATUS_REFUSED, JSON, ByteArray(0))
+        if (isDown) return refuse(received)
         val verb = received.path.removePrefix("/-/")
         when (verb.substringBefore('/')) {
             "rows-tx" -> transact(received)
--- a/standins/src/test/kotlin/org/agatestream/standin/PlatformVmTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/PlatformVmTest.kt
@@ -3,8 +3,10 @@
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeout
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.jsonArray
@@ -29,14 +31,21 @@
      "KeepS":60,"MaxAttempts":3}],
     "Services":[{"Name":"s"}],"Tenants":[{"Name":"team","ApiKeys":["secret-key"]}]}"""
 
-/** Two VMs, a store and a backend server on loopback. */
-private class PlatformFleet : AutoCloseable {
+private val WIDER_MANIFEST =
+    MANIFEST.replace("\"Version\":1", "\"Version\":2").replace("\"/ask/\"", "\"/later/\"")
+
+/** VMs, the first of which coordinates, a store and a backend server; the store may turn [restricted] VMs away. */
+private class PlatformFleet(
+    names: List<String> = listOf("a", "b"),
+    private val restricted: Set<String> = emptySet(),
+) : AutoCloseable {
     val store = RowStoreStandIn()
     val server = PlatformServerStandIn("i-1")
     private val loops = EventLoops(1)
     private val client = HttpClient(loops)
     private val storeAddress = "127.0.0.1:${store.listen(0)}"
-    private val configs = listOf("a", "b").map { configOf(it) }
+    private val restrictedAddress = "127.0.0.1:${store.listenForSome(0)}"
+    private val configs = names.map { configOf(it) }
     val vms = configs.map { PlatformVm(it, "secret".encodeToByteArray()) }
 
     suspend fun start() {
@@ -47,7 +56,9 @@
             "i-1",
             """{"Service":"s","Address":"127.0.0.1:$port","Zone":"d","Slots":4,"State":"ready"}""",
         )
-        vms.forEach { it.start() }
+        vms.first().start()
+        eventually(PATIENCE) { store.valueOf("fleet", "coordinator").shouldNotBeNull() }
+        vms.drop(1).forEach { it.start() }
         for (vm in configs.indices) eventually(PATIENCE) { send(vm, "GET", "/ask/1").first shouldBe 200 }
     }
 
@@ -90,7 +101,7 @@
             entryAddress = FreePorts.nextAddress(),
             readyAddress = FreePorts.nextAddress(),
             peerAddress = FreePorts.nextAddress(),
-            storeAddress = storeAddress,
+            storeAddress = if (name in restricted) restrictedAddress else storeAddress,
             rowBytes = 65_536,
             shutdownGraceSeconds = 3.0,
             entryTtlMaxSeconds = 0.1,
@@ -177,6 +188,20 @@
             }
         }
 
+        test("VMs that the store turns away, the coordinator among them, learn a new manifest from the others") {
+            PlatformFleet(listOf("a", "b", "c"), restricted = setOf("a", "c")).use { fleet ->
+                fleet.start()
+                fleet.store.turnsSomeAway = true
+                // The others name another coordinator meanwhile; nobody who reaches the store follows the first.
+                delay(3.seconds)
+                fleet.store.put("op", "config", WIDER_MANIFEST)
+                for (vm in fleet.vms.indices) {
+                    eventually(PATIENCE) { fleet.send(vm, "GET", "/later/1").first shouldBe 200 }
+                }
+                fleet.vms.forEach { it.stop() }
+            }
+        }
+
         test("callers are served by the VM that is left, whichever coordinated") {
             PlatformFleet().use { fleet ->
                 fleet.start()
