--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -148,14 +148,13 @@
         jobs.setDone(ref)
     }
 
-    /** Adds an open job; items in [done] are in the store already, and of others the first [kept] events are. */
+    /** Adds an open job; items in [done] are in the store already. */
     public fun onJob(
         plan: JobPlan,
         done: Set<ItemId>,
         now: MonotonicTime,
-        kept: Map<ItemId, Long> = emptyMap(),
     ): List<DispatchAction> {
-        jobs.add(plan, done, kept, now)
+        jobs.add(plan, done, now)
         return fill(now)
     }
 
--- a/core/src/main/kotlin/org/agatestream/core/JobBook.kt
+++ b/core/src/main/kotlin/org/agatestream/core/JobBook.kt
@@ -63,18 +63,16 @@
 
     val openJobs: Int get() = jobs.size
 
-    /** Adds a job unless it is known; items in [done] are in the store already, of others [kept] events are. */
+    /** Adds a job unless it is known; items in [done] are in the store already. */
     fun add(
         plan: JobPlan,
         done: Set<ItemId>,
-        kept: Map<ItemId, Long>,
         now: MonotonicTime,
     ) {
         if (plan.id in jobs) return
         val items =
             plan.items.associate {
-                val progress = if (it.id in done) Progress.Done else Progress.Waiting(now)
-                it.id to Item(it, progress, ranFor = EVENT_SPAN * (kept[it.id] ?: 0L).toInt())
+                it.id to Item(it, if (it.id in done) Progress.Done else Progress.Waiting(now))
             }
         val job = Job(plan, items, plan.home)
         if (!job.isDone()) jobs[plan.id] = job
@@ -283,9 +281,6 @@
         // The sheets' items have 220 and 145 events of some 22 ms; what the fleet does replaces it soon.
         val ASSUMED_WHOLE_RUN: Duration = 4.seconds
 
-        // An event holds 8 tokens, and the sheets' engines take 3 to 4 ms for each.
-        val EVENT_SPAN: Duration = 25.milliseconds
-
         // The prompt is read again, and an item may be longer than most.
         val SHORTEST_REST: Duration = 300.milliseconds
         const val SMOOTHING = 0.1
--- a/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
@@ -340,14 +340,6 @@
             dispatcher.place(requestOf(3).copy(call = CallId(VM_B, 3)), START).placed() shouldContainExactly listOf(3L)
         }
 
-        test("a new coordinator starts first the items whose stored events leave the least to run") {
-            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 2))
-            dispatcher.pauseItems()
-            dispatcher.onJob(jobOf("j", 3), emptySet(), START, kept = mapOf(ItemId("j-3") to 100L))
-            dispatcher.allowItems(START)
-            dispatcher.tick(START).started().map { it.item.item.value } shouldContainExactly listOf("j-3")
-        }
-
         test("the items of a job run at a few VMs, so that the loss of one costs few of them") {
             val vms = (1..11).map { VmId("vm-$it") } + VM_A
             val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 40))
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -11,6 +11,7 @@
 import org.agatestream.core.CallId
 import org.agatestream.core.DispatchAction
 import org.agatestream.core.Dispatcher
+import org.agatestream.core.ItemId
 import org.agatestream.core.ItemOutcome
 import org.agatestream.core.ItemRef
 import org.agatestream.core.JobId
@@ -97,19 +98,11 @@
 
     fun onJob(
         plan: JobPlan,
-        progress: JobProgress,
+        done: Set<ItemId>,
         now: MonotonicTime,
     ) {
         plan.items.forEach { workspaces[ItemRef(plan.id, it.id)] = plan.workspace }
-        progress.partials.forEach { (item, partial) -> keepPartial(ItemRef(plan.id, item), partial) }
-        execute(dispatcher.onJob(plan, progress.done, now, progress.partials.mapValues { it.value.lastEvent + 1 }))
-    }
-
-    private fun keepPartial(
-        ref: ItemRef,
-        partial: PartialOutput,
-    ) {
-        if (partial.lastEvent > (partials[ref]?.lastEvent ?: -1)) partials[ref] = partial
+        execute(dispatcher.onJob(plan, done, now))
     }
 
     fun onJobEnded(
@@ -162,7 +155,7 @@
             workspaces -= ask.item
             partials -= ask.item
         }
-        ask.partial?.let { keepPartial(ask.item, it) }
+        ask.partial?.let { if (it.lastEvent > (partials[ask.item]?.lastEvent ?: -1)) partials[ask.item] = it }
         execute(dispatcher.onItem(ask.item, CallId(from, ask.number), ask.outcome, now))
     }
 
--- a/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
@@ -68,7 +68,6 @@
     const val JOBS = "jobs"
     const val RESULTS = "results"
     const val DONE = "done"
-    const val PARTIALS = "partials"
     const val VM_PREFIX = "vm/"
     private const val END_SUFFIX = "/end"
     private const val COORDINATOR_KEY = "coordinator"
@@ -119,14 +118,8 @@
         ref: ItemRef,
     ): RowName = RowName(DONE, part, "${ref.job}/${ref.item}")
 
-    /** What the runs of an item that is not done have brought. */
-    fun partial(
-        part: String,
-        ref: ItemRef,
-    ): RowName = RowName(PARTIALS, part, "${ref.job}/${ref.item}")
-
-    /** Parses the key of a row that [done] or [partial] named. */
-    fun itemOf(key: String): ItemRef = ItemRef(JobId(key.substringBefore('/')), ItemId(key.substringAfter('/')))
+    /** Parses the key of a row that [done] named. */
+    fun doneItem(key: String): ItemRef = ItemRef(JobId(key.substringBefore('/')), ItemId(key.substringAfter('/')))
 
     fun result(
         part: String,
@@ -134,7 +127,7 @@
         position: Int,
     ): RowName = RowName(RESULTS, part, "$job/${position.toString().padStart(POSITION_DIGITS, '0')}")
 
-    /** The key after all rows of [job] in the tables of results, of done items and of partial outputs. */
+    /** The key after all rows of [job] in the tables of results and of done items. */
     fun keyAfter(job: JobId): String = "$job/~"
 
     fun bodies(
--- a/server/src/main/kotlin/org/agatestream/server/ItemRuns.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemRuns.kt
@@ -9,7 +9,6 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
-import org.agatestream.core.CheckpointPlan
 import org.agatestream.core.ItemOutcome
 import org.agatestream.core.ItemRef
 import org.agatestream.core.MonotonicTime
@@ -40,11 +39,8 @@
     private val report: (ItemAsk) -> Unit,
 ) {
     /** The events that an item's runs have brought so far. */
-    private class Output(
-        val workspace: WorkspaceId?,
-    ) {
+    private class Output {
         val data = ArrayList<String>()
-        var usedAt = MonotonicTime.now()
         var lastEvent: Long? = null
 
         fun toPartial(): PartialOutput? = lastEvent?.let { PartialOutput(it, data.toList()) }
@@ -66,10 +62,6 @@
     private val running = HashMap<Long, ActiveRun>()
     private val outputs = HashMap<ItemRef, Output>()
     private val listing = LinkedHashSet<ItemRef>()
-    private val checkpoints = CheckpointPlan()
-
-    // Whose stored outputs are to be removed, and of which workspace they are.
-    private val storedFor = HashMap<ItemRef, WorkspaceId?>()
 
     /** Items whose output is whole and not in the store yet. */
     val unlisted: List<ItemRef> get() = listing.toList()
@@ -99,31 +91,6 @@
         scope.launch { list(0, ref, workspace, null) }
     }
 
-    /** Stores the outputs that have grown by [now], so that runs go on after them if all VMs are lost. */
-    suspend fun storeOutputs(now: MonotonicTime) {
-        val running = running.values.mapTo(HashSet()) { it.item }
-        outputs.keys.filter { it in running || it in listing }.forEach { outputs.getValue(it).usedAt = now }
-        // The item's next runs were at other VMs.
-        outputs.values.removeAll { now - it.usedAt > OUTPUT_MEMORY }
-        val open = outputs.filterKeys { it !in listing }
-        val due = checkpoints.due(open.mapValues { it.value.lastEvent ?: -1 })
-        val obsolete = checkpoints.takeObsolete(outputs.keys)
-        val partials = due.associateWith { open.getValue(it).toPartial() ?: return }
-        val byWorkspace = partials.keys.groupBy { open.getValue(it).workspace }
-        val gone = obsolete.groupBy { storedFor.remove(it) }
-        for (workspace in byWorkspace.keys + gone.keys) {
-            val some = partials.filterKeys { it in byWorkspace[workspace].orEmpty() }
-            if (!jobs.keepPartials(workspace, some, gone[workspace].orEmpty().toSet())) {
-                EventLog.info("outputs_not_stored", "workspace" to workspace, "items" to some.size)
-                continue
-            }
-            some.forEach { (ref, partial) ->
-                checkpoints.onStored(ref, partial.lastEvent)
-                storedFor[ref] = workspace
-            }
-        }
-    }
-
     private suspend fun run(
         ask: RunItemAsk,
         earlier: List<ActiveRun>,
@@ -212,7 +179,7 @@
                 is Outcome.Ok -> row.value.host
                 is Outcome.Failed -> return ItemEnd.Interrupted("job_unavailable")
             }
-        val output = outputs.getOrPut(ask.item) { Output(ask.workspace) }
+        val output = outputs.getOrPut(ask.item) { Output() }
         ask.partial?.let { output.catchUp(it) }
         val call = toCall(item, host, ask.workspace)
         val spec = BackendProtocol.request(call, server.id, server.address, RUN_LIMIT, output.lastEvent)
@@ -360,9 +327,6 @@
         // Items are bound by their job's time, not by the route's time limit; a run takes about 5 s.
         val RUN_LIMIT = 60.seconds
 
-        // The sheets' items are kept for 60 s.
-        val OUTPUT_MEMORY = 60.seconds
-
         // Five times the longest pause between events that the sheets allow.
         val SILENCE_LIMIT = 2.seconds
     }
--- a/server/src/main/kotlin/org/agatestream/server/JobStore.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobStore.kt
@@ -230,26 +230,6 @@
         }
     }
 
-    /**
-     * Stores what the runs of items of [workspace] brought so far and removes what is stored of [obsolete] ones.
-     *
-     * Returns whether the store has it. An output that no row can hold is left out: its item starts anew if need be.
-     */
-    suspend fun keepPartials(
-        workspace: WorkspaceId?,
-        outputs: Map<ItemRef, PartialOutput>,
-        obsolete: Set<ItemRef>,
-    ): Boolean {
-        val part = FleetTables.part(workspace)
-        val kept =
-            outputs
-                .mapValues { FleetTables.encode(PartialOutput.serializer(), it.value) }
-                .filterValues { fitsRow(it) }
-                .map { (ref, value) -> RowChange(FleetTables.partial(part, ref), value) }
-        val removed = obsolete.map { RowChange(FleetTables.partial(part, it), null) }
-        return (removed + kept).chunked(LARGE_CHANGES).all { store.write(emptyMap(), it) is WriteResult.Written }
-    }
-
     /** Removes all that the store keeps of a job; returns false if it must be tried again. */
     suspend fun drop(row: JobRow): Boolean {
         val part = FleetTables.part(row.workspace)
@@ -258,10 +238,8 @@
         val results = store.readAll(FleetTables.RESULTS, part, from, to) ?: return false
         val done = store.readAll(FleetTables.DONE, part, from, to) ?: return false
         // The job's own row goes last, so that a job that is half removed is found again.
-        val partials = store.readAll(FleetTables.PARTIALS, part, from, to) ?: return false
         val names =
-            (results.rows + done.rows + partials.rows).map { it.name } + FleetTables.end(part, row.id) +
-                FleetTables.job(part, row.id)
+            (results.rows + done.rows).map { it.name } + FleetTables.end(part, row.id) + FleetTables.job(part, row.id)
         for (some in names.chunked(MAX_CHANGES)) {
             if (store.write(emptyMap(), some.map { RowChange(it, null) }) !is WriteResult.Written) return false
         }
@@ -283,15 +261,13 @@
         output: String?,
     ): ByteArray {
         val inline = encode(ResultRow(ref.item, output))
-        if (output == null || fitsRow(inline)) return inline
+        // A row holds its value as base64.
+        if (output == null || Base64.getEncoder().encodeToString(inline).length <= rowBytes) return inline
         val name = FleetTables.output(part, ref)
         while (store.putObject(name, output.encodeToByteArray()) !is WriteResult.Written) delay(LIST_RETRY)
         return encode(ResultRow(ref.item, outputObject = name))
     }
 
-    /** A row holds its value as base64. */
-    private fun fitsRow(value: ByteArray): Boolean = Base64.getEncoder().encodeToString(value).length <= rowBytes
-
     private fun encode(row: ResultRow): ByteArray = FleetTables.encode(ResultRow.serializer(), row)
 
     private fun <T> unavailable(): Outcome<T> =
@@ -306,9 +282,6 @@
 
         // What one transaction of the store may hold.
         const val MAX_CHANGES = 100
-
-        // As many rows of the largest size of 64 KiB as stay below a transaction's 1 MB.
-        const val LARGE_CHANGES = 12
         const val MAX_ANSWER_BYTES = 700_000
         val ENDED = "{}".encodeToByteArray()
         val FULL_RETRY = 1.seconds
--- a/server/src/main/kotlin/org/agatestream/server/JobWatch.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobWatch.kt
@@ -18,21 +18,11 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** What the store holds of a job's items: which are [done], and the [partials] of others. */
-internal class JobProgress(
-    val done: Set<ItemId>,
-    val partials: Map<ItemId, PartialOutput>,
-) {
-    companion object {
-        val NONE: JobProgress = JobProgress(emptySet(), emptyMap())
-    }
-}
-
 /** Follows the jobs in the store for the coordinator. */
 internal class JobWatch(
     private val store: RowStore,
     private val rules: (JobRow) -> JobRules?,
-    private val onJob: (JobPlan, JobProgress, MonotonicTime) -> Unit,
+    private val onJob: (JobPlan, Set<ItemId>, MonotonicTime) -> Unit,
     private val onEnded: (JobId, MonotonicTime) -> Unit,
 ) {
     private val seen = HashSet<JobId>()
@@ -53,13 +43,12 @@
     }
 
     private suspend fun readParts(parts: List<String>): List<PartState?> =
-        coroutineScope { parts.map { part -> async { store.readJobsAndPartials(part) } }.awaitAll() }
+        coroutineScope { parts.map { part -> async { store.readJobs(part) } }.awaitAll() }
 
     private fun take(parts: List<PartState>) {
         for (part in parts) {
             for (job in part.jobs.values) {
-                val progress = JobProgress(part.done[job.id].orEmpty(), part.partials[job.id].orEmpty())
-                if (job.id in part.ended) end(job.id) else add(job, progress)
+                if (job.id in part.ended) end(job.id) else add(job, part.done[job.id].orEmpty())
             }
         }
     }
@@ -68,13 +57,13 @@
         for (row in rows) {
             if (row.value == null) continue
             val ended = FleetTables.endedJob(row.name.key)
-            if (ended != null) end(ended) else parseJobRow(row)?.let { add(it, JobProgress.NONE) }
+            if (ended != null) end(ended) else parseJobRow(row)?.let { add(it, emptySet()) }
         }
     }
 
     private fun add(
         row: JobRow,
-        progress: JobProgress,
+        done: Set<ItemId>,
     ) {
         if (!seen.add(row.id)) return
         val now = MonotonicTime.now()
@@ -91,7 +80,7 @@
                 home = row.home,
                 items = row.items.map { PlannedItem(it.id, it.path) },
             )
-        onJob(plan, progress, now)
+        onJob(plan, done, now)
     }
 
     private fun end(job: JobId) {
--- a/server/src/main/kotlin/org/agatestream/server/PartState.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PartState.kt
@@ -10,7 +10,6 @@
     val jobs = LinkedHashMap<JobId, JobRow>()
     val ended = HashSet<JobId>()
     val done = HashMap<JobId, HashSet<ItemId>>()
-    val partials = HashMap<JobId, HashMap<ItemId, PartialOutput>>()
 
     fun add(rows: List<StoredRow>) {
         for (row in rows) {
@@ -21,19 +20,11 @@
 
     fun addDone(rows: List<StoredRow>) {
         for (row in rows) {
-            val ref = FleetTables.itemOf(row.name.key)
+            val ref = FleetTables.doneItem(row.name.key)
             done.getOrPut(ref.job) { HashSet() } += ref.item
         }
     }
 
-    fun addPartials(rows: List<StoredRow>) {
-        for (row in rows) {
-            val partial = row.value?.let { FleetTables.decode(PartialOutput.serializer(), it) } ?: continue
-            val ref = FleetTables.itemOf(row.name.key)
-            partials.getOrPut(ref.job) { HashMap() }[ref.item] = partial
-        }
-    }
-
     /** The tokens of items that are neither done nor of an ended job. */
     fun waitingTokens(route: String): Long =
         jobs.values
@@ -51,11 +42,5 @@
     return state
 }
 
-/** Reads what [readJobs] does and the partial outputs of a part, or returns null if the store does not answer. */
-internal suspend fun RowStore.readJobsAndPartials(part: String): PartState? {
-    val partials = readAll(FleetTables.PARTIALS, part) ?: return null
-    return readJobs(part)?.also { it.addPartials(partials.rows) }
-}
-
 /** Parses a row of the table of jobs; null if it was removed or can't be read. */
 internal fun parseJobRow(row: StoredRow): JobRow? = row.value?.let { FleetTables.decode(JobRow.serializer(), it) }
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -5,8 +5,6 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.delay
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import org.agatestream.core.MonotonicTime
@@ -82,12 +80,6 @@
             view.start(this@PlatformVm.scope)
             coordinators.start()
         }
-        scope.launch {
-            while (isActive) {
-                delay(CHECKPOINT_INTERVAL)
-                items.storeOutputs(MonotonicTime.now())
-            }
-        }
         EventLog.info(
             "serving",
             "vm" to self,
@@ -286,9 +278,6 @@
 
         // An object's write takes 25 ms, and up to a hundred times as long.
         val STORE_WRITE_TIMEOUT = 3.seconds
-
-        // A fifth of an item's run of some 5 s may be lost with all VMs.
-        val CHECKPOINT_INTERVAL = 1.seconds
         val ITEM_REPORT_TIMEOUT = 500.milliseconds
 
         // Callers reuse connections that were idle for up to four fifths of the manifest's limit of 15 s.
--- a/server/src/test/kotlin/org/agatestream/server/JobStoreTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/JobStoreTest.kt
@@ -130,7 +130,6 @@
             val jobs = JobStore(store, 1_000)
             val cleaner = JobCleaner(store, jobs, 120.seconds)
             jobs.submit()
-            jobs.keepPartials(TEAM, mapOf(ItemRef(JOB, ItemId("i2")) to PartialOutput(0, listOf("x"))), emptySet())
             jobs.list(TEAM, ItemRef(JOB, ItemId("i1")), "x".repeat(5_000))
             cleaner.clean(nowMillis = 200_000)
             store.rows.keys.filter { it.table == FleetTables.JOBS } shouldHaveSize 1
@@ -142,40 +141,6 @@
             store.objects.size shouldBe 0
         }
 
-        test("the partial outputs of items are read back until they are obsolete") {
-            val store = FakeRowStore()
-            val jobs = JobStore(store, 1_000)
-            jobs.submit()
-            val first = ItemRef(JOB, ItemId("i1"))
-            val second = ItemRef(JOB, ItemId("i2"))
-            val partials = mapOf(first to PartialOutput(1, listOf("a", "b")), second to PartialOutput(0, listOf("c")))
-            jobs.keepPartials(TEAM, partials, emptySet()) shouldBe true
-            val read =
-                store
-                    .readJobsAndPartials("team")
-                    ?.partials
-                    ?.get(JOB)
-                    .orEmpty()
-            read.mapValues { it.value.data } shouldBe mapOf(first.item to listOf("a", "b"), second.item to listOf("c"))
-            jobs.keepPartials(TEAM, emptyMap(), setOf(first)) shouldBe true
-            store
-                .readJobsAndPartials("team")
-                ?.partials
-                ?.get(JOB)
-                ?.keys shouldBe setOf(second.item)
-        }
-
-        test("a partial output that does not fit a row is left out, and a failed write is told") {
-            val store = FakeRowStore()
-            val jobs = JobStore(store, 1_000)
-            val item = ItemRef(JOB, ItemId("i1"))
-            jobs.keepPartials(TEAM, mapOf(item to PartialOutput(0, listOf("x".repeat(5_000)))), emptySet()) shouldBe
-                true
-            store.rows.keys.filter { it.table == FleetTables.PARTIALS } shouldHaveSize 0
-            store.faults += StoreFault.REFUSED
-            jobs.keepPartials(TEAM, mapOf(item to PartialOutput(0, listOf("x"))), emptySet()) shouldBe false
-        }
-
         test("a job of another workspace is unknown") {
             val store = FakeRowStore()
             JobStore(store, 65_536).submit()
--- a/standins/src/main/kotlin/org/agatestream/standin/RowStoreStandIn.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/RowStoreStandIn.kt
@@ -44,9 +44,8 @@
     fun valueOf(
         table: String,
         key: String,
-        part: String = "",
     ): String? {
-        val value = synchronized(rows) { rows[Triple(table, part, key)]?.value } ?: return null
+        val value = synchronized(rows) { rows[Triple(table, "", key)]?.value } ?: return null
         return Base64.getDecoder().decode(value).decodeToString()
     }
 
--- a/standins/src/test/kotlin/org/agatestream/standin/PlatformVmTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/PlatformVmTest.kt
@@ -3,8 +3,6 @@
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
-import io.kotest.matchers.ints.shouldBeGreaterThan
-import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
@@ -40,16 +38,15 @@
 private class PlatformFleet(
     names: List<String> = listOf("a", "b"),
     private val restricted: Set<String> = emptySet(),
-    events: Int = 5,
 ) : AutoCloseable {
     val store = RowStoreStandIn()
-    val server = PlatformServerStandIn("i-1", events)
+    val server = PlatformServerStandIn("i-1")
     private val loops = EventLoops(1)
     private val client = HttpClient(loops)
     private val storeAddress = "127.0.0.1:${store.listen(0)}"
     private val restrictedAddress = "127.0.0.1:${store.listenForSome(0)}"
-    private val configs = names.mapTo(ArrayList()) { configOf(it) }
-    val vms = configs.map { vmOf(it) }
+    private val configs = names.map { configOf(it) }
+    val vms = configs.map { PlatformVm(it, "secret".encodeToByteArray()) }
 
     suspend fun start() {
         val port = server.listen(0)
@@ -65,12 +62,6 @@
         for (vm in configs.indices) eventually(PATIENCE) { send(vm, "GET", "/ask/1").first shouldBe 200 }
     }
 
-    /** Starts a process anew for the VM number [vm], whose last one was stopped and may still hold its ports. */
-    suspend fun restart(vm: Int): PlatformVm {
-        configs[vm] = configOf(configs[vm].name)
-        return vmOf(configs[vm]).also { it.start() }
-    }
-
     /** Sends a request to the VM number [vm] and returns status and body; status 0 if there was no answer. */
     suspend fun send(
         vm: Int,
@@ -102,8 +93,6 @@
         loops.close()
     }
 
-    private fun vmOf(config: PlatformVmConfig) = PlatformVm(config, "secret".encodeToByteArray())
-
     private fun configOf(name: String): PlatformVmConfig =
         PlatformVmConfig(
             name = name,
@@ -213,30 +202,6 @@
             }
         }
 
-        test("an item goes on after its stored events when all VMs were lost") {
-            PlatformFleet(listOf("a"), events = 600).use { fleet ->
-                fleet.start()
-                val item = """{"Id":"i1","Path":"/lot/1","Body":"YQ==","Tokens":10}"""
-                fleet.send(0, "POST", "/lot/j", id = "job1", body = """{"Requests":[$item]}""").first shouldBe 202
-                eventually(PATIENCE) { fleet.store.valueOf("partials", "job1/i1", part = "team").shouldNotBeNull() }
-                fleet.vms.single().stop()
-                val next = fleet.restart(0)
-                eventually(PATIENCE) {
-                    val (status, body) = fleet.send(0, "GET", "/-/lots/job1?After=0")
-                    status shouldBe 200
-                    body shouldContain (0 until 600).joinToString("\\n") { "i1-$it" }
-                }
-                val runs = fleet.server.requests.filter { it.contains("x-agatestream-attempt-id" to "i1") }
-                runs
-                    .last()
-                    .single { it.first == "last-event-id" }
-                    .second
-                    .toInt() shouldBeGreaterThan 0
-                eventually(PATIENCE) { fleet.store.valueOf("partials", "job1/i1", part = "team").shouldBeNull() }
-                next.stop()
-            }
-        }
-
         test("callers are served by the VM that is left, whichever coordinated") {
             PlatformFleet().use { fleet ->
                 fleet.start()
