Start items again whose end was told by half

Found on reading: a VM tells the release of a run's slot and what became of its item in two messages; if only the first arrives, the coordinator has neither a run to miss in the VM's reports nor a waiting item. The same holds for an item whose whole output its VM no longer holds. Before: both new tests in DispatcherTest red. After: DispatcherTest and DispatchModelTest pass. Ruled out: sending the messages until they are answered; the reports come anyway and also cover a VM that forgot.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -113,6 +113,7 @@
         now: MonotonicTime,
     ): List<DispatchAction> {
         if (online.removeAll { it.call == call }) return fill(now)
+        jobs.onReleased(call, now)
         val held = calls.remove(call)
         if (held == null) {
             released[call] = now
@@ -185,8 +186,9 @@
             drop(call)
         }
         running.forEach { adopt(vm, it, now) }
-        unlisted.forEach { jobs.onUnlisted(it, vm) }
-        return if (stale.isEmpty()) emptyList() else fill(now)
+        unlisted.forEach { jobs.onUnlisted(it, vm, now) }
+        val isAnyLeft = jobs.onUnreported(vm, unlisted.toSet(), now - REPORT_LAG, now)
+        return if (stale.isEmpty() && !isAnyLeft) emptyList() else fill(now)
     }
 
     /**
--- a/core/src/main/kotlin/org/agatestream/core/JobBook.kt
+++ b/core/src/main/kotlin/org/agatestream/core/JobBook.kt
@@ -33,11 +33,14 @@
         data class Running(
             val call: CallId,
             val since: MonotonicTime,
+            /** When its slot was freed, while what became of the item is not known; null before. */
+            val releasedAt: MonotonicTime? = null,
         ) : Progress
 
-        /** The output is whole at [vm] and not in the store. */
+        /** The output is whole at [vm] and not in the store; the coordinator knows it since [since]. */
         data class Unlisted(
             val vm: VmId,
+            val since: MonotonicTime,
         ) : Progress
 
         data object Done : Progress
@@ -211,7 +214,7 @@
 
             ItemOutcome.FINISHED -> {
                 wholeRun += (item.ranFor - wholeRun) * SMOOTHING
-                item.progress = Progress.Unlisted(call.vm)
+                item.progress = Progress.Unlisted(call.vm, now)
             }
 
             ItemOutcome.FAILED -> {
@@ -231,9 +234,59 @@
     fun onUnlisted(
         ref: ItemRef,
         vm: VmId,
+        now: MonotonicTime,
     ) {
         val item = item(ref) ?: return
-        if (item.progress is Progress.Waiting) item.progress = Progress.Unlisted(vm)
+        if (item.progress is Progress.Waiting) item.progress = Progress.Unlisted(vm, now)
+    }
+
+    /** Notes that the slot of the run [call] was freed; what became of the item is told apart. */
+    fun onReleased(
+        call: CallId,
+        now: MonotonicTime,
+    ) {
+        val item = calls[call]?.let { item(it) } ?: return
+        val running = item.progress as? Progress.Running ?: return
+        if (running.call == call) item.progress = running.copy(releasedAt = now)
+    }
+
+    /**
+     * Makes the items wait again that [vm] should work on and does not report; returns whether there are any.
+     *
+     * Their ends were told before [before] at the latest, and the message on what became of them was lost. [unlisted]
+     * are the items whose whole output it holds.
+     */
+    fun onUnreported(
+        vm: VmId,
+        unlisted: Set<ItemRef>,
+        before: MonotonicTime,
+        now: MonotonicTime,
+    ): Boolean {
+        var isAny = false
+        for (job in jobs.values) {
+            for ((id, item) in job.items) {
+                val isLeft =
+                    when (val progress = item.progress) {
+                        is Progress.Running -> {
+                            progress.call.vm == vm &&
+                                progress.releasedAt?.let { it < before } == true
+                        }
+
+                        is Progress.Unlisted -> {
+                            progress.vm == vm && progress.since < before
+                        }
+
+                        is Progress.Waiting, is Progress.Done -> {
+                            false
+                        }
+                    }
+                if (!isLeft || ItemRef(job.plan.id, id) in unlisted) continue
+                (item.progress as? Progress.Running)?.let { calls -= it.call }
+                item.progress = Progress.Waiting(now)
+                isAny = true
+            }
+        }
+        return isAny
     }
 
     fun setDone(ref: ItemRef) {
--- a/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
@@ -340,6 +340,29 @@
             dispatcher.place(requestOf(3).copy(call = CallId(VM_B, 3)), START).placed() shouldContainExactly listOf(3L)
         }
 
+        test("an item runs again if only the release of its slot was told, and its VM does not report it") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
+            val first = dispatcher.onJob(jobOf("j", 1), emptySet(), START).started().single()
+            dispatcher.release(first.call, RunOutcome.STOPPED, null, START).started().shouldBeEmpty()
+            val soon = START + 300.milliseconds
+            dispatcher.onReport(first.call.vm, emptyList(), emptyList(), soon).started().shouldBeEmpty()
+            val later = START + 2.seconds
+            val again = dispatcher.onReport(first.call.vm, emptyList(), emptyList(), later).started()
+            again.single().item shouldBe first.item
+        }
+
+        test("an item whose output its VM no longer holds runs again, unless it is listed") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
+            val first = dispatcher.onJob(jobOf("j", 1), emptySet(), START).started().single()
+            dispatcher.release(first.call, RunOutcome.ANSWERED, null, START)
+            dispatcher.onItem(first.item, first.call, ItemOutcome.FINISHED, START)
+            val later = START + 2.seconds
+            dispatcher.onReport(first.call.vm, emptyList(), listOf(first.item), later).started().shouldBeEmpty()
+            val again = dispatcher.onReport(first.call.vm, emptyList(), emptyList(), later).started().single()
+            dispatcher.onItem(again.item, again.call, ItemOutcome.LISTED, later)
+            dispatcher.openJobs shouldBe 0
+        }
+
         test("the items of a job run at a few VMs, so that the loss of one costs few of them") {
             val vms = (1..11).map { VmId("vm-$it") } + VM_A
             val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 40))
