--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -43,6 +43,9 @@
     /** The number of runs that hold a slot. */
     public val runningCalls: Int get() = calls.size
 
+    /** The number of slots that runs of silent VMs hold. */
+    public val orphanedRuns: Int get() = servers.all.sumOf { it.orphaned }
+
     /** The number of jobs with items that are not done. */
     public val openJobs: Int get() = jobs.openJobs
 
--- a/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
@@ -33,8 +33,11 @@
 
     val running: Int get() = online.size + items.size
 
+    /** The number of slots that runs of silent VMs hold. */
+    val orphaned: Int get() = orphans.size
+
     /** Slots that no run holds; the slot of an item that is being stopped counts as free. */
-    val free: Int get() = server.entry.slots - running - orphans.size + stopping.size
+    val free: Int get() = server.entry.slots - running - orphaned + stopping.size
 
     val doubt: ServerDoubt?
         get() =
