Start items as soon as every VM has reported to a new coordinator

Ruled out: a shorter wait for all cases; a VM that is late may carry runs that are not known. Change: the wait ends once all listed VMs follow and have reported. Before: the new test in DispatcherTest red. After: DispatcherTest and DispatchModelTest pass.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -29,6 +29,8 @@
     private val runMillis = HashMap<ServiceId, Double>()
     private var manifest: Manifest? = null
     private var followers: List<VmId> = emptyList()
+    private var expectedFollowers = 0
+    private val reported = HashSet<VmId>()
     private var itemsFrom: MonotonicTime? = null
 
     /** A slot that a run holds. */
@@ -81,12 +83,13 @@
         spareBurst: Double = 0.0,
     ) {
         this.followers = followers
+        expectedFollowers = expected
         val share = if (expected <= 0) 1.0 else minOf(1.0, followers.size.toDouble() / expected)
         rates.onShare(share, spareBurst)
         servers.onShare(share)
     }
 
-    /** Allows items to start from [at] on; until then running ones may still be unknown. */
+    /** Allows items to start from [at] on, or once every VM has reported; until then running ones may be unknown. */
     public fun allowItems(at: MonotonicTime) {
         itemsFrom = at
     }
@@ -190,8 +193,11 @@
         }
         running.forEach { adopt(vm, it, now) }
         unlisted.forEach { jobs.onUnlisted(it, vm, now) }
+        reported += vm
+        val mayStartSooner = itemsFrom?.let { it > now } == true && hasAllReported()
+        if (mayStartSooner) itemsFrom = now
         val isAnyLeft = jobs.onUnreported(vm, unlisted.toSet(), now - REPORT_LAG, now)
-        return if (stale.isEmpty() && !isAnyLeft) emptyList() else fill(now)
+        return if (stale.isEmpty() && !isAnyLeft && !mayStartSooner) emptyList() else fill(now)
     }
 
     /**
@@ -209,6 +215,7 @@
         for (call in calls.keys.filter { it.vm == vm }) if (hasEnded) drop(call) else orphan(call, now)
         online.removeAll { it.call.vm == vm }
         jobs.onVmLost(vm, now)
+        reported -= vm
         return fill(now)
     }
 
@@ -223,6 +230,8 @@
         return refusals + overdue + fill(now)
     }
 
+    private fun hasAllReported(): Boolean = followers.size >= expectedFollowers && reported.containsAll(followers)
+
     private fun refusal(
         request: PlaceRequest,
         now: MonotonicTime,
--- a/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
@@ -363,6 +363,25 @@
             dispatcher.openJobs shouldBe 0
         }
 
+        test("a new coordinator starts items once every VM has reported, or after the wait") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
+            dispatcher.allowItems(START + 800.milliseconds)
+            dispatcher.onJob(jobOf("j", 1), emptySet(), START).started().shouldBeEmpty()
+            val soon = START + 100.milliseconds
+            dispatcher.onReport(VM_A, emptyList(), emptyList(), soon).started().shouldBeEmpty()
+            dispatcher.tick(soon).started().shouldBeEmpty()
+            dispatcher.onReport(VM_B, emptyList(), emptyList(), soon).started() shouldHaveSize 1
+        }
+
+        test("a coordinator that not every listed VM follows starts no item before the wait is over") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
+            dispatcher.onFollowers(listOf(VM_A), 2)
+            dispatcher.allowItems(START + 800.milliseconds)
+            dispatcher.onJob(jobOf("j", 1), emptySet(), START)
+            dispatcher.onReport(VM_A, emptyList(), emptyList(), START).started().shouldBeEmpty()
+            dispatcher.tick(START + 800.milliseconds).started() shouldHaveSize 1
+        }
+
         test("the items of a job run at a few VMs, so that the loss of one costs few of them") {
             val vms = (1..11).map { VmId("vm-$it") } + VM_A
             val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 40))
