--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -196,7 +196,7 @@
         reported += vm
         val mayStartSooner = itemsFrom?.let { it > now } == true && hasAllReported()
         if (mayStartSooner) itemsFrom = now
-        val isAnyLeft = jobs.onUnreported(vm, unlisted.toSet(), now - REPORT_LAG, now)
+        val isAnyLeft = jobs.onUnreported(vm, numbers, unlisted.toSet(), calls.keys, now - REPORT_LAG, now)
         return if (stale.isEmpty() && !isAnyLeft && !mayStartSooner) emptyList() else fill(now)
     }
 
--- a/core/src/main/kotlin/org/agatestream/core/JobBook.kt
+++ b/core/src/main/kotlin/org/agatestream/core/JobBook.kt
@@ -253,12 +253,14 @@
     /**
      * Makes the items wait again that [vm] should work on and does not report; returns whether there are any.
      *
-     * Their ends were told before [before] at the latest, and the message on what became of them was lost. [unlisted]
-     * are the items whose whole output it holds.
+     * They hold no slot ([held]) since [before] or longer, so the message on what became of them was lost or overtaken.
+     * [running] are the numbers of the runs that it reports, [unlisted] the items whose whole output it holds.
      */
     fun onUnreported(
         vm: VmId,
+        running: Set<Long>,
         unlisted: Set<ItemRef>,
+        held: Set<CallId>,
         before: MonotonicTime,
         now: MonotonicTime,
     ): Boolean {
@@ -268,8 +270,7 @@
                 val isLeft =
                     when (val progress = item.progress) {
                         is Progress.Running -> {
-                            progress.call.vm == vm &&
-                                progress.releasedAt?.let { it < before } == true
+                            progress.call.vm == vm && progress.isOver(running, held, before)
                         }
 
                         is Progress.Unlisted -> {
@@ -289,6 +290,12 @@
         return isAny
     }
 
+    private fun Progress.Running.isOver(
+        reported: Set<Long>,
+        held: Set<CallId>,
+        before: MonotonicTime,
+    ): Boolean = (releasedAt ?: since) < before && call !in held && call.number !in reported
+
     fun setDone(ref: ItemRef) {
         val job = jobs[ref.job] ?: return
         job.items[ref.item]?.progress = Progress.Done
--- a/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
@@ -351,6 +351,20 @@
             again.single().item shouldBe first.item
         }
 
+        test("an item runs again if an old report of its run comes between the two messages on its end") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
+            val first = dispatcher.onJob(jobOf("j", 1), emptySet(), START).started().single()
+            val run = RunningCall(first.call.number, first.server, first.item)
+            dispatcher.pauseItems()
+            dispatcher.onItem(first.item, first.call, ItemOutcome.INTERRUPTED, START)
+            dispatcher.onReport(first.call.vm, listOf(run), emptyList(), START)
+            dispatcher.release(first.call, RunOutcome.STOPPED, null, START)
+            dispatcher.allowItems(START)
+            val later = START + 2.seconds
+            val again = dispatcher.onReport(first.call.vm, emptyList(), emptyList(), later).started()
+            again.single().item shouldBe first.item
+        }
+
         test("an item whose output its VM no longer holds runs again, unless it is listed") {
             val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
             val first = dispatcher.onJob(jobOf("j", 1), emptySet(), START).started().single()
--- a/server/src/main/kotlin/org/agatestream/server/PeerConnection.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PeerConnection.kt
@@ -5,6 +5,7 @@
 import io.ktor.utils.io.ByteWriteChannel
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Semaphore
@@ -160,7 +161,8 @@
             traffic.dropped.increment()
             return
         }
-        scope.launch {
+        // Undispatched, so that handlers take the asks of a connection in the order in which they were sent.
+        scope.launch(start = CoroutineStart.UNDISPATCHED) {
             try {
                 send(PeerMessage.Answer(message.id, handler.answer(peer, message.ask)))
             } finally {
--- a/server/src/test/kotlin/org/agatestream/server/KtorPeerNetworkTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/KtorPeerNetworkTest.kt
@@ -6,11 +6,15 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 import org.agatestream.core.FailureDomainId
 import org.agatestream.core.ListedVm
+import org.agatestream.core.RunOutcome
 import org.agatestream.core.VmId
 import java.io.EOFException
 import java.net.Socket
@@ -90,6 +94,22 @@
                 500L shouldBeGreaterThan a.traffic.sentFrames.sum()
             }
         }
+
+        test("asks over one connection are handled in the order in which they were sent") {
+            val seen = ArrayList<Long>()
+            val sender = Dispatchers.Default.limitedParallelism(1)
+            val receiver = Dispatchers.Default.limitedParallelism(1)
+            withPair { a, b ->
+                b.addHandler { _, ask -> withContext(receiver) { Taken.also { seen += (ask as ReleaseAsk).number } } }
+                a.ask(b.self, probe, 5.seconds) shouldBe CoordinationAnswer.Probed(true)
+                withContext(sender) {
+                    for (number in 1L..200L) {
+                        launch { a.ask(b.self, ReleaseAsk(number, RunOutcome.STOPPED, null), 5.seconds) }
+                    }
+                }
+                seen shouldBe (1L..200L).toList()
+            }
+        }
     })
 
 private val KtorPeerNetwork.port: Int get() = ports.getValue(this)
