--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -211,8 +211,13 @@
         hasEnded: Boolean,
         now: MonotonicTime,
     ): List<DispatchAction> {
-        if (hasEnded) servers.all.forEach { it.dropOrphans(vm) }
-        for (call in calls.keys.filter { it.vm == vm }) if (hasEnded) drop(call) else orphan(call, now)
+        val left = calls.keys.filter { it.vm == vm }
+        if (hasEnded) {
+            left.forEach { drop(it) }
+            servers.all.forEach { it.dropOrphans(vm) }
+        } else {
+            left.forEach { orphan(it, now) }
+        }
         online.removeAll { it.call.vm == vm }
         jobs.onVmLost(vm, now)
         reported -= vm
@@ -407,6 +412,7 @@
         return DispatchAction.StopItem(call, reason)
     }
 
+    /** Leaves the slot of a silent VM's run taken until it has probably ended. */
     private fun orphan(
         call: CallId,
         now: MonotonicTime,
