Count the age of jobs by the store's clock instead of the time of day of VMs

Cause: JobWatcher took a job's age as this VM's time of day less that of the VM which accepted it, and JobCleaner likewise, with margins of 5 and 30 s. A VM whose clock steps by more gave up items before their time, kept them too long, or took their deadlines wrongly. The first number of a new coordinator's runs and the ids of VMs came from the time of day too, so a step back could bring numbers again.

Change: rows record when the store, by its own steady clock, read the workspace's jobs at the submission; every age is the difference of two readings of that clock. A job whose age or rules are not known does not expire. Run numbers start from the version of the row that names the coordinator, ids of VMs are random.

Ruled out: telling spans among living VMs (nothing is known after a loss of all of them), several VMs' marks in the store (more writes), the most careful of several clocks (a job seems new for ever after one bad step).

--- /dev/null
+++ b/core/src/main/kotlin/org/agatestream/core/CoordinatorTerm.kt
@@ -0,0 +1,24 @@
+package org.agatestream.core
+
+import kotlin.jvm.JvmInline
+
+/**
+ * The version of the row that names a coordinator.
+ *
+ * Every naming is a transaction of the store, so a later coordinator has a higher term than all before it.
+ */
+@JvmInline
+public value class CoordinatorTerm(
+    private val version: Long,
+) {
+    /** The number of the first item run of this term; those of two terms and of online requests never coincide. */
+    public val firstRunNumber: Long get() = ITEM_RUN_FLAG or (version shl RUN_NUMBER_BITS)
+
+    private companion object {
+        // A million runs a term; more would need as many results, each of which raises the store's version too.
+        const val RUN_NUMBER_BITS = 20
+
+        // VMs count their online requests from zero.
+        const val ITEM_RUN_FLAG = 1L shl 62
+    }
+}
--- a/core/src/main/kotlin/org/agatestream/core/JobTracker.kt
+++ b/core/src/main/kotlin/org/agatestream/core/JobTracker.kt
@@ -10,10 +10,7 @@
     val workspace: WorkspaceId?,
     /** The host of the job's route, used to look up the routes of its items. */
     val host: String,
-    /** The deadline of the results. */
-    val deadline: MonotonicTime,
-    /** When unfinished items expire. */
-    val expiresAt: MonotonicTime,
+    val lifetime: JobLifetime,
     /** The VM that accepted the job and holds its bodies. */
     val acceptedBy: VmId?,
     val items: List<PlannedItem>,
@@ -110,7 +107,7 @@
                 compareBy(
                     { (job, item) -> !canMeetDeadline(job, item, now) },
                     { (_, item) -> remainingSteps(item, now) },
-                    { (job, _) -> job.plan.deadline },
+                    { (job, _) -> job.plan.lifetime.deadline },
                 ),
             ).map { (job, item) -> ItemRef(job.plan.id, item.plan.id) to job.plan }
     }
@@ -129,7 +126,7 @@
         job: Job,
         item: Item,
         now: MonotonicTime,
-    ): Boolean = now + remainingTime(item, now) <= job.plan.deadline
+    ): Boolean = now + remainingTime(item, now) <= job.plan.lifetime.deadline
 
     /** Estimates the remaining run time of the item from the mean run time of items. */
     private fun remainingTime(
@@ -175,7 +172,7 @@
     fun itemOf(call: CallId): ItemRef? = itemsByCall[call]
 
     /** Returns the deadline of the job of the run [call], or null if the run is not known. */
-    fun deadline(call: CallId): MonotonicTime? = itemsByCall[call]?.let { jobs[it.job]?.plan?.deadline }
+    fun deadline(call: CallId): MonotonicTime? = itemsByCall[call]?.let { jobs[it.job]?.plan?.lifetime?.deadline }
 
     fun onStarted(
         ref: ItemRef,
@@ -330,8 +327,10 @@
     /** Returns the items whose retention has expired and that no VM works on. */
     fun expiredItems(now: MonotonicTime): List<ItemRef> =
         jobs.values
-            .filter { now >= it.plan.expiresAt }
-            .flatMap { job ->
+            .filter { job ->
+                job.plan.lifetime.expiresAt
+                    ?.let { now >= it } == true
+            }.flatMap { job ->
                 job.items.values
                     .filter { it.progress is Progress.Waiting }
                     .map { ItemRef(job.plan.id, it.plan.id) }
--- a/core/src/main/kotlin/org/agatestream/core/RowStore.kt
+++ b/core/src/main/kotlin/org/agatestream/core/RowStore.kt
@@ -44,6 +44,8 @@
     /** The newest version of the store in this snapshot. */
     public val version: Long,
     public val hasMore: Boolean,
+    /** When the store made this snapshot; null if it did not say. */
+    public val readAt: StoreTime? = null,
 )
 
 /** The result of a transaction. */
--- a/core/src/test/kotlin/org/agatestream/core/DispatcherFixture.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherFixture.kt
@@ -97,8 +97,7 @@
         id = JobId(name),
         workspace = TEAM,
         host = "h.example",
-        deadline = START + dueIn,
-        expiresAt = START + 60.seconds,
+        lifetime = JobLifetime(deadline = START + dueIn, expiresAt = START + 60.seconds),
         acceptedBy = VM_A,
         items = (1..items).map { PlannedItem(ItemId("$name-$it"), "/batch/$it") },
     )
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.launch
 import org.agatestream.core.BackendServerId
 import org.agatestream.core.CallId
+import org.agatestream.core.CoordinatorTerm
 import org.agatestream.core.DispatchAction
 import org.agatestream.core.Dispatcher
 import org.agatestream.core.ItemId
@@ -28,6 +29,7 @@
 /** Coordinates the fleet: feeds VM reports into a [Dispatcher] and sends its decisions to the VMs. */
 internal class CoordinatorRole(
     private val self: VmId,
+    term: CoordinatorTerm,
     private val network: PeerTransport,
     private val view: PlatformView,
     private val scope: CoroutineScope,
@@ -53,8 +55,7 @@
         val since: MonotonicTime,
     )
 
-    val dispatcher =
-        Dispatcher(nextNumber = System.currentTimeMillis() shl ITEM_NUMBER_BITS, random = kotlin.random.Random.Default)
+    val dispatcher = Dispatcher(nextNumber = term.firstRunNumber, random = kotlin.random.Random.Default)
     private val followers = LinkedHashMap<VmId, Follower>()
     private val silentVms = HashMap<String, SilentVm>()
     private val markedSilent = HashSet<String>()
@@ -323,7 +324,6 @@
     }
 
     private companion object {
-        const val ITEM_NUMBER_BITS = 16
         val TICK_INTERVAL = 50.milliseconds
 
         // Every VM reports several times within this time, so that its running items are known before new ones start.
--- a/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.agatestream.core.CoordinatorClaimInput
+import org.agatestream.core.CoordinatorTerm
 import org.agatestream.core.ListedVm
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.RowChange
@@ -57,6 +58,9 @@
     /** The coordinator that the store names, whether or not it responds; null if none is named. */
     val recordedCoordinator: VmId? get() = record?.vm
 
+    /** The version of the row that names the coordinator, as this VM knows it. */
+    val coordinatorTerm: CoordinatorTerm get() = CoordinatorTerm(recordVersion)
+
     /** The number of VMs that the store lists. */
     val listedCount: Int get() = roster.size
 
--- a/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
@@ -11,6 +11,7 @@
 import org.agatestream.core.ItemRef
 import org.agatestream.core.JobId
 import org.agatestream.core.RowName
+import org.agatestream.core.StoreTime
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
 
@@ -40,12 +41,14 @@
     val workspace: WorkspaceId?,
     val host: String,
     val route: String,
-    /** When the job was first received, in milliseconds of the Unix clock. */
+    /** When the accepting VM received the job by its time of day, in Unix milliseconds; VMs' clocks differ. */
     val receivedAtMillis: Long,
     /** The VM that accepted the job. */
     @SerialName("home")
     val acceptedBy: VmId,
     val items: List<JobRowItem>,
+    /** When the job was accepted; null in rows of builds that recorded only a time of day. */
+    val acceptedAt: StoreTime? = null,
 )
 
 @Serializable
--- a/server/src/main/kotlin/org/agatestream/server/JobCleaner.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobCleaner.kt
@@ -7,8 +7,8 @@
 import kotlinx.coroutines.launch
 import org.agatestream.core.RowStore
 import org.agatestream.core.StoreRead
+import org.agatestream.core.StoreTime
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Deletes jobs from the store after their retention time; runs at the coordinator. */
@@ -21,20 +21,18 @@
         scope.launch {
             while (isActive) {
                 delay(CLEANUP_INTERVAL)
-                clean(System.currentTimeMillis())
+                clean()
             }
         }
 
-    /** Deletes the jobs that are expired at [nowMillis], in milliseconds of the Unix clock, and not open. */
-    suspend fun clean(nowMillis: Long) {
+    /** Deletes the jobs that are not open and past their retention time; jobs of unknown age are kept. */
+    suspend fun clean() {
         val partitions = (store.partitions(FleetTables.JOBS) as? StoreRead.Found)?.value ?: return
         for (partition in partitions) {
-            val partitionState = PartitionState()
-            partitionState.add(store.readAll(FleetTables.JOBS, partition)?.rows ?: return)
-            val expired =
-                partitionState.jobs.values.filter {
-                    (nowMillis - it.receivedAtMillis).milliseconds > retention + CLOCK_SKEW_MARGIN
-                }
+            val page = store.readAll(FleetTables.JOBS, partition) ?: return
+            val partitionState = PartitionState(page.readAt)
+            partitionState.add(page.rows)
+            val expired = partitionState.jobs.values.filter { isExpired(it, page.readAt) }
             if (expired.isEmpty()) continue
             partitionState.addDone(store.readAll(FleetTables.DONE, partition)?.rows ?: return)
             for (job in expired.filterNot { partitionState.isOpen(it) }) {
@@ -43,6 +41,11 @@
         }
     }
 
+    private fun isExpired(
+        job: JobRow,
+        readAt: StoreTime?,
+    ): Boolean = job.acceptedAt != null && readAt != null && readAt - job.acceptedAt > retention + READ_MARGIN
+
     private fun PartitionState.isOpen(job: JobRow): Boolean =
         job.id !in ended && job.items.any { it.id !in done[job.id].orEmpty() }
 
@@ -50,7 +53,7 @@
         // The store holds 400 MB of objects; jobs of 200 kB at 3 per second add 36 MB per minute.
         val CLEANUP_INTERVAL = 30.seconds
 
-        // The clocks of VMs differ, and a result must not be deleted early.
-        val CLOCK_SKEW_MARGIN = 30.seconds
+        // A submission may take several seconds to be stored, and a read that began in time may be slow.
+        val READ_MARGIN = 30.seconds
     }
 }
--- a/server/src/main/kotlin/org/agatestream/server/JobStore.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobStore.kt
@@ -59,7 +59,7 @@
                 )
             }
             when (put.await()) {
-                is WriteResult.Written -> write(partition, row, items)
+                is WriteResult.Written -> write(partition, row.copy(acceptedAt = state.readAt), items)
                 else -> unavailable()
             }
         }
--- a/server/src/main/kotlin/org/agatestream/server/JobWatcher.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobWatcher.kt
@@ -8,15 +8,15 @@
 import kotlinx.coroutines.launch
 import org.agatestream.core.ItemId
 import org.agatestream.core.JobId
+import org.agatestream.core.JobLifetime
 import org.agatestream.core.JobPlan
 import org.agatestream.core.JobRules
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.PlannedItem
+import org.agatestream.core.RowPage
 import org.agatestream.core.RowStore
 import org.agatestream.core.StoreRead
-import org.agatestream.core.StoredRow
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
+import org.agatestream.core.StoreTime
 
 /** Watches the store's jobs for the coordinator. */
 internal class JobWatcher(
@@ -34,7 +34,7 @@
                 table = FleetTables.JOBS,
                 readSnapshot = ::readAllPartitions,
                 onSnapshot = { partitions, _ -> addAll(partitions) },
-                onChanges = { rows, _ -> applyChanges(rows) },
+                onChanges = ::applyChanges,
             )
         return scope.launch { feed.run() }
     }
@@ -54,35 +54,36 @@
     private fun addAll(partitions: List<PartitionState>) {
         for (partition in partitions) {
             for (job in partition.jobs.values) {
-                if (job.id in partition.ended) end(job.id) else add(job, partition.done[job.id].orEmpty())
+                if (job.id in partition.ended) {
+                    end(job.id)
+                } else {
+                    add(job, partition.readAt, partition.done[job.id].orEmpty())
+                }
             }
         }
     }
 
-    private fun applyChanges(rows: List<StoredRow>) {
-        for (row in rows) {
+    private fun applyChanges(page: RowPage) {
+        for (row in page.rows) {
             if (row.value == null) continue
             val ended = FleetTables.endedJob(row.name.key)
-            if (ended != null) end(ended) else parseJobRow(row)?.let { add(it, emptySet()) }
+            if (ended != null) end(ended) else parseJobRow(row)?.let { add(it, page.readAt, emptySet()) }
         }
     }
 
     private fun add(
         row: JobRow,
+        readAt: StoreTime?,
         done: Set<ItemId>,
     ) {
         if (!seen.add(row.id)) return
         val now = MonotonicTime.now()
-        val age = (System.currentTimeMillis() - row.receivedAtMillis).milliseconds
-        val rules = rules(row)
-        val receivedAt = now - age
         val plan =
             JobPlan(
                 id = row.id,
                 workspace = row.workspace,
                 host = row.host,
-                deadline = receivedAt + (rules?.completionTarget ?: DEFAULT_COMPLETION_TARGET),
-                expiresAt = receivedAt + (rules?.retention ?: DEFAULT_RETENTION) + CLOCK_SKEW_MARGIN,
+                lifetime = JobLifetime.of(row.acceptedAt, readAt, rules(row), now),
                 acceptedBy = row.acceptedBy,
                 items = row.items.map { PlannedItem(it.id, it.path) },
             )
@@ -97,12 +98,5 @@
     private companion object {
         // A slow store takes about 0.4 s per read, and a new coordinator needs the jobs of all workspaces.
         const val CONCURRENT_PARTITION_READS = 16
-
-        // Used if the job's route has been removed since its submission.
-        val DEFAULT_COMPLETION_TARGET = 60.seconds
-        val DEFAULT_RETENTION = 60.seconds
-
-        // The clocks of VMs differ, and an item must not be given up early.
-        val CLOCK_SKEW_MARGIN = 5.seconds
     }
 }
--- a/server/src/main/kotlin/org/agatestream/server/PartitionState.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PartitionState.kt
@@ -3,10 +3,14 @@
 import org.agatestream.core.ItemId
 import org.agatestream.core.JobId
 import org.agatestream.core.RowStore
+import org.agatestream.core.StoreTime
 import org.agatestream.core.StoredRow
 
 /** The jobs of one partition of the jobs table, with their finished items. */
-internal class PartitionState {
+internal class PartitionState(
+    /** When the store read the jobs; null if it did not say. */
+    val readAt: StoreTime?,
+) {
     val jobs = LinkedHashMap<JobId, JobRow>()
     val ended = HashSet<JobId>()
     val done = HashMap<JobId, HashSet<ItemId>>()
@@ -36,7 +40,7 @@
 internal suspend fun RowStore.readPartition(partition: String): PartitionState? {
     val rows = readAll(FleetTables.JOBS, partition) ?: return null
     val done = readAll(FleetTables.DONE, partition) ?: return null
-    val state = PartitionState()
+    val state = PartitionState(rows.readAt)
     state.add(rows.rows)
     state.addDone(done.rows)
     return state
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -17,6 +17,7 @@
 import org.agatestream.http.parseAddress
 import org.agatestream.platform.PlatformStore
 import java.io.IOException
+import java.security.SecureRandom
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -32,7 +33,7 @@
     private val scope = CoroutineScope(SupervisorJob() + eventLoops.dispatcher)
 
     // Unique per process: peers may still hold open connections to the process that ran before a restart.
-    private val self = VmId("${config.name}@${System.currentTimeMillis().toString(ID_RADIX)}")
+    private val self = VmId("${config.name}@${SecureRandom().nextLong().toULong().toString(ID_RADIX)}")
     private val network = KtorPeerNetwork(self, secret, metrics.registry)
     private val client = HttpClient(eventLoops, CONNECT_TIMEOUT)
     private val store =
@@ -233,6 +234,7 @@
         val started =
             CoordinatorRole(
                 self = self,
+                term = membership.coordinatorTerm,
                 network = network,
                 view = view,
                 scope = scope,
--- a/server/src/main/kotlin/org/agatestream/server/TableFeed.kt
+++ b/server/src/main/kotlin/org/agatestream/server/TableFeed.kt
@@ -4,6 +4,7 @@
 import org.agatestream.core.RowPage
 import org.agatestream.core.RowStore
 import org.agatestream.core.StoreRead
+import org.agatestream.core.StoreTime
 import org.agatestream.core.StoredRow
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -15,7 +16,7 @@
     /** Returns the full table and the version from which to follow its changes; null if the store does not answer. */
     private val readSnapshot: suspend () -> Pair<S, Long>?,
     private val onSnapshot: (S, Long) -> Unit,
-    private val onChanges: (List<StoredRow>, Long) -> Unit,
+    private val onChanges: (RowPage) -> Unit,
 ) {
     suspend fun run() {
         while (true) {
@@ -35,7 +36,7 @@
         while (true) {
             when (val read = store.changes(table, version, LONG_POLL_TIMEOUT)) {
                 is StoreRead.Found -> {
-                    if (read.value.rows.isNotEmpty()) onChanges(read.value.rows, read.value.version)
+                    if (read.value.rows.isNotEmpty()) onChanges(read.value)
                     version = maxOf(version, read.value.version)
                 }
 
@@ -66,7 +67,7 @@
             onChanges: (List<StoredRow>, Long) -> Unit,
         ): TableFeed<List<StoredRow>> {
             val readSnapshot = suspend { store.readAll(table, "")?.let { it.rows to it.version } }
-            return TableFeed(store, table, readSnapshot, onSnapshot, onChanges)
+            return TableFeed(store, table, readSnapshot, onSnapshot) { onChanges(it.rows, it.version) }
         }
     }
 }
@@ -79,11 +80,13 @@
     to: String? = null,
 ): RowPage? {
     val rows = ArrayList<StoredRow>()
+    var readAt: StoreTime? = null
     var start = from
     while (true) {
         val page = (rows(table, partition, start, to) as? StoreRead.Found)?.value ?: return null
         rows += page.rows
-        if (!page.hasMore || page.rows.isEmpty()) return RowPage(rows, page.version, hasMore = false)
+        readAt = readAt ?: page.readAt
+        if (!page.hasMore || page.rows.isEmpty()) return RowPage(rows, page.version, hasMore = false, readAt)
         // The smallest key after the last one.
         start = rows.last().name.key + '\u0000'
     }
--- a/server/src/test/kotlin/org/agatestream/server/FakeRowStore.kt
+++ b/server/src/test/kotlin/org/agatestream/server/FakeRowStore.kt
@@ -5,6 +5,7 @@
 import org.agatestream.core.RowPage
 import org.agatestream.core.RowStore
 import org.agatestream.core.StoreRead
+import org.agatestream.core.StoreTime
 import org.agatestream.core.StoredRow
 import org.agatestream.core.WriteResult
 import kotlin.time.Duration
@@ -27,6 +28,9 @@
     val objects = HashMap<String, ByteArray>()
     val faults = ArrayDeque<StoreFault>()
     var isDown = false
+
+    /** The store's clock; null if its answers do not tell the time. */
+    var now: StoreTime? = null
     private var version = 0L
 
     override suspend fun rows(
@@ -43,7 +47,7 @@
                 .filter { (from == null || it.name.key >= from) && (to == null || it.name.key < to) }
                 .sortedBy { it.name.key }
         val page = all.take(limit ?: all.size)
-        return StoreRead.Found(RowPage(page, version, page.size < all.size))
+        return StoreRead.Found(RowPage(page, version, page.size < all.size, now))
     }
 
     override suspend fun partitions(table: String): StoreRead<List<String>> =
@@ -66,7 +70,7 @@
     ): StoreRead<RowPage> {
         if (isDown) return StoreRead.Unavailable("down")
         val changed = rows.values.filter { it.name.table == table && it.version > after }.sortedBy { it.version }
-        return StoreRead.Found(RowPage(changed, version, false))
+        return StoreRead.Found(RowPage(changed, version, false, now))
     }
 
     override suspend fun write(
--- a/server/src/test/kotlin/org/agatestream/server/JobStoreTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/JobStoreTest.kt
@@ -14,6 +14,7 @@
 import org.agatestream.core.ItemRef
 import org.agatestream.core.JobId
 import org.agatestream.core.Outcome
+import org.agatestream.core.StoreTime
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
 import org.agatestream.platform.ListedResult
@@ -130,14 +131,18 @@
             val store = FakeRowStore()
             val jobs = JobStore(store, 1_000)
             val cleaner = JobCleaner(store, jobs, 120.seconds)
+            store.now = StoreTime(0)
             jobs.submit()
             jobs.appendResult(TEAM, ItemRef(JOB, ItemId("i1")), "x".repeat(5_000))
-            cleaner.clean(nowMillis = 200_000)
+            store.now = StoreTime(200_000)
+            cleaner.clean()
             store.rows.keys.filter { it.table == FleetTables.JOBS } shouldHaveSize 1
             jobs.appendResult(TEAM, ItemRef(JOB, ItemId("i2")), null)
-            cleaner.clean(nowMillis = 130_000)
+            store.now = StoreTime(130_000)
+            cleaner.clean()
             store.rows.keys.filter { it.table == FleetTables.JOBS } shouldHaveSize 1
-            cleaner.clean(nowMillis = 200_000)
+            store.now = StoreTime(200_000)
+            cleaner.clean()
             store.rows.size shouldBe 0
             store.objects.size shouldBe 0
         }
--- a/standins/src/main/kotlin/org/agatestream/standin/RowStoreStandIn.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/RowStoreStandIn.kt
@@ -204,8 +204,11 @@
     @SerialName("Rows") val rows: List<StoreRow> = emptyList(),
     @SerialName("Ver") val ver: Long = 0,
     @SerialName("HasMore") val hasMore: Boolean = false,
+    @SerialName("NowMs") val nowMs: Long = System.nanoTime() / NANOS_PER_MILLI,
 )
 
+private const val NANOS_PER_MILLI = 1_000_000
+
 @Serializable
 private class StoreParts(
     @SerialName("parts") val parts: List<String>,
