Refuse a request at once when every server has turned it away

Cause: a request keeps the servers that refused or lost it out of its next choice, but the coordinator counted their slots when it decided whether the request can be served at all. With none left the request waited until its queue deadline, 3.7 s of a caller's 5 s.

DispatcherTest has the case without a network.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -248,7 +248,7 @@
         request.meteredWorkspace?.let { rates.timeToToken(it, now) }?.let { wait ->
             return DispatchAction.Refuse(request.call, ErrorKind.RATE_EXCEEDED, wait)
         }
-        if (servers.slots(request.service) == 0) {
+        if (servers.slots(request.service, request.excluded) == 0) {
             return DispatchAction.Refuse(request.call, ErrorKind.NO_CAPACITY, NO_SERVER_RETRY_AFTER)
         }
         val wait = expectedWait(request.service)
--- a/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
@@ -34,8 +34,11 @@
 
     fun forService(service: ServiceId): List<ServerLoad> = loads.values.filter { it.server.entry.service == service }
 
-    /** Returns the total number of slots of the servers of [service], free or occupied. */
-    fun slots(service: ServiceId): Int = forService(service).sumOf { it.server.entry.slots }
+    /** Returns the total number of slots of the servers of [service] outside [excluded], free or occupied. */
+    fun slots(
+        service: ServiceId,
+        excluded: Set<BackendServerId> = emptySet(),
+    ): Int = forService(service).filter { it.id !in excluded }.sumOf { it.server.entry.slots }
 
     /** Returns whether a request may start at [load] now. */
     fun mayStart(
--- a/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
@@ -45,6 +45,15 @@
             dispatcher.waitingRequests shouldBe 0
         }
 
+        test("a request that every server has turned away is refused at once") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1"), serverOf("s2"))
+            val tried = setOf(BackendServerId("s1"), BackendServerId("s2"))
+            val refused = dispatcher.place(requestOf(1, excluded = tried), START).single()
+            refused.shouldBeInstanceOf<DispatchAction.Refuse>().kind shouldBe ErrorKind.NO_CAPACITY
+            dispatcher.place(requestOf(2, excluded = tried.take(1).toSet()), START).placed() shouldContainExactly
+                listOf(2L)
+        }
+
         test("a workspace gets its rate and burst and no more") {
             val dispatcher = dispatcherOf(manifestOf(rate = 10.0, burst = 20.0), serverOf("s1", slots = 1_000))
             var placed = 0
