Bound what a server may send that is no answer

Cause, by kind of bytes: - Before the head of a response, blank lines, interim responses and late copies of earlier responses were skipped, as many as came, until the request's timeout. It is cut after 2 s without an event. - An item's output had no limit, events one of 1 MiB each and plain answers one of 16 MiB each, so that several servers at once exceeded the heap. All unfinished answers of a VM now share 16 MiB, an output has 1 MiB. - A long event was scanned from its start at each read.

Head lines, headers, chunk extensions and trailers were bounded by the codec already; the tests that show it stay.

--- a/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
@@ -17,7 +17,9 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /** One connection to a server that carries one exchange at a time; its state changes on the event loop only. */
-internal class ClientConnection : ChannelInboundHandlerAdapter() {
+internal class ClientConnection(
+    private val unansweredBytes: UnansweredBytesLimit,
+) : ChannelInboundHandlerAdapter() {
     private lateinit var ctx: ChannelHandlerContext
     private val demand = ReadDemand()
     private var current: ClientExchange? = null
@@ -64,7 +66,7 @@
             msg is HttpResponse && msg.decoderResult().isFailure -> ctx.close()
             msg is HttpResponse && msg.status().codeClass() == HttpStatusClass.INFORMATIONAL -> skipResponse()
             msg is HttpResponse && !exchange.matches(msg) -> skipResponse()
-            msg is HttpResponse -> exchange.onHead(msg)
+            msg is HttpResponse -> startResponse(exchange, msg)
             msg is HttpContent && isSkipping -> skipContent(msg)
             msg is HttpContent -> exchange.onContent(msg)
             else -> ReferenceCountUtil.release(msg)
@@ -106,6 +108,7 @@
             return
         }
         current = exchange
+        unansweredBytes.onRequest()
         ctx.writeAndFlush(message).addListener { exchange.isRequestSent = it.isSuccess }
         demand.request(ctx)
     }
@@ -126,6 +129,14 @@
         if (ctx.channel().isActive) release()
     }
 
+    private fun startResponse(
+        exchange: ClientExchange,
+        head: HttpResponse,
+    ) {
+        unansweredBytes.onHead()
+        exchange.onHead(head)
+    }
+
     private fun skipResponse() {
         isSkipping = true
         demand.request(ctx)
--- a/http/src/main/kotlin/org/agatestream/http/HttpCall.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpCall.kt
@@ -85,22 +85,35 @@
 public fun HttpCall.query(name: String): String? = QueryStringDecoder(target).parameters()[name]?.firstOrNull()
 
 /** Reads the whole body; fails with [ErrorKind.BODY_TOO_LARGE] if it exceeds [limit] bytes. */
-public suspend fun BodySource.readBody(limit: Int): Outcome<ByteArray> {
+public suspend fun BodySource.readBody(
+    limit: Int,
+    budget: BufferBudget = BufferBudget.unlimited(),
+): Outcome<ByteArray> {
     val buffer = ByteArrayOutputStream()
-    while (true) {
-        when (val part = nextChunk()) {
-            is BodyPart.Chunk -> {
-                buffer.write(part.bytes)
-                if (buffer.size() > limit) return ErrorKind.BODY_TOO_LARGE.toFailed("the body exceeds $limit bytes")
-            }
-
-            is BodyPart.End -> {
-                return buffer.toByteArray().toOk()
-            }
-
-            is BodyPart.Broken -> {
-                return part.kind.toFailed("the body broke off: ${part.reason}")
+    var reserved = 0
+    try {
+        while (true) {
+            when (val part = nextChunk()) {
+                is BodyPart.Chunk -> {
+                    val size = reserved + part.bytes.size
+                    if (size > limit) return ErrorKind.BODY_TOO_LARGE.toFailed("the body exceeds $limit bytes")
+                    if (!budget.tryResize(reserved, size)) {
+                        return ErrorKind.BODY_TOO_LARGE.toFailed("all bodies together exceed this VM's buffers")
+                    }
+                    reserved = size
+                    buffer.write(part.bytes)
+                }
+
+                is BodyPart.End -> {
+                    return buffer.toByteArray().toOk()
+                }
+
+                is BodyPart.Broken -> {
+                    return part.kind.toFailed("the body broke off: ${part.reason}")
+                }
             }
         }
+    } finally {
+        budget.release(reserved)
     }
 }
--- a/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
@@ -84,7 +84,8 @@
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(ch: SocketChannel) {
-                        ch.pipeline().addLast(HttpClientCodec(), FlowControlHandler(), ClientConnection())
+                        val limit = UnansweredBytesLimit()
+                        ch.pipeline().addLast(limit, HttpClientCodec(), FlowControlHandler(), ClientConnection(limit))
                     }
                 },
             )
--- a/server/src/main/kotlin/org/agatestream/server/EventSplitter.kt
+++ b/server/src/main/kotlin/org/agatestream/server/EventSplitter.kt
@@ -1,5 +1,6 @@
 package org.agatestream.server
 
+import org.agatestream.http.BufferBudget
 import java.io.ByteArrayOutputStream
 
 /** One server-sent event with its original bytes. */
@@ -23,22 +24,27 @@
     }
 }
 
-/** Splits a stream into server-sent events without changing their bytes. */
-internal class EventSplitter {
+/** Splits a stream into server-sent events without changing their bytes; to be closed at the end of the stream. */
+internal class EventSplitter(
+    private val budget: BufferBudget = BufferBudget.unlimited(),
+) : AutoCloseable {
     private var incomplete = ByteArray(0)
+    private var reserved = 0
+    private var isOverBudget = false
 
     /** The bytes of an incomplete event. */
     val remainder: ByteArray get() = incomplete
 
-    /** True once an event exceeds the size limit; its stream must be aborted. */
-    val isEventTooLong: Boolean get() = incomplete.size > MAX_EVENT_BYTES
+    /** True once an event exceeds the size limit, or all events of the VM its budget; the stream must be aborted. */
+    val isEventTooLong: Boolean get() = isOverBudget || incomplete.size > MAX_EVENT_BYTES
 
     /** Appends [bytes] and returns the events that they complete. */
     fun feed(bytes: ByteArray): List<StreamEvent> {
         val all = if (incomplete.isEmpty()) bytes else incomplete + bytes
         val events = ArrayList<StreamEvent>()
         var start = 0
-        var position = 0
+        // The end of an event has up to three bytes, of which all but the last may have arrived before.
+        var position = maxOf(0, incomplete.size - MAX_BOUNDARY_BYTES + 1)
         while (position < all.size) {
             val end = boundaryAfter(all, position)
             if (end > 0) {
@@ -50,9 +56,19 @@
             }
         }
         incomplete = if (start == 0) all else all.copyOfRange(start, all.size)
+        reserve(incomplete.size)
         return events
     }
 
+    override fun close() {
+        budget.release(reserved)
+        reserved = 0
+    }
+
+    private fun reserve(bytes: Int) {
+        if (budget.tryResize(reserved, bytes)) reserved = bytes else isOverBudget = true
+    }
+
     /** Returns the position after the empty line that begins at [position], or 0 if none begins there. */
     private fun boundaryAfter(
         bytes: ByteArray,
@@ -81,7 +97,9 @@
         const val CR = '\r'.code.toByte()
         const val ID = "id:"
 
-        // Over two thousand times the longest event in the users' specification, and a small part of a VM's memory.
+        const val MAX_BOUNDARY_BYTES = 3
+
+        // Over two thousand times the longest event in the users' specification.
         const val MAX_EVENT_BYTES = 1 shl 20
     }
 }
--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -17,10 +17,10 @@
 import org.agatestream.core.RunningCall
 import org.agatestream.core.WorkspaceId
 import org.agatestream.http.BodyPart
+import org.agatestream.http.BufferBudget
 import org.agatestream.http.ExchangeResult
 import org.agatestream.http.HttpClient
 import org.agatestream.http.HttpClientResponse
-import org.agatestream.http.readBody
 import org.agatestream.platform.BackendCall
 import org.agatestream.platform.BackendProtocol
 import org.agatestream.platform.BackendReply
@@ -37,11 +37,38 @@
     private val client: HttpClient,
     private val scope: CoroutineScope,
     private val report: (ItemReport) -> Unit,
+    private val buffers: BufferBudget,
 ) {
     /** The output of an item, collected over all its runs at this VM. */
     private class Output {
         val data = ArrayList<String>()
         var lastEvent: Long? = null
+        private var chars = 0
+
+        /** True once the output is longer than any item's; it must be discarded. */
+        val isTooLong: Boolean get() = chars > MAX_OUTPUT_CHARS
+
+        /** Appends events that follow the last one; returns false at the first that does not. */
+        fun append(events: List<StreamEvent>): Boolean {
+            for (event in events) {
+                if (!event.follows(lastEvent)) return false
+                lastEvent = event.id ?: lastEvent
+                event.data()?.let { add(it) }
+            }
+            return true
+        }
+
+        /** Discards all events, so that the next run starts anew. */
+        fun clear() {
+            data.clear()
+            chars = 0
+            lastEvent = null
+        }
+
+        private fun add(text: String) {
+            data += text
+            chars += text.length
+        }
 
         fun toPartial(): PartialOutput? = lastEvent?.let { PartialOutput(it, data.toList()) }
 
@@ -49,7 +76,8 @@
         fun mergeFrom(partial: PartialOutput) {
             if (partial.lastEvent <= (lastEvent ?: -1)) return
             data.clear()
-            data += partial.data
+            chars = 0
+            partial.data.forEach { add(it) }
             lastEvent = partial.lastEvent
         }
     }
@@ -210,7 +238,7 @@
         try {
             return when (val reply = BackendProtocol.read(response)) {
                 is BackendReply.NotRun -> {
-                    response.readBody(MAX_ERROR_BYTES)
+                    response.discardBody()
                     ItemEnd.Interrupted(reply.reason, RunOutcome.NOT_RUN)
                 }
 
@@ -221,12 +249,12 @@
                         }
 
                         STATUS_UNPROCESSABLE -> {
-                            response.readBody(MAX_ERROR_BYTES)
+                            response.discardBody()
                             ItemEnd.Impossible("status ${reply.status}")
                         }
 
                         STATUS_FAILED -> {
-                            response.readBody(MAX_ERROR_BYTES)
+                            response.discardBody()
                             ItemEnd.Failed("status ${reply.status}")
                         }
 
@@ -245,11 +273,19 @@
         response: HttpClientResponse,
         output: Output,
         onFirst: () -> Unit,
+    ): ItemEnd = EventSplitter(buffers).use { collectEvents(response, it, output, onFirst) }
+
+    private suspend fun collectEvents(
+        response: HttpClientResponse,
+        splitter: EventSplitter,
+        output: Output,
+        onFirst: () -> Unit,
     ): ItemEnd {
-        val splitter = EventSplitter()
         var isFirst = true
+        // A server that sends comments, or an event byte by byte, makes no progress.
+        var idleDeadline = MonotonicTime.now() + IDLE_TIMEOUT
         while (coroutineContext.isActive) {
-            val part = withTimeoutOrNull(IDLE_TIMEOUT) { response.nextChunk() }
+            val part = withTimeoutOrNull(idleDeadline - MonotonicTime.now()) { response.nextChunk() }
             when (part) {
                 null -> {
                     return ItemEnd.Interrupted("silent", RunOutcome.LOST)
@@ -263,6 +299,8 @@
                     }
                     if (splitter.isEventTooLong) return ItemEnd.Interrupted("event too long", RunOutcome.LOST)
                     if (!output.append(events)) return ItemEnd.Interrupted("event out of order", RunOutcome.LOST)
+                    if (output.isTooLong) return discardOutput(output)
+                    if (events.any { it.data() != null }) idleDeadline = MonotonicTime.now() + IDLE_TIMEOUT
                 }
 
                 is BodyPart.End -> {
@@ -285,13 +323,9 @@
         return ItemEnd.Interrupted("stopped")
     }
 
-    private fun Output.append(events: List<StreamEvent>): Boolean {
-        for (event in events) {
-            if (!event.follows(lastEvent)) return false
-            lastEvent = event.id ?: lastEvent
-            event.data()?.let { data += it }
-        }
-        return true
+    private fun discardOutput(output: Output): ItemEnd {
+        output.clear()
+        return ItemEnd.Interrupted("output too long", RunOutcome.LOST)
     }
 
     /** The outcome of one run of an item. */
@@ -326,7 +360,9 @@
         const val STATUS_OK = 200
         const val STATUS_UNPROCESSABLE = 422
         const val STATUS_FAILED = 500
-        const val MAX_ERROR_BYTES = 64 * 1024
+
+        // Ten times the longest output in the users' specification; more is no output but a server in trouble.
+        const val MAX_OUTPUT_CHARS = 1 shl 20
 
         // The job's completion target bounds items, not the route's timeout; a run takes about 5 s.
         val RUN_TIMEOUT = 60.seconds
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.withContext
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.VmId
+import org.agatestream.http.BufferBudget
 import org.agatestream.http.EventLoops
 import org.agatestream.http.HttpCall
 import org.agatestream.http.HttpClient
@@ -36,6 +37,7 @@
     private val self = VmId("${config.name}@${SecureRandom().nextLong().toULong().toString(ID_RADIX)}")
     private val network = KtorPeerNetwork(self, secret, metrics.registry)
     private val client = HttpClient(eventLoops, CONNECT_TIMEOUT)
+    private val buffers = BufferBudget(ANSWER_BUFFER_BYTES)
     private val store =
         PlatformStore(client, config.storeAddress, STORE_READ_TIMEOUT, STORE_WRITE_TIMEOUT, ::onStoreCall)
     private val view: PlatformView = PlatformView(store, ::onViewChanged)
@@ -63,7 +65,7 @@
         )
     private val slots: SlotAllocator =
         SlotAllocator(self, network, view, scope, membership, { role })
-    private val itemExecutor = ItemExecutor(slots, view, jobStore, client, scope, ::sendItemReport)
+    private val itemExecutor = ItemExecutor(slots, view, jobStore, client, scope, ::sendItemReport, buffers)
     private val entryTtl = minOf(DEFAULT_ENTRY_TTL, config.entryTtlMaxSeconds.seconds)
     private val shutdown = gracefulShutdown()
     private val routes =
@@ -71,7 +73,7 @@
             config = config,
             view = view,
             membership = membership,
-            forwarder = RouteForwarder(slots, client, metrics),
+            forwarder = RouteForwarder(slots, client, metrics, buffers),
             jobs = JobCalls(self, jobStore),
             shutdown = shutdown,
             entryTtl = entryTtl,
@@ -287,6 +289,9 @@
         val EXIT_MARGIN = 1.seconds
         const val TEXT_PLAIN = "text/plain"
 
+        // An eighth of a VM's heap of 128 MB; a growing buffer exists twice for a moment.
+        const val ANSWER_BUFFER_BYTES = 16L * 1024 * 1024
+
         // Half of the latency target of 300 ms; a new connection takes two hops of a few milliseconds.
         val CONNECT_TIMEOUT = 150.milliseconds
 
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -13,6 +13,7 @@
 import org.agatestream.core.VmId
 import org.agatestream.http.BodyPart
 import org.agatestream.http.BodyWriter
+import org.agatestream.http.BufferBudget
 import org.agatestream.http.ExchangeResult
 import org.agatestream.http.HttpCall
 import org.agatestream.http.HttpClient
@@ -32,6 +33,7 @@
     private val slots: SlotAllocator,
     private val client: HttpClient,
     private val metrics: VmMetrics,
+    private val buffers: BufferBudget,
 ) {
     /** Serves [call], which arrived at [arrivedAt] with the body [body]. */
     suspend fun forward(
@@ -168,7 +170,7 @@
             try {
                 return when (val reply = BackendProtocol.read(response)) {
                     is BackendReply.NotRun -> {
-                        response.readBody(MAX_ERROR_BYTES)
+                        response.discardBody()
                         Attempt.NotRun(reply.reason, RunOutcome.NOT_RUN)
                     }
 
@@ -189,13 +191,13 @@
             response: HttpClientResponse,
             reply: BackendReply.Ran,
         ): Attempt {
+            if (!reply.isSigned && reply.status in SIGNED_ONLY) return Attempt.Lost("unsigned status ${reply.status}")
+            if (writer != null) return Attempt.Lost("status ${reply.status} for a resumed stream")
             val body =
-                when (val read = response.readBody(MAX_ANSWER_BYTES)) {
+                when (val read = response.readBody(MAX_ANSWER_BYTES, buffers)) {
                     is Outcome.Ok -> read.value
                     is Outcome.Failed -> return Attempt.Lost(read.failure.message)
                 }
-            if (!reply.isSigned && reply.status in SIGNED_ONLY) return Attempt.Lost("unsigned status ${reply.status}")
-            if (writer != null) return Attempt.Lost("status ${reply.status} for a resumed stream")
             call.respond(reply.status, response.header("content-type") ?: DEFAULT_TYPE, body, headers(response))
             return Attempt.Answered(reply.status)
         }
@@ -203,8 +205,13 @@
         private suspend fun relayStream(
             response: HttpClientResponse,
             onFirst: () -> Unit,
+        ): Attempt = EventSplitter(buffers).use { relayEvents(response, it, onFirst) }
+
+        private suspend fun relayEvents(
+            response: HttpClientResponse,
+            splitter: EventSplitter,
+            onFirst: () -> Unit,
         ): Attempt {
-            val splitter = EventSplitter()
             var isFirst = true
             while (true) {
                 when (val part = response.nextChunk()) {
@@ -353,7 +360,6 @@
         // Statuses that count only if signed by the backend server: success, and promises that the request did not run.
         val SIGNED_ONLY = (200..299).toSet() + setOf(408, 421, 429, 503)
         const val MAX_REJECTIONS = 3
-        const val MAX_ERROR_BYTES = 64 * 1024
         const val MAX_ANSWER_BYTES = 16 * 1024 * 1024
         const val DEFAULT_TYPE = "application/octet-stream"
         const val EVENTS_TYPE = "text/event-stream"
--- a/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
@@ -1,10 +1,24 @@
 package org.agatestream.standin
 
 import kotlinx.coroutines.delay
+import org.agatestream.http.BodyWriter
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
+/** A fault of one request at a [PlatformServerStandIn]. */
+internal enum class PlatformServerFault {
+    /** The stream stops after its first event, but comments go on until the caller closes. */
+    STALL_WITH_COMMENTS,
+
+    /** The stream's second event goes on until the caller closes. */
+    ENDLESS_EVENT,
+
+    /** The request is refused as not run, and the body of the refusal goes on until the caller closes. */
+    ENDLESS_REFUSAL,
+}
+
 /** A test backend server of the users' platform that responds with a stream of events. */
 internal class PlatformServerStandIn(
     private val id: String,
@@ -16,6 +30,9 @@
     /** The headers of every request that this server ran. */
     val requests: MutableList<List<Pair<String, String>>> = CopyOnWriteArrayList()
 
+    /** The fault of the next request that this server receives; null for none. */
+    val nextFault: AtomicReference<PlatformServerFault?> = AtomicReference()
+
     /** Listens on loopback and returns the port; 0 selects a free one. */
     fun listen(port: Int): Int = server.listen(port)
 
@@ -32,19 +49,44 @@
                 mapOf("x-agatestream-instance-id" to id),
             )
         }
+        val fault = nextFault.getAndSet(null)
+        if (fault == PlatformServerFault.ENDLESS_REFUSAL) return refuseWithoutEnd(call)
         requests += call.httpCall.headers()
         val first = (call.header("last-event-id")?.toIntOrNull() ?: -1) + 1
         val headers = mapOf("x-agatestream-attempt-id" to requestId, "x-agatestream-response-signature" to "signed")
         val writer = call.httpCall.startStream(STATUS_OK, "text/event-stream", headers)
         for (number in first until events) {
+            if (fault == PlatformServerFault.STALL_WITH_COMMENTS &&
+                number == first + 1
+            ) {
+                writer.writeCommentsWithoutEnd()
+            }
+            if (fault == PlatformServerFault.ENDLESS_EVENT && number == first + 1) writer.writeEventWithoutEnd()
             if (!writer.write("id: $number\ndata: $requestId-$number\n\n".encodeToByteArray())) return
             delay(interval)
         }
         writer.finish()
     }
 
+    private suspend fun refuseWithoutEnd(call: StandInCall) {
+        val headers = mapOf("x-agatestream-not-executed" to "1")
+        call.httpCall.startStream(STATUS_UNAVAILABLE, "text/plain", headers).writeCommentsWithoutEnd()
+    }
+
+    private suspend fun BodyWriter.writeCommentsWithoutEnd() {
+        while (write(": waiting\n\n".encodeToByteArray())) delay(COMMENT_INTERVAL)
+    }
+
+    private suspend fun BodyWriter.writeEventWithoutEnd() {
+        val part = ByteArray(EVENT_PART_BYTES) { 'x'.code.toByte() }
+        while (write(part)) delay(1.milliseconds)
+    }
+
     private companion object {
         const val STATUS_OK = 200
         const val STATUS_MISDIRECTED = 421
+        const val STATUS_UNAVAILABLE = 503
+        const val EVENT_PART_BYTES = 4_096
+        val COMMENT_INTERVAL = 100.milliseconds
     }
 }
--- a/standins/src/test/kotlin/org/agatestream/standin/PlatformVmTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/PlatformVmTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
@@ -22,6 +23,7 @@
 import org.agatestream.server.PlatformVm
 import org.agatestream.server.PlatformVmConfig
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 private val TIMEOUT = 10.seconds
 private const val MANIFEST =
@@ -178,6 +180,36 @@
             }
         }
 
+        test("a refusal whose body has no end is passed on at once") {
+            withFleet { fleet ->
+                fleet.server.nextFault.set(PlatformServerFault.ENDLESS_REFUSAL)
+                val before = TimeSource.Monotonic.markNow()
+                fleet.send(0, "GET", "/ask/1", id = "refused").first shouldBe 503
+                before.elapsedNow() shouldBeLessThan 1.seconds
+            }
+        }
+
+        test("a stream whose event has no end is cut, and later requests are served") {
+            withFleet { fleet ->
+                fleet.server.nextFault.set(PlatformServerFault.ENDLESS_EVENT)
+                fleet.send(0, "GET", "/ask/1", id = "endless").first shouldBe 0
+                eventually(TIMEOUT) { fleet.send(0, "GET", "/ask/1").first shouldBe 200 }
+            }
+        }
+
+        for (fault in listOf(PlatformServerFault.STALL_WITH_COMMENTS, PlatformServerFault.ENDLESS_EVENT)) {
+            test("an item whose stream does not progress is run again: $fault") {
+                withFleet { fleet ->
+                    fleet.server.nextFault.set(fault)
+                    val items = """{"Id":"i1","Path":"/lot/1","Body":"YQ==","Tokens":10}"""
+                    fleet.send(0, "POST", "/lot/j", id = "job", body = """{"Requests":[$items]}""").first shouldBe 202
+                    eventually(TIMEOUT) {
+                        fleet.send(1, "GET", "/-/lots/job?After=0").second shouldContain "i1-0\\ni1-1\\ni1-2"
+                    }
+                }
+            }
+        }
+
         test("online requests are served while the store is unavailable, and jobs are refused") {
             withFleet { fleet ->
                 fleet.store.isDown = true
