Call the store less while it is away and while all VMs start

Cause: a VM without the store retried three feeds every 100 ms, its own entry every 250 ms and each result every 200 ms; one native process took 0.24 cores so. Each VM that starts writes its entry, and every such change woke the feed of every VM: 95 reads by each of 95 VMs. Each VM dialled three seeds at once, though the store answers within milliseconds.

Feeds back off up to 500 ms, results up to 1 s, entries are written once the store answers. Changes of the fleet's table are collected for 3 ms a listed VM, those of servers for 50 ms. Seeds are asked only after 200 ms without a manifest.

--- a/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
@@ -107,13 +107,15 @@
                 FleetTables.FLEET,
                 { rows, _ -> replaceRows(rows) },
                 { rows, _ -> applyChanges(rows) },
+                collectFor = { COLLECT_TIME_PER_VM * roster.size },
             )
         scope.launch { feed.run() }
         scope.launch { syncFromPeers() }
         scope.launch {
             while (isActive) {
-                if (!isLeaving) roster.ensureListed()
-                delay(MIN_REPORT_INTERVAL)
+                val isReachable = view.isStoreReachable(MonotonicTime.now())
+                if (isReachable && !isLeaving) roster.ensureListed()
+                delay(if (isReachable) MIN_REPORT_INTERVAL else CONTACT_CHECK_INTERVAL)
             }
         }
         scope.launch {
@@ -268,6 +270,7 @@
 
     /** Fetches snapshots from seeds until there is a manifest, then from peers while the store is unreachable. */
     private suspend fun syncFromPeers() {
+        delay(BOOTSTRAP_DELAY)
         while (true) {
             if (view.manifest == null) {
                 config.seedPeers.filter { it != config.peerAddress }.forEach { bootstrapFrom(it) }
@@ -366,6 +369,13 @@
         // About fifty times a hop between failure domains, to tolerate a slow VM.
         val REPORT_TIMEOUT = 200.milliseconds
         const val PEERS_POLLED = 3
+
+        // When all VMs start at once, each of them writes its entry; all are to hear of them in a few reads.
+        val COLLECT_TIME_PER_VM = 3.milliseconds
+        val CONTACT_CHECK_INTERVAL = 50.milliseconds
+
+        // A reachable store answers first reads of a start within this time, and then no peer need be asked.
+        val BOOTSTRAP_DELAY = 200.milliseconds
         val BOOTSTRAP_TIMEOUT = 500.milliseconds
         val BOOTSTRAP_RETRY_INTERVAL = 1.seconds
 
--- a/server/src/main/kotlin/org/agatestream/server/JobStore.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobStore.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import org.agatestream.core.Backoff
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.Failure
 import org.agatestream.core.ItemId
@@ -21,6 +22,7 @@
 import org.agatestream.platform.SubmittedItem
 import org.agatestream.platform.parseJob
 import java.util.Base64
+import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -216,6 +218,7 @@
         val done = FleetTables.done(partition, ref)
         val job = FleetTables.bodies(partition, ref.job)
         var position = nextPositions[job] ?: 0
+        var failures = 0
         while (true) {
             val resultRow = FleetTables.result(partition, ref.job, position)
             val changes = listOf(RowChange(resultRow, value), RowChange(done, EMPTY_VALUE))
@@ -231,7 +234,7 @@
                 }
 
                 is WriteResult.NotDone, is WriteResult.Unknown -> {
-                    delay(WRITE_RETRY_DELAY)
+                    delay(WRITE_RETRY_BACKOFF.delay(++failures, Random.Default))
                 }
             }
         }
@@ -273,7 +276,10 @@
         // The row limit applies to the value in base64.
         if (output == null || Base64.getEncoder().encodeToString(inline).length <= rowBytes) return inline
         val name = FleetTables.output(partition, ref)
-        while (store.putObject(name, output.encodeToByteArray()) !is WriteResult.Written) delay(WRITE_RETRY_DELAY)
+        var failures = 0
+        while (store.putObject(name, output.encodeToByteArray()) !is WriteResult.Written) {
+            delay(WRITE_RETRY_BACKOFF.delay(++failures, Random.Default))
+        }
         return encode(ResultRow(ref.item, outputObject = name))
     }
 
@@ -295,6 +301,6 @@
         val EMPTY_VALUE = "{}".encodeToByteArray()
         val QUOTA_RETRY_DELAY = 1.seconds
         val UNAVAILABLE_RETRY_DELAY = 500.milliseconds
-        val WRITE_RETRY_DELAY = 200.milliseconds
+        val WRITE_RETRY_BACKOFF = Backoff(first = 200.milliseconds, max = 1.seconds)
     }
 }
--- a/server/src/main/kotlin/org/agatestream/server/PlatformView.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformView.kt
@@ -65,7 +65,14 @@
 
     fun start(scope: CoroutineScope) {
         val operators = TableFeed.of(store, PlatformNames.OPERATOR_TABLE, ::replaceOperatorRows, ::applyOperatorChanges)
-        val servers = TableFeed.of(store, PlatformNames.SERVER_TABLE, ::replaceServerRows, ::applyServerChanges)
+        val servers =
+            TableFeed.of(
+                store,
+                PlatformNames.SERVER_TABLE,
+                ::replaceServerRows,
+                ::applyServerChanges,
+                collectFor = { SERVER_COLLECT_TIME },
+            )
         scope.launch { operators.run() }
         scope.launch { servers.run() }
         scope.launch {
@@ -238,6 +245,9 @@
         // Longer than the long poll of the feeds, which the store answers at least once per second.
         val STORE_CONTACT_TIMEOUT = 1600.milliseconds
         val EXPIRY_INTERVAL = 200.milliseconds
+
+        // A fortieth of the shortest time for which a leaving server still serves; whole zones change at once.
+        val SERVER_COLLECT_TIME = 50.milliseconds
     }
 }
 
--- a/server/src/main/kotlin/org/agatestream/server/TableFeed.kt
+++ b/server/src/main/kotlin/org/agatestream/server/TableFeed.kt
@@ -1,11 +1,14 @@
 package org.agatestream.server
 
 import kotlinx.coroutines.delay
+import org.agatestream.core.Backoff
 import org.agatestream.core.RowPage
 import org.agatestream.core.RowStore
 import org.agatestream.core.StoreRead
 import org.agatestream.core.StoreTime
 import org.agatestream.core.StoredRow
+import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -17,27 +20,41 @@
     private val readSnapshot: suspend () -> Pair<S, Long>?,
     private val onSnapshot: (S, Long) -> Unit,
     private val onChanges: (RowPage) -> Unit,
+    /** Returns how long to collect further changes after some have arrived, before asking for more. */
+    private val collectFor: () -> Duration = { Duration.ZERO },
+    private val random: Random = Random.Default,
 ) {
+    private var failures = 0
+
     suspend fun run() {
         while (true) {
             val read = readSnapshot()
             if (read == null) {
-                delay(RETRY_DELAY)
+                awaitRetry()
                 continue
             }
+            failures = 0
             onSnapshot(read.first, read.second)
             follow(read.second)
         }
     }
 
+    private suspend fun awaitRetry() {
+        failures++
+        delay(RETRY_BACKOFF.delay(failures, random))
+    }
+
     /** Follows the changes after version [from]; returns once some may have been missed, as after a failed call. */
     private suspend fun follow(from: Long) {
         var version = from
         while (true) {
             when (val read = store.changes(table, version, LONG_POLL_TIMEOUT)) {
                 is StoreRead.Found -> {
-                    if (read.value.rows.isNotEmpty()) onChanges(read.value)
                     version = maxOf(version, read.value.version)
+                    if (read.value.rows.isNotEmpty()) {
+                        onChanges(read.value)
+                        delay(collectFor())
+                    }
                 }
 
                 is StoreRead.Gone -> {
@@ -47,7 +64,7 @@
 
                 is StoreRead.Unavailable -> {
                     EventLog.warn("feed_lost", "table" to table, "after" to version, "reason" to read.reason)
-                    delay(RETRY_DELAY)
+                    awaitRetry()
                     return
                 }
             }
@@ -57,7 +74,9 @@
     companion object {
         // Half of the shortest time in which a manifest change must take effect, to detect a dead connection in time.
         private val LONG_POLL_TIMEOUT = 1.seconds
-        private val RETRY_DELAY = 100.milliseconds
+
+        // An unreachable store costs a VM a few calls a second; its return is noticed within half a second.
+        private val RETRY_BACKOFF = Backoff(first = 100.milliseconds, max = 500.milliseconds)
 
         /** Returns a feed of a table that has only the empty partition. */
         fun of(
@@ -65,9 +84,17 @@
             table: String,
             onSnapshot: (List<StoredRow>, Long) -> Unit,
             onChanges: (List<StoredRow>, Long) -> Unit,
+            collectFor: () -> Duration = { Duration.ZERO },
         ): TableFeed<List<StoredRow>> {
             val readSnapshot = suspend { store.readAll(table, "")?.let { it.rows to it.version } }
-            return TableFeed(store, table, readSnapshot, onSnapshot) { onChanges(it.rows, it.version) }
+            return TableFeed(
+                store = store,
+                table = table,
+                readSnapshot = readSnapshot,
+                onSnapshot = onSnapshot,
+                onChanges = { onChanges(it.rows, it.version) },
+                collectFor = collectFor,
+            )
         }
     }
 }
