Let the test of a late response wait until the server has the request

The test cancelled the first request after 100 ms and took it for sent. It now cancels once the server has read the request, and checks as much as before.

--- a/http/src/test/kotlin/org/agatestream/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/org/agatestream/http/HttpClientTest.kt
@@ -6,9 +6,10 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldStartWith
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
-import kotlinx.coroutines.withTimeoutOrNull
 import java.net.ServerSocket
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
@@ -71,7 +72,9 @@
                 }
             server.use {
                 val client = HttpClient(loops)
-                withTimeoutOrNull(100.milliseconds) { client.get(server) } shouldBe null
+                val first = launch { client.get(server) }
+                eventually(3.seconds) { count.get() shouldBe 1 }
+                first.cancelAndJoin()
                 client.get(server).readText() shouldBe "answer 2"
                 client.get(server).readText() shouldBe "answer 3"
             }
