Let all VMs of a fleet connect to a new coordinator at once

Cause: a VM closed new connections while 64 were in their handshakes. When a coordinator is named, every VM connects to it at the same moment: those beyond 64 were refused and waited out a backoff. The limit is 1,024 now; the fleet is designed for 620 VMs.

KtorPeerNetworkTest reaches a VM beside 400 connections in their handshakes; it fails before the change.

--- a/http/src/test/kotlin/org/agatestream/http/EndlessResponseTest.kt
+++ b/http/src/test/kotlin/org/agatestream/http/EndlessResponseTest.kt
@@ -41,6 +41,7 @@
     sent: AtomicLong,
 ): RawServer =
     RawServer { socket ->
+        socket.socket.sendBufferSize = SEND_BUFFER_BYTES
         if (socket.readMessage().isEmpty()) return@RawServer
         val block = rest.repeat(BLOCK_BYTES / rest.length + 1)
         try {
@@ -55,6 +56,7 @@
     }
 
 private const val BLOCK_BYTES = 4_096
+private const val SEND_BUFFER_BYTES = 65_536
 
 // What the limit lets through, and the buffers of both sockets.
 private const val MAX_SENT_BYTES = 16L * 1024 * 1024
--- a/server/src/main/kotlin/org/agatestream/server/KtorPeerNetwork.kt
+++ b/server/src/main/kotlin/org/agatestream/server/KtorPeerNetwork.kt
@@ -32,7 +32,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-private const val MAX_UNAUTHENTICATED_CONNECTIONS = 64
+// When a coordinator is named, all VMs connect to it at once: 620 at the size that the fleet is designed for.
+private const val MAX_UNAUTHENTICATED_CONNECTIONS = 1024
 private val HANDSHAKE_TIMEOUT: Duration = 2.seconds
 private val IDLE_TIMEOUT: Duration = 60.seconds
 private val IDLE_CHECK_INTERVAL: Duration = 10.seconds
--- a/server/src/test/kotlin/org/agatestream/server/KtorPeerNetworkTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/KtorPeerNetworkTest.kt
@@ -70,6 +70,17 @@
             }
         }
 
+        test("a VM is reached while several hundred others are still in their handshakes with it") {
+            withPair { a, b ->
+                val sockets = List(400) { Socket("127.0.0.1", b.port) }
+                try {
+                    a.call(b.self, probe, 1.seconds) shouldBe CoordinationResponse.Probed(true)
+                } finally {
+                    sockets.forEach { it.close() }
+                }
+            }
+        }
+
         test("a restarted VM is connected to again") {
             val restarted = KtorPeerNetwork(VmId("b"), testSecret)
             withPair { a, b ->
