Wait for the items of a VM that is only silent

Cause: a VM that did not report for a second had all its items started again elsewhere at once. After a partition or a freeze its own runs went on, so the work was done twice; the slots were rightly kept, but the items were not left to them.

Such an item now waits for as long as its run should take, unless a run elsewhere would then miss the deadline (2 s are left for waits and preemption). It goes on at its VM if that reports it again, and starts elsewhere at once if the VM returns without it or has restarted.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -223,7 +223,7 @@
             lost.forEach { orphanRun(it, now) }
         }
         queuedRequests.removeAll { it.call.vm == vm }
-        jobs.onVmLost(vm, now)
+        jobs.onVmLost(vm, hasEnded, now)
         reported -= vm
         return schedule(now)
     }
--- a/core/src/main/kotlin/org/agatestream/core/JobTracker.kt
+++ b/core/src/main/kotlin/org/agatestream/core/JobTracker.kt
@@ -26,8 +26,10 @@
 /** Tracks the progress of the items of all open jobs. */
 internal class JobTracker {
     private sealed interface Progress {
+        /** Starts from [notBefore] on; until then [silentVm], which may still run it, is given time to report. */
         data class Waiting(
             val notBefore: MonotonicTime,
+            val silentVm: VmId? = null,
         ) : Progress
 
         data class Running(
@@ -278,7 +280,11 @@
                             progress.vm == vm && progress.since < before
                         }
 
-                        is Progress.Waiting, is Progress.Done -> {
+                        is Progress.Waiting -> {
+                            progress.silentVm == vm
+                        }
+
+                        is Progress.Done -> {
                             false
                         }
                     }
@@ -303,27 +309,47 @@
         if (job.isDone()) jobs -= ref.job
     }
 
-    /** Requeues the items that only [vm] worked on. */
+    /**
+     * Requeues the items that only [vm] worked on.
+     *
+     * If its process has ended ([hasEnded]) they may start at once. A VM that is only silent may still finish them: they
+     * wait for as long as that takes, unless a run elsewhere would then miss the deadline.
+     */
     fun onVmLost(
         vm: VmId,
+        hasEnded: Boolean,
         now: MonotonicTime,
     ) {
         for (job in jobs.values) {
             if (job.bodyHolder == vm) job.bodyHolder = null
             for (item in job.items.values) {
-                val progress = item.progress
-                val isLost =
-                    (progress is Progress.Running && progress.call.vm == vm) ||
-                        (progress is Progress.Unlisted && progress.vm == vm)
-                if (isLost) {
-                    item.progress = Progress.Waiting(now)
-                    item.accumulatedRunTime = Duration.ZERO
-                }
+                if (!item.progress.dependsOn(vm)) continue
+                val wait = if (hasEnded) Duration.ZERO else silenceTolerated(job, item, now)
+                item.progress = Progress.Waiting(now + wait, vm.takeUnless { hasEnded })
+                item.accumulatedRunTime = Duration.ZERO
             }
         }
         itemsByCall.keys.removeAll { it.vm == vm }
     }
 
+    private fun Progress.dependsOn(vm: VmId): Boolean =
+        when (this) {
+            is Progress.Waiting -> silentVm == vm
+            is Progress.Running -> call.vm == vm
+            is Progress.Unlisted -> this.vm == vm
+            is Progress.Done -> false
+        }
+
+    /** Returns how long the item may wait for its silent VM: for the rest of its run, but not beyond its slack. */
+    private fun silenceTolerated(
+        job: Job,
+        item: Item,
+        now: MonotonicTime,
+    ): Duration {
+        val slack = job.plan.lifetime.deadline - now - meanRunTime - RETRY_MARGIN
+        return minOf(remainingTime(item, now), slack).coerceAtLeast(Duration.ZERO)
+    }
+
     /** Returns the items whose retention has expired and that no VM works on. */
     fun expiredItems(now: MonotonicTime): List<ItemRef> =
         jobs.values
@@ -351,6 +377,9 @@
         // Remaining times within the same step count as equal.
         val REMAINING_TIME_STEP: Duration = 500.milliseconds
 
+        // What a new run may lose to waits for a slot and to preemption.
+        val RETRY_MARGIN: Duration = 2.seconds
+
         // A failed item may run at another server at once; the delay keeps an item that always fails from looping.
         val RETRY_DELAY: Duration = 50.milliseconds
     }
