Warm up the relay's test before its timed part

The first echo of a cold JVM took longer than the 300 ms read timeout that the check of a cut link needs.

--- a/standins/src/test/kotlin/org/agatestream/standin/RelayTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/RelayTest.kt
@@ -31,7 +31,7 @@
             peer.getInputStream().copyTo(peer.getOutputStream())
         }
         val address = parseAddress(relay.address)
-        val socket = Socket(address.address, address.port).apply { soTimeout = 300 }
+        val socket = Socket(address.address, address.port)
         afterSpec {
             listOf(socket, echo, relay).forEach { it.close() }
             group.shutdownGracefully()
@@ -41,6 +41,12 @@
 
         fun receive(): Int = socket.getInputStream().read()
 
+        // The first echo of a JVM loads classes, which may take longer than any delay of the tests.
+        socket.soTimeout = 10_000
+        send(0)
+        receive() shouldBe 0
+        socket.soTimeout = 300
+
         test("bytes are forwarded with the delay in each direction") {
             state = LinkState(delay = 20.milliseconds)
             send(1)
