Widen the margin of expiry with the retention, and share a test's store

Cause: the margin of 1 s covers a clock that runs 1% faster than the store's only up to a retention of 100 s. It is now 1% of the retention and 1 s.

JobWatcherTest and JobClockTest use one polled store.

--- a/core/src/main/kotlin/org/agatestream/core/JobLifetime.kt
+++ b/core/src/main/kotlin/org/agatestream/core/JobLifetime.kt
@@ -14,8 +14,11 @@
         // Applies if the job's route has been removed since its submission.
         private val DEFAULT_COMPLETION_TARGET = 60.seconds
 
-        // The clock of this VM may run 1% faster than the store's over a retention of up to 100 s.
-        private val CLOCK_DRIFT_MARGIN = 1.seconds
+        // The clock of this VM may run faster than the store's by this fraction.
+        private const val MAX_CLOCK_DRIFT = 0.01
+
+        // Both readings are whole milliseconds, and the store may read its clock before it waits for changes.
+        private val READING_MARGIN = 1.seconds
 
         /**
          * Returns the lifetime of a job that the store read at [readAt] and this VM received at [now].
@@ -31,7 +34,12 @@
         ): JobLifetime {
             val age = if (acceptedAt != null && readAt != null) readAt - acceptedAt else null
             val start = now - (age ?: Duration.ZERO).coerceAtLeast(Duration.ZERO)
-            val expiresAt = if (age == null || rules == null) null else start + rules.retention + CLOCK_DRIFT_MARGIN
+            val expiresAt =
+                if (age == null || rules == null) {
+                    null
+                } else {
+                    start + rules.retention * (1 + MAX_CLOCK_DRIFT) + READING_MARGIN
+                }
             return JobLifetime(start + (rules?.completionTarget ?: DEFAULT_COMPLETION_TARGET), expiresAt)
         }
     }
--- a/core/src/test/kotlin/org/agatestream/core/JobLifetimeTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/JobLifetimeTest.kt
@@ -63,18 +63,20 @@
             repeat(2_000) { seed ->
                 val random = Random(seed)
                 val clock = DriftingClock(random)
+                val rules = RULES.copy(retention = random.nextLong(10, 3_600).seconds)
                 val age = random.nextLong(0, 60_000).milliseconds
                 val answerDelay = random.nextLong(0, 3_000).milliseconds
                 val receivedAt = clock.advance(answerDelay, isSuspended = random.nextBoolean())
-                val lifetime = JobLifetime.of(ACCEPTED, ACCEPTED + age, RULES, receivedAt)
+                val lifetime = JobLifetime.of(ACCEPTED, ACCEPTED + age, rules, receivedAt)
                 var trueAge = age + answerDelay
                 var now = receivedAt
-                while (now < lifetime.expiresAt.shouldNotBeNull()) {
-                    val span = random.nextLong(1, 2_000).milliseconds
+                val expiresAt = lifetime.expiresAt.shouldNotBeNull()
+                while (now < expiresAt) {
+                    val span = random.nextLong(1, (expiresAt - now).inWholeMilliseconds + 2).milliseconds
                     now = clock.advance(span, isSuspended = random.nextInt(8) == 0)
                     trueAge += span
                 }
-                trueAge shouldBeGreaterThanOrEqualTo RULES.retention
+                trueAge shouldBeGreaterThanOrEqualTo rules.retention
             }
         }
 
--- a/server/src/test/kotlin/org/agatestream/server/JobClockTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/JobClockTest.kt
@@ -11,7 +11,6 @@
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.delay
 import org.agatestream.core.ItemId
 import org.agatestream.core.ItemRef
 import org.agatestream.core.JobId
@@ -19,9 +18,6 @@
 import org.agatestream.core.JobRules
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.Outcome
-import org.agatestream.core.RowPage
-import org.agatestream.core.RowStore
-import org.agatestream.core.StoreRead
 import org.agatestream.core.StoreTime
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
@@ -29,7 +25,6 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
@@ -47,19 +42,6 @@
     JobStore(this, 65_536).accept(row, CONTENT, items, 0).shouldBeInstanceOf<Outcome.Ok<JobRow>>()
 }
 
-private class PolledStore(
-    private val rows: FakeRowStore,
-) : RowStore by rows {
-    override suspend fun changes(
-        table: String,
-        after: Long,
-        wait: Duration,
-    ): StoreRead<RowPage> {
-        delay(5.milliseconds)
-        return rows.changes(table, after, wait)
-    }
-}
-
 /** Returns the job as a coordinator plans it that starts now. */
 private suspend fun FakeRowStore.plan(): JobPlan =
     coroutineScope {
--- a/server/src/test/kotlin/org/agatestream/server/JobWatcherTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/JobWatcherTest.kt
@@ -5,19 +5,15 @@
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.delay
 import org.agatestream.core.ItemId
 import org.agatestream.core.JobId
 import org.agatestream.core.JobPlan
 import org.agatestream.core.RowChange
-import org.agatestream.core.RowPage
 import org.agatestream.core.RowStore
 import org.agatestream.core.StoreRead
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
 import java.util.concurrent.CopyOnWriteArrayList
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 private suspend fun FakeRowStore.addJob(
@@ -35,7 +31,7 @@
 /** Adds the first job of another workspace right after the first listing of workspaces. */
 private class RacingStore(
     private val rows: FakeRowStore,
-) : RowStore by rows {
+) : RowStore by PolledStore(rows) {
     private var isAdded = false
 
     override suspend fun partitions(table: String): StoreRead<List<String>> {
@@ -44,15 +40,6 @@
         isAdded = true
         return partitions
     }
-
-    override suspend fun changes(
-        table: String,
-        after: Long,
-        wait: Duration,
-    ): StoreRead<RowPage> {
-        delay(5.milliseconds)
-        return rows.changes(table, after, wait)
-    }
 }
 
 class JobWatcherTest :
