Do not send a request again on the connection that has its last response

Cause: a late copy of a response is told from the awaited one by the id that servers echo. An item is sent with the same id in each run, so a copy of its last response on the connection passed for the response to its next run. Such a connection is closed in place of being used for the same id twice in a row.

EndlessResponseTest plays such a server.

--- a/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
@@ -26,6 +26,11 @@
     private var isSkipping = false
     private var staleAtNanos = Long.MAX_VALUE
 
+    /** The echoed header of the last request on this connection; null if it had none. */
+    @Volatile
+    var lastEchoedHeader: Pair<String, String>? = null
+        private set
+
     /** True if the connection ended with a reset rather than an orderly close. */
     var isReset: Boolean = false
         private set
@@ -42,6 +47,7 @@
         release: () -> Unit,
     ): ExchangeResult {
         val exchange = ClientExchange(this, request.echoedHeader) { onResponseComplete(it, release) }
+        lastEchoedHeader = request.echoedHeader
         try {
             val message = request.toMessage()
             ctx.executor().execute { start(exchange, message) }
--- a/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
@@ -117,12 +117,17 @@
         synchronized(queue) {
             while (true) {
                 val channel = queue.pollFirst() ?: return null
-                if (channel.isActive && !channel.pipeline().get(ClientConnection::class.java).isStale) return channel
+                val connection = channel.pipeline().get(ClientConnection::class.java)
+                if (channel.isActive && !connection.isStale && !connection.mayConfuse(request)) return channel
                 channel.close()
             }
         }
     }
 
+    /** Returns whether a late copy of this connection's last response would pass for the response to [request]. */
+    private fun ClientConnection.mayConfuse(request: HttpRequestSpec): Boolean =
+        request.echoedHeader != null && request.echoedHeader == lastEchoedHeader
+
     private fun release(
         address: String,
         channel: Channel,
--- a/http/src/test/kotlin/org/agatestream/http/EndlessResponseTest.kt
+++ b/http/src/test/kotlin/org/agatestream/http/EndlessResponseTest.kt
@@ -116,6 +116,30 @@
             }
         }
 
+        test("a late copy of the response to the same request is not taken for the response to its retry") {
+            RawServer { socket ->
+                var isFirst = true
+                while (socket.readMessage().isNotEmpty()) {
+                    val answer = if (isFirst) "first" else "again"
+                    if (!isFirst) socket.send("HTTP/1.1 200 OK\r\nx-id: own\r\ncontent-length: 5\r\n\r\nfirst")
+                    socket.send("HTTP/1.1 200 OK\r\nx-id: own\r\ncontent-length: 5\r\n\r\n$answer")
+                    isFirst = false
+                }
+            }.use { server ->
+                val client = HttpClient(loops)
+                val spec = HttpRequestSpec(server.address, "GET", "/", echoedHeader = "x-id" to "own")
+                repeat(2) {
+                    client
+                        .exchange(spec)
+                        .shouldBeInstanceOf<ExchangeResult.Answered>()
+                        .response
+                        .readText() shouldBe
+                        "first"
+                }
+                server.accepted.get() shouldBe 2
+            }
+        }
+
         test("a late copy that is split over reads, or arrives with the answer, is not delivered") {
             for (size in listOf(1, 7, 40, LATE.length)) {
                 RawServer { socket ->
