Let the test of a restarted VM wait until its port is free

Cause: a closed listener gives its port back a moment later. In a loop of 300 closes and listens on the same port, 22 failed at once and all 22 succeeded after 300 ms; the code was not changed here. In production the port is free, as the process before has ended.

The test now waits for the port; its checks are as they were.

--- a/server/src/test/kotlin/org/agatestream/server/KtorPeerNetworkTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/KtorPeerNetworkTest.kt
@@ -88,7 +88,8 @@
                 b.close()
                 eventually(5.seconds) { a.connectionCount shouldBe 0 }
                 restarted.addHandler { _, _ -> CoordinationResponse.Probed(false) }
-                restarted.listen("127.0.0.1", b.port)
+                // Closing a listener frees its port a moment later; a restarted VM's process has ended by then.
+                eventually(5.seconds) { restarted.listen("127.0.0.1", b.port) }
                 eventually(10.seconds) { a.call(b.self, probe, 1.seconds) shouldBe CoordinationResponse.Probed(false) }
             }
             restarted.close()
