Simplify what the last changes wrote twice or need not have

Found by reading the change once more; behaviour is as before. - What an item's progress owes to a VM was told in two places of JobTracker; both now ask dependsOn. - Expiry is asked of JobLifetime; JobCleaner reads the time of its rows where the rows are. - readBody counted beside its buffer, and an output cleared itself twice over. - discardBody closed responses that both callers close. - StoreTime had an order and UnansweredBytesLimit a parameter that nobody used. - The server's stand-in tells its faults by a 'when', with its pause named; the test of endless responses builds its request in one place.

--- a/core/src/main/kotlin/org/agatestream/core/JobLifetime.kt
+++ b/core/src/main/kotlin/org/agatestream/core/JobLifetime.kt
@@ -10,6 +10,9 @@
     /** When unfinished items expire; null if that can't be told, so that they are kept. */
     val expiresAt: MonotonicTime?,
 ) {
+    /** Returns whether unfinished items may be given up at [now]. */
+    public fun isExpired(now: MonotonicTime): Boolean = expiresAt != null && now >= expiresAt
+
     public companion object {
         // Applies if the job's route has been removed since its submission.
         private val DEFAULT_COMPLETION_TARGET = 60.seconds
--- a/core/src/main/kotlin/org/agatestream/core/JobTracker.kt
+++ b/core/src/main/kotlin/org/agatestream/core/JobTracker.kt
@@ -270,23 +270,13 @@
         var hasRequeued = false
         for (job in jobs.values) {
             for ((id, item) in job.items) {
+                if (!item.progress.dependsOn(vm)) continue
                 val isAbandoned =
                     when (val progress = item.progress) {
-                        is Progress.Running -> {
-                            progress.call.vm == vm && progress.isMissing(running, held, before)
-                        }
-
-                        is Progress.Unlisted -> {
-                            progress.vm == vm && progress.since < before
-                        }
-
-                        is Progress.Waiting -> {
-                            progress.silentVm == vm
-                        }
-
-                        is Progress.Done -> {
-                            false
-                        }
+                        is Progress.Running -> progress.isMissing(running, held, before)
+                        is Progress.Unlisted -> progress.since < before
+                        is Progress.Waiting -> true
+                        is Progress.Done -> false
                     }
                 if (!isAbandoned || ItemRef(job.plan.id, id) in unstoredResults) continue
                 (item.progress as? Progress.Running)?.let { itemsByCall -= it.call }
@@ -332,6 +322,7 @@
         itemsByCall.keys.removeAll { it.vm == vm }
     }
 
+    /** Returns whether only [vm] works on the item, or may do so while it is silent. */
     private fun Progress.dependsOn(vm: VmId): Boolean =
         when (this) {
             is Progress.Waiting -> silentVm == vm
@@ -353,10 +344,8 @@
     /** Returns the items whose retention has expired and that no VM works on. */
     fun expiredItems(now: MonotonicTime): List<ItemRef> =
         jobs.values
-            .filter { job ->
-                job.plan.lifetime.expiresAt
-                    ?.let { now >= it } == true
-            }.flatMap { job ->
+            .filter { it.plan.lifetime.isExpired(now) }
+            .flatMap { job ->
                 job.items.values
                     .filter { it.progress is Progress.Waiting }
                     .map { ItemRef(job.plan.id, it.plan.id) }
--- a/core/src/main/kotlin/org/agatestream/core/StoreTime.kt
+++ b/core/src/main/kotlin/org/agatestream/core/StoreTime.kt
@@ -14,12 +14,10 @@
 @JvmInline
 public value class StoreTime(
     private val millis: Long,
-) : Comparable<StoreTime> {
+) {
     public operator fun plus(span: Duration): StoreTime = StoreTime(millis + span.inWholeMilliseconds)
 
     public operator fun minus(other: StoreTime): Duration = (millis - other.millis).milliseconds
 
-    override fun compareTo(other: StoreTime): Int = millis.compareTo(other.millis)
-
     override fun toString(): String = "${millis}ms"
 }
--- a/http/src/main/kotlin/org/agatestream/http/HttpCall.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpCall.kt
@@ -90,17 +90,15 @@
     budget: BufferBudget = BufferBudget.unlimited(),
 ): Outcome<ByteArray> {
     val buffer = ByteArrayOutputStream()
-    var reserved = 0
     try {
         while (true) {
             when (val part = nextChunk()) {
                 is BodyPart.Chunk -> {
-                    val size = reserved + part.bytes.size
+                    val size = buffer.size() + part.bytes.size
                     if (size > limit) return ErrorKind.BODY_TOO_LARGE.toFailed("the body exceeds $limit bytes")
-                    if (!budget.tryResize(reserved, size)) {
+                    if (!budget.tryResize(buffer.size(), size)) {
                         return ErrorKind.BODY_TOO_LARGE.toFailed("all bodies together exceed this VM's buffers")
                     }
-                    reserved = size
                     buffer.write(part.bytes)
                 }
 
@@ -114,6 +112,6 @@
             }
         }
     } finally {
-        budget.release(reserved)
+        budget.release(buffer.size())
     }
 }
--- a/http/src/main/kotlin/org/agatestream/http/UnansweredBytesLimit.kt
+++ b/http/src/main/kotlin/org/agatestream/http/UnansweredBytesLimit.kt
@@ -6,14 +6,12 @@
 import io.netty.util.ReferenceCountUtil
 
 /**
- * Closes a connection that delivers more than [maxBytes] bytes without the head of the awaited response.
+ * Closes a connection that delivers more than [MAX_UNANSWERED_BYTES] bytes without the head of the awaited response.
  *
  * Blank lines, interim responses and late copies of earlier responses are skipped, and a server may send them without
  * end. Stands before the codec, which discards some of these bytes itself. Used on the event loop only.
  */
-internal class UnansweredBytesLimit(
-    private val maxBytes: Int = MAX_UNANSWERED_BYTES,
-) : ChannelInboundHandlerAdapter() {
+internal class UnansweredBytesLimit : ChannelInboundHandlerAdapter() {
     private var isAwaitingHead = false
     private var bytes = 0
 
@@ -34,7 +32,7 @@
     ) {
         if (isAwaitingHead && msg is ByteBuf) {
             bytes += msg.readableBytes()
-            if (bytes > maxBytes) {
+            if (bytes > MAX_UNANSWERED_BYTES) {
                 ReferenceCountUtil.release(msg)
                 ctx.close()
                 return
--- a/http/src/test/kotlin/org/agatestream/http/EndlessResponseTest.kt
+++ b/http/src/test/kotlin/org/agatestream/http/EndlessResponseTest.kt
@@ -55,6 +55,9 @@
         }
     }
 
+/** A request to this server, which tells the response to it by its id. */
+private fun RawServer.request(): HttpRequestSpec = HttpRequestSpec(address, "GET", "/", echoedHeader = "x-id" to "own")
+
 private const val BLOCK_BYTES = 4_096
 private const val SEND_BUFFER_BYTES = 65_536
 
@@ -71,8 +74,7 @@
             test("$what ends the exchange and the connection") {
                 val sent = AtomicLong()
                 endlessServer(parts.first, parts.second, sent).use { server ->
-                    val spec = HttpRequestSpec(server.address, "GET", "/", echoedHeader = "x-id" to "own")
-                    val result = withTimeout(5.seconds) { HttpClient(loops).exchange(spec) }
+                    val result = withTimeout(5.seconds) { HttpClient(loops).exchange(server.request()) }
                     result.shouldBeInstanceOf<ExchangeResult.Lost>()
                     sent.get() shouldBeLessThan MAX_SENT_BYTES
                 }
@@ -83,13 +85,13 @@
             test("$what fails the body within the limits of its reader") {
                 val sent = AtomicLong()
                 endlessServer(parts.first, parts.second, sent).use { server ->
-                    val spec = HttpRequestSpec(server.address, "GET", "/", echoedHeader = "x-id" to "own")
                     val budget = BufferBudget(1_000_000)
                     withTimeout(5.seconds) {
                         val response =
-                            HttpClient(
-                                loops,
-                            ).exchange(spec).shouldBeInstanceOf<ExchangeResult.Answered>().response
+                            HttpClient(loops)
+                                .exchange(server.request())
+                                .shouldBeInstanceOf<ExchangeResult.Answered>()
+                                .response
                         try {
                             response.readBody(10_000_000, budget).shouldBeInstanceOf<Outcome.Failed>()
                         } finally {
@@ -108,8 +110,7 @@
             endlessServer(answer, LATE, sent).use { server ->
                 val client = HttpClient(loops)
                 repeat(5) {
-                    val spec = HttpRequestSpec(server.address, "GET", "/", echoedHeader = "x-id" to "own")
-                    val result = withTimeout(5.seconds) { client.exchange(spec) }
+                    val result = withTimeout(5.seconds) { client.exchange(server.request()) }
                     if (result is ExchangeResult.Answered) result.response.readText() shouldBe "ok"
                 }
                 sent.get() shouldBeLessThan MAX_SENT_BYTES
@@ -127,10 +128,9 @@
                 }
             }.use { server ->
                 val client = HttpClient(loops)
-                val spec = HttpRequestSpec(server.address, "GET", "/", echoedHeader = "x-id" to "own")
                 repeat(2) {
                     client
-                        .exchange(spec)
+                        .exchange(server.request())
                         .shouldBeInstanceOf<ExchangeResult.Answered>()
                         .response
                         .readText() shouldBe
@@ -150,9 +150,8 @@
                 }.use { server ->
                     val client = HttpClient(loops)
                     repeat(3) {
-                        val spec = HttpRequestSpec(server.address, "GET", "/", echoedHeader = "x-id" to "own")
                         client
-                            .exchange(spec)
+                            .exchange(server.request())
                             .shouldBeInstanceOf<ExchangeResult.Answered>()
                             .response
                             .readText() shouldBe
--- a/server/src/main/kotlin/org/agatestream/server/ErrorBodies.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ErrorBodies.kt
@@ -10,11 +10,7 @@
 // The head has all that is needed of such a response; its end only lets the connection be used again.
 private val ERROR_BODY_TIMEOUT = 50.milliseconds
 
-/** Reads the body of a response whose head says it all, and closes the connection if the body goes on for longer. */
+/** Awaits the end of the body of a response whose head says it all, for a moment; the caller closes the response. */
 internal suspend fun HttpClientResponse.discardBody() {
-    try {
-        withTimeoutOrNull(ERROR_BODY_TIMEOUT) { readBody(MAX_ERROR_BYTES) }
-    } finally {
-        close()
-    }
+    withTimeoutOrNull(ERROR_BODY_TIMEOUT) { readBody(MAX_ERROR_BYTES) }
 }
--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -75,8 +75,7 @@
         /** Replaces this output by another VM's partial output if that has more events. */
         fun mergeFrom(partial: PartialOutput) {
             if (partial.lastEvent <= (lastEvent ?: -1)) return
-            data.clear()
-            chars = 0
+            clear()
             partial.data.forEach { add(it) }
             lastEvent = partial.lastEvent
         }
--- a/server/src/main/kotlin/org/agatestream/server/JobCleaner.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobCleaner.kt
@@ -7,7 +7,6 @@
 import kotlinx.coroutines.launch
 import org.agatestream.core.RowStore
 import org.agatestream.core.StoreRead
-import org.agatestream.core.StoreTime
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -32,7 +31,7 @@
             val page = store.readAll(FleetTables.JOBS, partition) ?: return
             val partitionState = PartitionState(page.readAt)
             partitionState.add(page.rows)
-            val expired = partitionState.jobs.values.filter { isExpired(it, page.readAt) }
+            val expired = partitionState.jobs.values.filter { partitionState.isExpired(it) }
             if (expired.isEmpty()) continue
             partitionState.addDone(store.readAll(FleetTables.DONE, partition)?.rows ?: return)
             for (job in expired.filterNot { partitionState.isOpen(it) }) {
@@ -41,10 +40,8 @@
         }
     }
 
-    private fun isExpired(
-        job: JobRow,
-        readAt: StoreTime?,
-    ): Boolean = job.acceptedAt != null && readAt != null && readAt - job.acceptedAt > retention + READ_MARGIN
+    private fun PartitionState.isExpired(job: JobRow): Boolean =
+        job.acceptedAt != null && readAt != null && readAt - job.acceptedAt > retention + READ_MARGIN
 
     private fun PartitionState.isOpen(job: JobRow): Boolean =
         job.id !in ended && job.items.any { it.id !in done[job.id].orEmpty() }
--- a/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
@@ -56,12 +56,7 @@
         val headers = mapOf("x-agatestream-attempt-id" to requestId, "x-agatestream-response-signature" to "signed")
         val writer = call.httpCall.startStream(STATUS_OK, "text/event-stream", headers)
         for (number in first until events) {
-            if (fault == PlatformServerFault.STALL_WITH_COMMENTS &&
-                number == first + 1
-            ) {
-                writer.writeCommentsWithoutEnd()
-            }
-            if (fault == PlatformServerFault.ENDLESS_EVENT && number == first + 1) writer.writeEventWithoutEnd()
+            if (number == first + 1) writer.writeFault(fault)
             if (!writer.write("id: $number\ndata: $requestId-$number\n\n".encodeToByteArray())) return
             delay(interval)
         }
@@ -73,13 +68,27 @@
         call.httpCall.startStream(STATUS_UNAVAILABLE, "text/plain", headers).writeCommentsWithoutEnd()
     }
 
+    private suspend fun BodyWriter.writeFault(fault: PlatformServerFault?) {
+        when (fault) {
+            PlatformServerFault.STALL_WITH_COMMENTS -> {
+                writeCommentsWithoutEnd()
+            }
+
+            PlatformServerFault.ENDLESS_EVENT -> {
+                writeEventWithoutEnd()
+            }
+
+            PlatformServerFault.ENDLESS_REFUSAL, null -> {}
+        }
+    }
+
     private suspend fun BodyWriter.writeCommentsWithoutEnd() {
         while (write(": waiting\n\n".encodeToByteArray())) delay(COMMENT_INTERVAL)
     }
 
     private suspend fun BodyWriter.writeEventWithoutEnd() {
         val part = ByteArray(EVENT_PART_BYTES) { 'x'.code.toByte() }
-        while (write(part)) delay(1.milliseconds)
+        while (write(part)) delay(EVENT_PART_INTERVAL)
     }
 
     private companion object {
@@ -87,6 +96,7 @@
         const val STATUS_MISDIRECTED = 421
         const val STATUS_UNAVAILABLE = 503
         const val EVENT_PART_BYTES = 4_096
+        val EVENT_PART_INTERVAL = 1.milliseconds
         val COMMENT_INTERVAL = 100.milliseconds
     }
 }
