Take no unsigned response of a backend server for its answer

Cause: a server that crashes as it answers leaves a head with status 200 that has no signature, id or length. Online requests refused an unsigned success; items took any 200, 422 and 500, and online requests took unsigned failures. The signature was read in one place and judged in two.

Change: an unsigned response is a reply of its own, BackendReply.Unsigned, so that each use has to say what it does with it: the answer counts as lost, and the request may have run.

Before the change PlatformVmTest fails for UNSIGNED_EMPTY (no result in 10 s but an empty one), UNSIGNED_EVENT (Output "of no request") and UNSIGNED_IMPOSSIBLE (a dead_letter for the item, 422 for a caller); with it all pass.

--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -241,6 +241,10 @@
                     ItemEnd.Interrupted(reply.reason, RunOutcome.NOT_RUN)
                 }
 
+                is BackendReply.Unsigned -> {
+                    ItemEnd.Interrupted("unsigned status ${reply.status}", RunOutcome.LOST)
+                }
+
                 is BackendReply.Ran -> {
                     when (reply.status) {
                         STATUS_OK -> {
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -174,8 +174,12 @@
                         Attempt.NotRun(reply.reason, RunOutcome.NOT_RUN)
                     }
 
+                    is BackendReply.Unsigned -> {
+                        Attempt.Lost("unsigned status ${reply.status}")
+                    }
+
                     is BackendReply.Ran -> {
-                        if (isStream && reply.status == STATUS_OK && reply.isSigned) {
+                        if (isStream && reply.status == STATUS_OK) {
                             relayStream(response, onFirst)
                         } else {
                             relayBody(response, reply)
@@ -191,7 +195,6 @@
             response: HttpClientResponse,
             reply: BackendReply.Ran,
         ): Attempt {
-            if (!reply.isSigned && reply.status in SIGNED_ONLY) return Attempt.Lost("unsigned status ${reply.status}")
             if (writer != null) return Attempt.Lost("status ${reply.status} for a resumed stream")
             val body =
                 when (val read = response.readBody(MAX_ANSWER_BYTES, buffers)) {
@@ -255,7 +258,7 @@
             return Attempt.Answered(STATUS_OK)
         }
 
-        /** Returns whether the numbers of [events] follow the last event; events without a number are skipped. */
+        /** Returns whether the numbers of [events] follow the last event; those without a number have no data. */
         private fun areInOrder(events: List<StreamEvent>): Boolean {
             var last = lastEvent
             for (event in events) {
@@ -357,8 +360,6 @@
         const val STATUS_OK = 200
         val FINAL_OUTCOMES = setOf("answered", "refused", "failed")
 
-        // Statuses that count only if signed by the backend server: success, and promises that the request did not run.
-        val SIGNED_ONLY = (200..299).toSet() + setOf(408, 421, 429, 503)
         const val MAX_REJECTIONS = 3
         const val MAX_ANSWER_BYTES = 16 * 1024 * 1024
         const val DEFAULT_TYPE = "application/octet-stream"
--- a/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
@@ -17,6 +17,18 @@
 
     /** The request is refused as not run, and the body of the refusal goes on until the caller closes. */
     ENDLESS_REFUSAL,
+
+    /** The response is an empty success without the server's signature. */
+    UNSIGNED_EMPTY,
+
+    /** The response is a success without the server's signature; its stream has an event of no request. */
+    UNSIGNED_EVENT,
+
+    /** The response says without the server's signature that the request can never succeed. */
+    UNSIGNED_IMPOSSIBLE,
+
+    /** The stream has an event without a number before its second event. */
+    UNNUMBERED_EVENT,
 }
 
 /** A test backend server of the users' platform that responds with a stream of events. */
@@ -50,7 +62,25 @@
             )
         }
         val fault = nextFault.getAndSet(null)
-        if (fault == PlatformServerFault.ENDLESS_REFUSAL) return refuseWithoutEnd(call)
+        when (fault) {
+            PlatformServerFault.ENDLESS_REFUSAL -> {
+                return refuseWithoutEnd(call)
+            }
+
+            PlatformServerFault.UNSIGNED_EMPTY -> {
+                return respondUnsigned(call, STATUS_OK, "")
+            }
+
+            PlatformServerFault.UNSIGNED_EVENT -> {
+                return respondUnsigned(call, STATUS_OK, STRAY_EVENT)
+            }
+
+            PlatformServerFault.UNSIGNED_IMPOSSIBLE -> {
+                return respondUnsigned(call, STATUS_UNPROCESSABLE, "")
+            }
+
+            else -> {}
+        }
         requests += call.httpCall.headers()
         val first = (call.header("last-event-id")?.toIntOrNull() ?: -1) + 1
         val headers = mapOf("x-agatestream-attempt-id" to requestId, "x-agatestream-response-signature" to "signed")
@@ -68,6 +98,15 @@
         call.httpCall.startStream(STATUS_UNAVAILABLE, "text/plain", headers).writeCommentsWithoutEnd()
     }
 
+    private suspend fun respondUnsigned(
+        call: StandInCall,
+        status: Int,
+        body: String,
+    ) {
+        val headers = mapOf("x-agatestream-attempt-id" to call.header("x-agatestream-attempt-id").orEmpty())
+        call.httpCall.respond(status, "text/event-stream", body.encodeToByteArray(), headers)
+    }
+
     private suspend fun BodyWriter.writeFault(fault: PlatformServerFault?) {
         when (fault) {
             PlatformServerFault.STALL_WITH_COMMENTS -> {
@@ -78,7 +117,11 @@
                 writeEventWithoutEnd()
             }
 
-            PlatformServerFault.ENDLESS_REFUSAL, null -> {}
+            PlatformServerFault.UNNUMBERED_EVENT -> {
+                write("data: of no request\n\n".encodeToByteArray())
+            }
+
+            else -> {}
         }
     }
 
@@ -94,7 +137,9 @@
     private companion object {
         const val STATUS_OK = 200
         const val STATUS_MISDIRECTED = 421
+        const val STATUS_UNPROCESSABLE = 422
         const val STATUS_UNAVAILABLE = 503
+        const val STRAY_EVENT = "id: 0\ndata: of no request\n\n"
         const val EVENT_PART_BYTES = 4_096
         val EVENT_PART_INTERVAL = 1.milliseconds
         val COMMENT_INTERVAL = 100.milliseconds
--- a/standins/src/test/kotlin/org/agatestream/standin/PlatformVmTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/PlatformVmTest.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldNotContain
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeout
 import kotlinx.serialization.json.Json
@@ -26,6 +27,12 @@
 import kotlin.time.TimeSource
 
 private val TIMEOUT = 10.seconds
+private val UNPROVEN_RESPONSES =
+    listOf(
+        PlatformServerFault.UNSIGNED_EMPTY,
+        PlatformServerFault.UNSIGNED_EVENT,
+        PlatformServerFault.UNSIGNED_IMPOSSIBLE,
+    )
 private const val MANIFEST =
     """{"Version":1,"Routes":[
     {"Name":"ask","Hostname":"h.example","Prefix":"/ask/","Type":"stream","Service":"s","SloMs":300,"TimeoutMs":5000},
@@ -210,6 +217,31 @@
             }
         }
 
+        for (fault in UNPROVEN_RESPONSES) {
+            // Guards against results and answers with text that no server made for the request.
+            test("an item's result holds nothing of a response without proof of its origin: $fault") {
+                withFleet { fleet ->
+                    fleet.server.nextFault.set(fault)
+                    val items = """{"Id":"i1","Path":"/lot/1","Body":"YQ==","Tokens":10}"""
+                    fleet.send(0, "POST", "/lot/j", id = "job", body = """{"Requests":[$items]}""").first shouldBe 202
+                    eventually(TIMEOUT) {
+                        val (_, body) = fleet.send(1, "GET", "/-/lots/job?After=0")
+                        body shouldContain "\"i1-0\\ni1-1\\ni1-2\\ni1-3\\ni1-4\""
+                    }
+                }
+            }
+
+            test("a caller gets nothing of a response without proof of its origin: $fault") {
+                withFleet { fleet ->
+                    fleet.server.nextFault.set(fault)
+                    val (status, body) = fleet.send(0, "GET", "/ask/1", id = "own")
+                    (status == 200 || status == 422) shouldBe false
+                    body shouldNotContain "of no request"
+                    eventually(TIMEOUT) { fleet.send(0, "GET", "/ask/1").first shouldBe 200 }
+                }
+            }
+        }
+
         test("online requests are served while the store is unavailable, and jobs are refused") {
             withFleet { fleet ->
                 fleet.store.isDown = true
