Take no event with data but without a number for a part of a stream

Servers number all events of a stream from one on to the next; an event without a number passed at any place, in streams to callers and in results of items. Bytes of no answer on a connection could so get into one. Such an event now ends the run as lost; comments and other events without data still pass.

Before the change PlatformVmTest fails for UNNUMBERED_EVENT: the item's result and the caller's stream hold "of no request".

--- a/server/src/main/kotlin/org/agatestream/server/EventSplitter.kt
+++ b/server/src/main/kotlin/org/agatestream/server/EventSplitter.kt
@@ -9,8 +9,8 @@
     /** The number in the `id` field; null if there is none. */
     val id: Long?,
 ) {
-    /** Returns whether this event may follow the event number [last]; true if either has no number. */
-    fun follows(last: Long?): Boolean = id == null || last == null || id == last + 1
+    /** Returns whether this event may follow the event number [last]; without a number, only if it has no data. */
+    fun follows(last: Long?): Boolean = if (id == null) data() == null else last == null || id == last + 1
 
     /** The `data` fields, joined by line feeds; null if there are none. */
     fun data(): String? {
--- a/server/src/test/kotlin/org/agatestream/server/EventSplitterTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/EventSplitterTest.kt
@@ -32,5 +32,15 @@
             val event = EventSplitter().feed(": comment\n\n".encodeToByteArray()).single()
             event.id shouldBe null
             event.data() shouldBe null
+            event.follows(3) shouldBe true
+        }
+
+        // Guards against text in an answer that no server made for it: servers number all events with data.
+        test("an event with data follows another one only by its number") {
+            fun event(text: String) = EventSplitter().feed(text.encodeToByteArray()).single()
+            event("id: 4\ndata: a\n\n").follows(3) shouldBe true
+            event("id: 5\ndata: a\n\n").follows(3) shouldBe false
+            event("data: a\n\n").follows(3) shouldBe false
+            event("data: a\n\n").follows(null) shouldBe false
         }
     })
--- a/standins/src/test/kotlin/org/agatestream/standin/PlatformVmTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/PlatformVmTest.kt
@@ -32,6 +32,7 @@
         PlatformServerFault.UNSIGNED_EMPTY,
         PlatformServerFault.UNSIGNED_EVENT,
         PlatformServerFault.UNSIGNED_IMPOSSIBLE,
+        PlatformServerFault.UNNUMBERED_EVENT,
     )
 private const val MANIFEST =
     """{"Version":1,"Routes":[
