Stop an item only where the request that needs its slot may start

What operators see: a server holds more runs than slots, its streams slow down, and items give way nowhere.

Cause: an online request without a free slot chose an item to stop and marked it as stopping before asking whether its server takes work now. At a server that is paused, cold beyond its rate or being probed the item was not told to stop, yet its slot counted as free from then on and it was never chosen again. Each waiting request marked one more at each pass.

Change: only items of servers that would start the request are candidates, so that another server's item may be stopped in place of none.

Found while looking for what lets a class of jobs fall short; that it does so on the grown fleets is not shown. Before the change DispatcherTest 'an item at a paused server keeps its slot until it is told to stop' fails: no StopItem for the fourth run in three slots.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -315,7 +315,7 @@
         val candidates =
             servers
                 .forService(request.service)
-                .filter { it.id !in request.excluded && !it.isSilent() }
+                .filter { it.id !in request.excluded && servers.mayStartAfterStop(it, now) }
                 .flatMap { load -> load.stoppableItems().map { load to it } }
         val order =
             compareBy<Pair<ServerLoad, CallId>>(
@@ -325,7 +325,6 @@
             )
         val (load, call) = candidates.maxWithOrNull(order) ?: return null
         load.markStopping(call)
-        if (!servers.mayStart(load, now)) return null
         actions += stopItem(call, "online_request")
         return load
     }
--- a/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
@@ -98,12 +98,12 @@
         orphans.values.removeAll { now >= it }
     }
 
-    /** Returns whether a request may start now; [coldRate] limits the requests per second to a cold server. */
-    fun mayStart(
+    /** Returns whether a request may start now if a slot is free; [coldRate] limits the requests per second if cold. */
+    fun acceptsWork(
         coldRate: Double,
         now: MonotonicTime,
     ): Boolean {
-        if (free <= 0 || now < pausedUntil || isSilent()) return false
+        if (now < pausedUntil || isSilent()) return false
         if (isProbing && probe != null) return false
         if (coldRate <= 0.0 || !server.isCold(now)) return true
         while (coldStarts.isNotEmpty() && now - coldStarts.first() >= COLD_RATE_WINDOW) coldStarts.removeFirst()
--- a/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
@@ -41,10 +41,16 @@
     ): Int = forService(service).filter { it.id !in excluded }.sumOf { it.server.entry.slots }
 
     /** Returns whether a request may start at [load] now. */
-    fun mayStart(
+    private fun mayStart(
         load: ServerLoad,
         now: MonotonicTime,
-    ): Boolean = load.mayStart(coldRate(load), now)
+    ): Boolean = load.free > 0 && load.acceptsWork(coldRate(load), now)
+
+    /** Returns whether a request may start at [load] now once one of its items is stopped. */
+    fun mayStartAfterStop(
+        load: ServerLoad,
+        now: MonotonicTime,
+    ): Boolean = load.free >= 0 && load.acceptsWork(coldRate(load), now)
 
     /** Returns the server with the most free slots, a slow one only if there is no other; null if none is available. */
     fun choose(
--- a/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
@@ -289,6 +289,21 @@
             dispatcher.place(requestOf(1, later), later).shouldBeEmpty()
         }
 
+        // Guards against more runs at a server than it has slots, as none of its items was told to stop.
+        test("an item at a paused server keeps its slot until it is told to stop") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 3))
+            dispatcher.onJob(jobOf("j", 1), emptySet(), START).started().size shouldBe 1
+            dispatcher.place(requestOf(1), START)
+            dispatcher.place(requestOf(2), START)
+            dispatcher.release(CallId(VM_A, 1), RunOutcome.NOT_RUN, null, START)
+            dispatcher.place(requestOf(3), START).shouldBeEmpty()
+            val later = START + 150.milliseconds
+            dispatcher.tick(later).placed() shouldContainExactly listOf(3L)
+            val actions = dispatcher.place(requestOf(4, later), later)
+            actions.placed() shouldContainExactly listOf(4L)
+            actions.filterIsInstance<DispatchAction.StopItem>().size shouldBe 1
+        }
+
         test("a release that arrives before its request cancels it") {
             val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 1))
             dispatcher.release(CallId(VM_A, 1), RunOutcome.STOPPED, null, START)
