Claim the coordinator role only from the coordinator that was found wanting

What callers saw: jobs stood still.

Cause: a VM decided on the record it had and wrote its claim against the version it had when the write began. A VM that had just started decided at once that the role was vacant, as it had not read the table yet; its feed then named the coordinator, and the claim replaced that one, which was at work: claimed instead_of=null, result=Written at 9.577 s, while version 22 named another VM at 9.251 s. With many VMs starting in turn, as in a rolling stop, each may do so.

Change: the claim is conditional on the version that was decided on, and no claim follows a poll of peers about a coordinator that was replaced meanwhile.

Before the change FleetMembershipTest fails: expected other@1 but was self@1.

--- a/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
@@ -209,11 +209,14 @@
 
     private suspend fun claimIfNeeded(now: MonotonicTime) {
         if (recordedCoordinator == self || !view.isStoreReachable(now)) return
+        val version = recordVersion
         val isReplaced = isReplaced()
         val isVacant = recordedCoordinator == null || isResigning || isReplaced
         if (!isVacant && unreachableSince == null) return
         // Peers are polled only about a coordinator that does not respond; a vacant role needs no confirmation.
         val (peersResponding, peersReachingIt) = if (isVacant) 0 to 0 else pollPeers()
+        // The peers were polled about another coordinator.
+        if (recordVersion != version) return
         val input =
             CoordinatorClaimInput(
                 namedCoordinator = recordedCoordinator,
@@ -229,7 +232,7 @@
         if (!input.shouldClaim(MonotonicTime.now()) || isClaiming) return
         isClaiming = true
         // Claims in a separate coroutine: a slow store must not delay reports to a coordinator named in the meantime.
-        scope.launch { claim(input) }
+        scope.launch { claim(input, version) }
     }
 
     /** Asks some VMs whether they reach the coordinator; returns how many answered and how many reach it. */
@@ -253,10 +256,14 @@
         return named.name == config.name || roster.all.any { it.name == named.name && it.id != named.vm }
     }
 
-    private suspend fun claim(input: CoordinatorClaimInput) {
+    /** Claims the role if the store still names the coordinator of [version], on which the decision was made. */
+    private suspend fun claim(
+        input: CoordinatorClaimInput,
+        version: Long,
+    ) {
         val own = CoordinatorRecord(self, config.name, config.peerAddress)
         val change = RowChange(FleetTables.coordinator, FleetTables.encode(CoordinatorRecord.serializer(), own))
-        val result = store.write(mapOf(FleetTables.coordinator to recordVersion), listOf(change))
+        val result = store.write(mapOf(FleetTables.coordinator to version), listOf(change))
         EventLog.info(
             "coordinator_claimed",
             "instead_of" to input.namedCoordinator,
--- /dev/null
+++ b/server/src/test/kotlin/org/agatestream/server/FleetMembershipTest.kt
@@ -0,0 +1,171 @@
+package org.agatestream.server
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.Runnable
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.cancel
+import org.agatestream.core.FailureDomainId
+import org.agatestream.core.ListedVm
+import org.agatestream.core.MonotonicTime
+import org.agatestream.core.RowChange
+import org.agatestream.core.RowPage
+import org.agatestream.core.RowStore
+import org.agatestream.core.StoreRead
+import org.agatestream.core.VmId
+import java.util.concurrent.ConcurrentLinkedDeque
+import kotlin.coroutines.CoroutineContext
+import kotlin.random.Random
+import kotlin.time.Duration
+
+private val SELF = VmId("self@1")
+private val OTHER = CoordinatorRecord(VmId("other@1"), "other", "127.0.0.1:2")
+
+/** Runs coroutines only on demand, so that a test chooses their order. */
+private class StepDispatcher : CoroutineDispatcher() {
+    private val tasks = ConcurrentLinkedDeque<Runnable>()
+
+    override fun dispatch(
+        context: CoroutineContext,
+        block: Runnable,
+    ) {
+        tasks += block
+    }
+
+    /** Runs the tasks that are waiting now, in their order. */
+    fun runWaiting() = repeat(tasks.size) { tasks.pollFirst()?.run() }
+
+    /** Runs the last task. */
+    fun runLast() = tasks.pollLast()?.run()
+}
+
+/** A store that answers its first read of rows only once [isOpen] completes, and never tells of changes. */
+private class GatedStore(
+    val rows: FakeRowStore,
+) : RowStore by rows {
+    val isOpen = CompletableDeferred<Unit>()
+
+    override suspend fun rows(
+        table: String,
+        partition: String,
+        from: String?,
+        to: String?,
+        limit: Int?,
+    ): StoreRead<RowPage> {
+        isOpen.await()
+        return rows.rows(table, partition, from, to, limit)
+    }
+
+    override suspend fun changes(
+        table: String,
+        after: Long,
+        wait: Duration,
+    ): StoreRead<RowPage> = awaitCancellation()
+
+    fun coordinator(): VmId? = rows.rows[FleetTables.coordinator]?.value?.let { decode(it)?.vm }
+
+    private fun decode(bytes: ByteArray) = FleetTables.decode(CoordinatorRecord.serializer(), bytes)
+}
+
+/** A network without other VMs. */
+private object NoPeers : PeerTransport {
+    override val self: VmId = SELF
+
+    override fun addHandler(handler: PeerHandler) = Unit
+
+    override fun updateAddresses(vms: List<ListedVm>) = Unit
+
+    override suspend fun call(
+        peer: VmId,
+        request: PeerRequest,
+        timeout: Duration,
+    ): PeerResponse? = null
+
+    override suspend fun callAddress(
+        address: String,
+        request: PeerRequest,
+        timeout: Duration,
+        expected: VmId?,
+    ): PeerResponse? = null
+}
+
+private val CONFIG =
+    PlatformVmConfig(
+        name = "self",
+        failureDomain = FailureDomainId("d"),
+        callerAddress = "127.0.0.1:1",
+        entryAddress = "127.0.0.1:1",
+        readyAddress = "127.0.0.1:1",
+        peerAddress = "127.0.0.1:1",
+        storeAddress = "127.0.0.1:1",
+        rowBytes = 65_536,
+        shutdownGraceSeconds = 3.0,
+        entryTtlMaxSeconds = 1.0,
+        resultsKeptSeconds = 60.0,
+    )
+
+private val STATUS =
+    StatusReport(
+        name = CONFIG.name,
+        caller = CONFIG.callerAddress,
+        peer = CONFIG.peerAddress,
+        domain = CONFIG.failureDomain,
+        isLeaving = false,
+        isStoreReachable = true,
+        running = emptyList(),
+        unlisted = emptyList(),
+        operatorVersion = 0,
+        serverVersion = 0,
+        liveVersion = 0,
+    )
+
+/** Starts the membership of a VM that reaches [store], and runs [block] with its coroutines and its coordinators. */
+private suspend fun withMembership(
+    store: GatedStore,
+    block: suspend (StepDispatcher, List<VmId?>) -> Unit,
+) {
+    val dispatcher = StepDispatcher()
+    val scope = CoroutineScope(Job() + dispatcher)
+    val coordinators = ArrayList<VmId?>()
+    val view = PlatformView(store) {}
+    view.onStoreContact(answered = true, MonotonicTime.now())
+    FleetMembership(
+        config = CONFIG,
+        store = store,
+        roster = VmRoster(CONFIG, SELF, store),
+        network = NoPeers,
+        view = view,
+        status = { STATUS },
+        random = Random(1),
+        scope = scope,
+        onCoordinatorChanged = { coordinators += it },
+        onLocalStatus = { null },
+    ).start()
+    try {
+        block(dispatcher, coordinators)
+    } finally {
+        scope.cancel()
+    }
+}
+
+class FleetMembershipTest :
+    FunSpec({
+        // Guards against jobs that stand still because VMs that start replace a coordinator at work.
+        test("a VM that learns of the coordinator after it decided to claim the role does not replace it") {
+            val store = GatedStore(FakeRowStore())
+            val row = FleetTables.encode(CoordinatorRecord.serializer(), OTHER)
+            store.write(emptyMap(), listOf(RowChange(FleetTables.coordinator, row)))
+            withMembership(store) { dispatcher, coordinators ->
+                dispatcher.runWaiting()
+                store.isOpen.complete(Unit)
+                dispatcher.runLast()
+                coordinators shouldBe listOf(OTHER.vm)
+                dispatcher.runWaiting()
+                store.coordinator() shouldBe OTHER.vm
+            }
+        }
+    })
