Coordinate from the moment a claim is written

What callers saw: seconds without a coordinator although the store named one; its VM answered reports as no coordinator, and after 300 ms others replaced it.

Cause: a VM applied only a conflict from the answer to its claim; that it had become coordinator it learned from its feed of the table, which collects changes, polls, and stops when the store does.

Change: after a claim that was written, or may have been, the VM reads the row.

Before the change FleetMembershipTest fails: expected [self@1] but was [].

--- a/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
@@ -15,6 +15,7 @@
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.RowChange
 import org.agatestream.core.RowStore
+import org.agatestream.core.StoreRead
 import org.agatestream.core.StoredRow
 import org.agatestream.core.VmId
 import org.agatestream.core.WriteResult
@@ -271,8 +272,25 @@
             "reached" to input.peersResponding,
             "result" to result::class.simpleName,
         )
+        when (result) {
+            is WriteResult.Conflict -> {
+                applyChanges(result.current)
+            }
+
+            is WriteResult.Written, is WriteResult.Unknown -> {
+                readCoordinator()
+            }
+
+            is WriteResult.NotDone -> {}
+        }
         isClaiming = false
-        if (result is WriteResult.Conflict) applyChanges(result.current)
+    }
+
+    /** Reads the coordinator's row, of which the feed may tell only after others have found this VM not coordinating. */
+    private suspend fun readCoordinator() {
+        val key = FleetTables.coordinator.key
+        val read = store.rows(FleetTables.FLEET, "", key, key + '\u0000')
+        if (read is StoreRead.Found) applyChanges(read.value.rows)
     }
 
     /** Fetches snapshots from seeds until there is a manifest, then from peers while the store is unreachable. */
--- a/server/src/test/kotlin/org/agatestream/server/FleetMembershipTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/FleetMembershipTest.kt
@@ -168,4 +168,15 @@
                 store.coordinator() shouldBe OTHER.vm
             }
         }
+
+        // Guards against a named coordinator that does not answer as one, because no change of the row reaches it.
+        test("a VM coordinates from its claim on, whether or not the store tells of the change") {
+            val store = GatedStore(FakeRowStore())
+            withMembership(store) { dispatcher, coordinators ->
+                store.isOpen.complete(Unit)
+                repeat(3) { dispatcher.runWaiting() }
+                store.coordinator() shouldBe SELF
+                coordinators shouldBe listOf(SELF)
+            }
+        }
     })
