Do not take a response without an id for the one that is awaited

What callers saw: after a server answered a request twice, the second time late and without the id, the next request on the connection got that answer, its status and its body, as its own.

Cause: where a request expects its id echoed, a response without the id matched. Servers echo the id; the id alone tells a late response from the awaited one, so a response without it may be of any request on the connection.

Now such a response counts only for the first request on a connection, where no earlier one can be late: a server that takes over an address refuses there, and may not know the id. The connection is not used again after it, because a copy of it could not be told either. On any later request the exchange is lost, not "not run", and the connection is closed. ClientExchange.originOf decides this. Requests that expect no echo (store, engines, the load tool) are as before.

Evidence: LateResponseTest plays copies of 200, 421, 500 and 503, with the id and without, with a length, in chunks, without a length and without a body, in six places, cut at each byte before the next request, and cut by a close.

--- a/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
@@ -26,6 +26,10 @@
     private var isSkipping = false
     private var staleAtNanos = Long.MAX_VALUE
 
+    /** True once the connection has carried a request. */
+    @Volatile
+    private var isUsed = false
+
     /** The echoed header of the last request on this connection; null if it had none. */
     @Volatile
     var lastEchoedHeader: Pair<String, String>? = null
@@ -46,7 +50,8 @@
         request: HttpRequestSpec,
         release: () -> Unit,
     ): ExchangeResult {
-        val exchange = ClientExchange(this, request.echoedHeader) { onResponseComplete(it, release) }
+        val exchange = ClientExchange(this, request.echoedHeader, !isUsed) { onResponseComplete(it, release) }
+        isUsed = true
         lastEchoedHeader = request.echoedHeader
         try {
             val message = request.toMessage()
@@ -71,8 +76,7 @@
             exchange == null -> rejectUnsolicited(msg)
             msg is HttpResponse && msg.decoderResult().isFailure -> ctx.close()
             msg is HttpResponse && msg.status().codeClass() == HttpStatusClass.INFORMATIONAL -> skipResponse()
-            msg is HttpResponse && !exchange.matches(msg) -> skipResponse()
-            msg is HttpResponse -> startResponse(exchange, msg)
+            msg is HttpResponse -> onResponse(exchange, msg)
             msg is HttpContent && isSkipping -> skipContent(msg)
             msg is HttpContent -> exchange.onContent(msg)
             else -> ReferenceCountUtil.release(msg)
@@ -135,6 +139,26 @@
         if (ctx.channel().isActive) release()
     }
 
+    private fun onResponse(
+        exchange: ClientExchange,
+        head: HttpResponse,
+    ) {
+        when (exchange.originOf(head)) {
+            ResponseOrigin.OWN -> startResponse(exchange, head)
+            ResponseOrigin.EARLIER -> skipResponse()
+            ResponseOrigin.UNKNOWN -> abandon(exchange, "a response does not name its request")
+        }
+    }
+
+    /** Ends [exchange] without a response, and the connection, whose next bytes may be of any response. */
+    private fun abandon(
+        exchange: ClientExchange,
+        reason: String,
+    ) {
+        exchange.onConnectionLost(reason)
+        ctx.close()
+    }
+
     private fun startResponse(
         exchange: ClientExchange,
         head: HttpResponse,
--- a/http/src/main/kotlin/org/agatestream/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientExchange.kt
@@ -7,10 +7,24 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
 
+/** The request that a response answers. */
+internal enum class ResponseOrigin {
+    /** The request of the current exchange. */
+    OWN,
+
+    /** An earlier request on the connection. */
+    EARLIER,
+
+    /** Either of them. */
+    UNKNOWN,
+}
+
 /** One request on a [ClientConnection] and its response. */
 internal class ClientExchange(
     private val connection: ClientConnection,
     private val echoedHeader: Pair<String, String>?,
+    /** True if the connection has carried no other request, so that no response to one can be late. */
+    private val isFirst: Boolean,
     private val onResponseComplete: (ClientExchange) -> Unit,
 ) : HttpClientResponse {
     val head: CompletableDeferred<ExchangeResult> = CompletableDeferred()
@@ -35,11 +49,14 @@
     override fun headers(): List<Pair<String, String>> =
         response.headers().entries().map { it.key.lowercase() to it.value }
 
-    /** Returns false if [message] is a late response to an earlier request; responses without the header match. */
-    fun matches(message: HttpResponse): Boolean {
-        val (name, expected) = echoedHeader ?: return true
-        val value = message.headers().get(name)
-        return value == null || value == expected
+    /** Returns which request [message] answers, as told by the echoed header. */
+    fun originOf(message: HttpResponse): ResponseOrigin {
+        val (name, expected) = echoedHeader ?: return ResponseOrigin.OWN
+        return when (message.headers().get(name)) {
+            expected -> ResponseOrigin.OWN
+            null -> if (isFirst) ResponseOrigin.OWN else ResponseOrigin.UNKNOWN
+            else -> ResponseOrigin.EARLIER
+        }
     }
 
     /** Returns the server's keep-alive timeout in seconds, or null if the response has none. */
@@ -87,7 +104,10 @@
     }
 
     /** Returns whether the connection may carry another request. */
-    fun canReuseConnection(): Boolean = isRequestSent && HttpUtil.isKeepAlive(response)
+    fun canReuseConnection(): Boolean = isRequestSent && HttpUtil.isKeepAlive(response) && hasEchoedHeader()
+
+    // A late copy of a response without it could not be told from the next response.
+    private fun hasEchoedHeader(): Boolean = echoedHeader == null || response.headers().contains(echoedHeader.first)
 
     override suspend fun nextChunk(): BodyPart {
         lastPart?.let { return it }
--- a/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
@@ -25,7 +25,11 @@
     public val body: ByteArray = ByteArray(0),
     /** True to open a new connection instead of reusing an idle one, which the server may be closing. */
     public val newConnection: Boolean = false,
-    /** A header that the server echoes; a response with another value is a late one to an earlier request. */
+    /**
+     * A header that the server echoes; a response with another value is a late one to an earlier request.
+     *
+     * A response without it counts only if no earlier request was sent on the connection; otherwise it is lost.
+     */
     public val echoedHeader: Pair<String, String>? = null,
 )
 
--- /dev/null
+++ b/http/src/test/kotlin/org/agatestream/http/LateResponseTest.kt
@@ -0,0 +1,115 @@
+package org.agatestream.http
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeIn
+import io.kotest.matchers.shouldBe
+
+private val STATUSES =
+    mapOf(
+        "200 OK" to emptyList(),
+        "421 Misdirected Request" to emptyList(),
+        "500 Internal Server Error" to emptyList(),
+        "503 Service Unavailable" to listOf("x-agatestream-not-executed: 1"),
+    )
+
+private const val LENGTH = "with a length"
+private val BODIES =
+    mapOf(
+        LENGTH to "content-length: 4\r\n\r\nlate",
+        "in chunks" to "transfer-encoding: chunked\r\n\r\n2\r\nla\r\n2\r\nte\r\n0\r\n\r\n",
+        "without a length" to "\r\nlate",
+        "without a body" to "content-length: 0\r\n\r\n",
+    )
+
+/** A response to the request `first` that the server sends again. */
+private class Copy(
+    private val status: String,
+    private val id: String?,
+    private val body: String,
+) {
+    val text =
+        (
+            listOfNotNull(
+                "HTTP/1.1 $status",
+                id,
+            ) + STATUSES.getValue(status) + BODIES.getValue(body)
+        ).joinToString("\r\n")
+    val isShort get() = body == LENGTH
+
+    override fun toString(): String = "of $status ${id?.let { "with the id" } ?: "without an id"} $body"
+}
+
+private val COPIES =
+    STATUSES.keys.flatMap { status ->
+        listOf("x-id: first", null).flatMap { id -> BODIES.keys.map { Copy(status, id, it) } }
+    }
+
+private const val SEGMENT_CHARS = 7
+private const val INTERIM = "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"
+
+/** Sends three requests to a server that stutters; each gets its own response or none. */
+private suspend fun HttpClient.shouldReceiveOnlyOwn(stutter: Stutter) {
+    StutteringServer(stutter).use { server ->
+        receive(server.address, "first") shouldBe "200 own first"
+        receive(server.address, "second") shouldBeIn listOf("200 own second", null)
+        // The close of the server may cross the third request.
+        receive(server.address, "third") shouldBeIn listOf("200 own third", null)
+    }
+}
+
+class LateResponseTest :
+    FunSpec({
+        timeout = 60_000
+        val loops = EventLoops(2)
+        afterSpec { loops.close() }
+
+        for (copy in COPIES) {
+            // Guards against a late copy without an id that a caller gets as the response to another request.
+            test("a late copy $copy reaches no other request") {
+                val places =
+                    mapOf(
+                        "with the first response" to Stutter(withFirst = copy.text),
+                        "before the second" to Stutter(beforeSecond = listOf(copy.text)),
+                        "before the second, in segments" to Stutter(beforeSecond = copy.text.chunked(SEGMENT_CHARS)),
+                        "in place of the second" to Stutter(beforeSecond = listOf(copy.text), answersSecond = false),
+                        "after an interim response" to Stutter(beforeSecond = listOf(INTERIM, copy.text)),
+                        "before an interim response" to Stutter(beforeSecond = listOf(copy.text + INTERIM)),
+                    )
+                for ((place, stutter) in places) {
+                    withClue(place) { HttpClient(loops).shouldReceiveOnlyOwn(stutter) }
+                }
+            }
+        }
+
+        for (copy in COPIES.filter { it.isShort }) {
+            // Guards against a late copy that is taken for the next response because its end comes after the request.
+            test("a late copy $copy that begins before the next request reaches no other request") {
+                for (cut in 1 until copy.text.length) {
+                    val rest = listOf(copy.text.drop(cut))
+                    withClue("after $cut bytes") {
+                        HttpClient(loops).shouldReceiveOnlyOwn(Stutter(copy.text.take(cut), rest))
+                    }
+                }
+            }
+
+            // Guards against a late copy, cut by a crash, that is taken for the next response.
+            test("a late copy $copy that ends with its connection reaches no other request") {
+                for (cut in 1 until copy.text.length) {
+                    val stutter = Stutter(beforeSecond = listOf(copy.text.take(cut)), answersSecond = false)
+                    withClue("after $cut bytes") { HttpClient(loops).shouldReceiveOnlyOwn(stutter) }
+                }
+            }
+        }
+
+        // Guards against a refusal taken for lost: a server that takes over an address refuses without the id.
+        test("a response without an id counts on a new connection, which is not used again") {
+            RawServer { socket ->
+                while (socket.readMessage().isNotEmpty()) socket.send(rawResponse("421 Misdirected Request", "no"))
+            }.use { server ->
+                val client = HttpClient(loops)
+                repeat(3) { client.receive(server.address, "id $it") shouldBe "421 no" }
+                server.accepted.get() shouldBe 3
+            }
+        }
+    })
