Do not take two heads that run into each other for one response

What callers saw: a server sent the beginning of a late answer, and then the answer to the next request. The caller got the status of the late one with the id, the headers and the body of its own: "421 own second" for "200 own second". With a 503 and x-agatestream-not-executed before the cut, a request that was run would have been sent again as not run.

Cause: where a head breaks off in its reason phrase or in a header value, the next status line continues that line, and the decoder reads one well-formed head with the first status and the second id.

A merged head always holds the whole status line of the second response in a reason phrase or in a header value; in a header name the decoder refuses it. Such a head is refused as malformed: the exchange is lost and the connection is closed. This holds for interim responses and requests without an echoed id too.

Evidence: LateResponseTest cuts copies of 200, 421, 500 and 503 at each byte, in the segment of the first response, after the second request and after an interim response.

--- a/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
@@ -74,7 +74,7 @@
         val exchange = current
         when {
             exchange == null -> rejectUnsolicited(msg)
-            msg is HttpResponse && msg.decoderResult().isFailure -> ctx.close()
+            msg is HttpResponse && !msg.isValidHead() -> abandon(exchange, "the head of a response is malformed")
             msg is HttpResponse && msg.status().codeClass() == HttpStatusClass.INFORMATIONAL -> skipResponse()
             msg is HttpResponse -> onResponse(exchange, msg)
             msg is HttpContent && isSkipping -> skipContent(msg)
--- a/http/src/test/kotlin/org/agatestream/http/LateResponseTest.kt
+++ b/http/src/test/kotlin/org/agatestream/http/LateResponseTest.kt
@@ -48,6 +48,21 @@
 private const val SEGMENT_CHARS = 7
 private const val INTERIM = "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"
 
+/** Bytes that are no response. */
+private val STRAY =
+    mapOf(
+        "a word" to "stray",
+        "words and a blank" to "stray bytes ",
+        "lines" to "stray\r\nbytes\r\n",
+        "blank lines" to "\r\n\r\n",
+        "events" to "id: 3\ndata: x\n\n",
+        "a chunk" to "4\r\nlate\r\n0\r\n\r\n",
+        "zero bytes" to "\u0000\u0000",
+        "a request" to "GET / HTTP/1.1\r\nx-id: second\r\n\r\n",
+        "a status line" to "HTTP/1.1 500 No\r\n",
+        "a head without end" to "HTTP/1.1 500 No\r\nx-more: value\r\n",
+    )
+
 /** Sends three requests to a server that stutters; each gets its own response or none. */
 private suspend fun HttpClient.shouldReceiveOnlyOwn(stutter: Stutter) {
     StutteringServer(stutter).use { server ->
@@ -100,6 +115,30 @@
                     withClue("after $cut bytes") { HttpClient(loops).shouldReceiveOnlyOwn(stutter) }
                 }
             }
+
+            // Guards against the status of one response with the id and the body of another.
+            test("a late copy $copy that breaks off does not merge with the next response") {
+                for (cut in 1 until copy.text.length) {
+                    val part = copy.text.take(cut)
+                    withClue("after $cut bytes") {
+                        HttpClient(loops).shouldReceiveOnlyOwn(Stutter(withFirst = part))
+                        HttpClient(loops).shouldReceiveOnlyOwn(Stutter(beforeSecond = listOf(part)))
+                        HttpClient(loops).shouldReceiveOnlyOwn(Stutter(beforeSecond = listOf(INTERIM, part)))
+                    }
+                }
+            }
+        }
+
+        for ((what, bytes) in STRAY) {
+            test("$what between two responses reach no request") {
+                val places =
+                    listOf(
+                        Stutter(withFirst = bytes),
+                        Stutter(beforeSecond = listOf(bytes)),
+                        Stutter(bytes, listOf(bytes)),
+                    )
+                places.forEach { HttpClient(loops).shouldReceiveOnlyOwn(it) }
+            }
         }
 
         // Guards against a refusal taken for lost: a server that takes over an address refuses without the id.
