Do not send a request again on a connection that has ever carried it

What callers saw: an item's run got a late copy of the response to an earlier run of that item, if another request had been sent on the connection between the two runs.

Cause: a copy is told from the awaited response by the id, and items, resumed ones too, are sent again with the same id. A connection remembered only its last id, so that the sequence item, other, item used it again.

A connection now remembers a hash of each id that it has carried, up to 1,024, and is not used again after that many requests. Equal hashes of different ids only cost a new connection.

--- a/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
@@ -26,14 +26,8 @@
     private var isSkipping = false
     private var staleAtNanos = Long.MAX_VALUE
 
-    /** True once the connection has carried a request. */
-    @Volatile
-    private var isUsed = false
-
-    /** The echoed header of the last request on this connection; null if it had none. */
-    @Volatile
-    var lastEchoedHeader: Pair<String, String>? = null
-        private set
+    /** The requests so far; accessed only by the caller that holds the connection and while it is idle. */
+    private val carried = CarriedRequests()
 
     /** True if the connection ended with a reset rather than an orderly close. */
     var isReset: Boolean = false
@@ -42,6 +36,9 @@
     /** True if the server may close the connection at any moment because its keep-alive time is nearly over. */
     val isStale: Boolean get() = System.nanoTime() >= staleAtNanos
 
+    /** Returns whether a late copy of an earlier response would pass for the response to [request]. */
+    fun mayConfuse(request: HttpRequestSpec): Boolean = request.echoedHeader?.let { carried.mayContain(it) } ?: false
+
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         this.ctx = ctx
     }
@@ -50,9 +47,9 @@
         request: HttpRequestSpec,
         release: () -> Unit,
     ): ExchangeResult {
-        val exchange = ClientExchange(this, request.echoedHeader, !isUsed) { onResponseComplete(it, release) }
-        isUsed = true
-        lastEchoedHeader = request.echoedHeader
+        val isFirst = carried.count == 0
+        val exchange = ClientExchange(this, request.echoedHeader, isFirst) { onResponseComplete(it, release) }
+        carried.add(request.echoedHeader)
         try {
             val message = request.toMessage()
             ctx.executor().execute { start(exchange, message) }
@@ -129,7 +126,7 @@
         release: () -> Unit,
     ) {
         current = null
-        if (!exchange.canReuseConnection()) {
+        if (!exchange.canReuseConnection() || carried.isFull) {
             ctx.close()
             return
         }
--- a/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
@@ -128,10 +128,6 @@
         }
     }
 
-    /** Returns whether a late copy of this connection's last response would pass for the response to [request]. */
-    private fun ClientConnection.mayConfuse(request: HttpRequestSpec): Boolean =
-        request.echoedHeader != null && request.echoedHeader == lastEchoedHeader
-
     private fun release(
         address: String,
         channel: Channel,
--- a/http/src/test/kotlin/org/agatestream/http/LateResponseTest.kt
+++ b/http/src/test/kotlin/org/agatestream/http/LateResponseTest.kt
@@ -46,6 +46,7 @@
     }
 
 private const val SEGMENT_CHARS = 7
+private const val SENT_AGAIN = 6
 private const val INTERIM = "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"
 
 /** Bytes that are no response. */
@@ -141,6 +142,36 @@
             }
         }
 
+        // Guards against the last response to an item as the response to its next run, after another request between.
+        test("a late copy is not taken for the response to the same request, sent again after others") {
+            RawServer { socket ->
+                var number = 0
+                while (true) {
+                    val id = requestId(socket.readMessage().ifEmpty { return@RawServer })
+                    if (++number == SENT_AGAIN) socket.send(rawResponse("200 OK", "late", "x-id: item"))
+                    socket.send(rawResponse("200 OK", "own", "x-id: $id"))
+                }
+            }.use { server ->
+                val client = HttpClient(loops)
+                val ids = List(SENT_AGAIN) { if (it == 0 || it == SENT_AGAIN - 1) "item" else "other $it" }
+                ids.forEach { client.receive(server.address, it) shouldBe "200 own" }
+                server.accepted.get() shouldBe 2
+            }
+        }
+
+        test("a connection whose requests cannot be remembered is not used again") {
+            RawServer { socket ->
+                while (true) {
+                    val id = requestId(socket.readMessage().ifEmpty { return@RawServer })
+                    socket.send(rawResponse("200 OK", "own", "x-id: $id"))
+                }
+            }.use { server ->
+                val client = HttpClient(loops)
+                repeat(2_000) { client.receive(server.address, "id $it") shouldBe "200 own" }
+                server.accepted.get() shouldBe 2
+            }
+        }
+
         // Guards against a refusal taken for lost: a server that takes over an address refuses without the id.
         test("a response without an id counts on a new connection, which is not used again") {
             RawServer { socket ->
--- a/http/src/test/kotlin/org/agatestream/http/StutteringServer.kt
+++ b/http/src/test/kotlin/org/agatestream/http/StutteringServer.kt
@@ -46,11 +46,14 @@
 
 /** The response of [StutteringServer] to [request]. */
 private fun ownResponse(request: String): String {
-    val id = request.substringAfter("x-id: ").substringBefore("\r\n")
+    val id = requestId(request)
     val response = rawResponse("200 OK", "own $id", "x-id: $id")
     return if (request.startsWith("HEAD")) response.substringBefore("own") else response
 }
 
+/** Returns the id of a request that [receive] has sent. */
+internal fun requestId(request: String): String = request.substringAfter("x-id: ").substringBefore("\r\n")
+
 /** A response with a length. */
 internal fun rawResponse(
     status: String,
