Do not pair the response to HEAD with an earlier head

What callers saw: a HEAD request got no answer where an interim response or a late copy came first, until its time was over or the connection ended.

Cause: HttpClientCodec pairs heads with requests in order. Any head takes the request away, so that the response to HEAD is read as one with a body, and the body of the late copy as the next head.

ResponseDecoder takes a response as that to HEAD only if it is the one of the current exchange, by the same rule as the exchange itself.

--- a/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
@@ -36,6 +36,12 @@
     /** True if the server may close the connection at any moment because its keep-alive time is nearly over. */
     val isStale: Boolean get() = System.nanoTime() >= staleAtNanos
 
+    /** Returns whether [head] is the response to a HEAD request in progress, and so has no body. */
+    fun answersHead(head: HttpResponse): Boolean {
+        val exchange = current ?: return false
+        return exchange.isHead && exchange.originOf(head) == ResponseOrigin.OWN
+    }
+
     /** Returns whether a late copy of an earlier response would pass for the response to [request]. */
     fun mayConfuse(request: HttpRequestSpec): Boolean = request.echoedHeader?.let { carried.mayContain(it) } ?: false
 
@@ -48,7 +54,7 @@
         release: () -> Unit,
     ): ExchangeResult {
         val isFirst = carried.count == 0
-        val exchange = ClientExchange(this, request.echoedHeader, isFirst) { onResponseComplete(it, release) }
+        val exchange = ClientExchange(this, request, isFirst) { onResponseComplete(it, release) }
         carried.add(request.echoedHeader)
         try {
             val message = request.toMessage()
--- a/http/src/main/kotlin/org/agatestream/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientExchange.kt
@@ -22,11 +22,15 @@
 /** One request on a [ClientConnection] and its response. */
 internal class ClientExchange(
     private val connection: ClientConnection,
-    private val echoedHeader: Pair<String, String>?,
+    request: HttpRequestSpec,
     /** True if the connection has carried no other request, so that no response to one can be late. */
     private val isFirst: Boolean,
     private val onResponseComplete: (ClientExchange) -> Unit,
 ) : HttpClientResponse {
+    private val echoedHeader = request.echoedHeader
+
+    /** True if the response has no body, whatever its headers say. */
+    val isHead: Boolean = request.method == "HEAD"
     val head: CompletableDeferred<ExchangeResult> = CompletableDeferred()
 
     /** True once the whole request has been written to the socket. */
--- a/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
@@ -6,7 +6,7 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.flow.FlowControlHandler
 import kotlinx.coroutines.CancellationException
 import java.net.InetSocketAddress
@@ -89,7 +89,9 @@
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(ch: SocketChannel) {
                         val limit = UnansweredBytesLimit()
-                        ch.pipeline().addLast(limit, HttpClientCodec(), FlowControlHandler(), ClientConnection(limit))
+                        val connection = ClientConnection(limit)
+                        val decoder = ResponseDecoder { connection.answersHead(it) }
+                        ch.pipeline().addLast(limit, HttpRequestEncoder(), decoder, FlowControlHandler(), connection)
                     }
                 },
             )
--- a/http/src/test/kotlin/org/agatestream/http/LateResponseTest.kt
+++ b/http/src/test/kotlin/org/agatestream/http/LateResponseTest.kt
@@ -14,11 +14,12 @@
     )
 
 private const val LENGTH = "with a length"
+private const val CLOSE = "without a length"
 private val BODIES =
     mapOf(
         LENGTH to "content-length: 4\r\n\r\nlate",
         "in chunks" to "transfer-encoding: chunked\r\n\r\n2\r\nla\r\n2\r\nte\r\n0\r\n\r\n",
-        "without a length" to "\r\nlate",
+        CLOSE to "\r\nlate",
         "without a body" to "content-length: 0\r\n\r\n",
     )
 
@@ -35,6 +36,8 @@
                 id,
             ) + STATUSES.getValue(status) + BODIES.getValue(body)
         ).joinToString("\r\n")
+    val hasId get() = id != null
+    val isDelimited get() = body != CLOSE
     val isShort get() = body == LENGTH
 
     override fun toString(): String = "of $status ${id?.let { "with the id" } ?: "without an id"} $body"
@@ -65,10 +68,14 @@
     )
 
 /** Sends three requests to a server that stutters; each gets its own response or none. */
-private suspend fun HttpClient.shouldReceiveOnlyOwn(stutter: Stutter) {
+private suspend fun HttpClient.shouldReceiveOnlyOwn(
+    stutter: Stutter,
+    method: String = "GET",
+) {
+    val second = if (method == "HEAD") "200 " else "200 own second"
     StutteringServer(stutter).use { server ->
         receive(server.address, "first") shouldBe "200 own first"
-        receive(server.address, "second") shouldBeIn listOf("200 own second", null)
+        receive(server.address, "second", method) shouldBeIn listOf(second, null)
         // The close of the server may cross the third request.
         receive(server.address, "third") shouldBeIn listOf("200 own third", null)
     }
@@ -96,6 +103,22 @@
                     withClue(place) { HttpClient(loops).shouldReceiveOnlyOwn(stutter) }
                 }
             }
+
+            test("a late copy $copy before the response to HEAD reaches no request") {
+                HttpClient(loops).shouldReceiveOnlyOwn(Stutter(beforeSecond = listOf(copy.text)), "HEAD")
+            }
+        }
+
+        // Guards against a response to HEAD that is lost because an earlier head was paired with the request.
+        test("the response to HEAD arrives after an interim response and after late copies with the id") {
+            val copies = COPIES.filter { it.isDelimited && it.hasId }
+            for (before in listOf(INTERIM) + copies.map { it.text }) {
+                StutteringServer(Stutter(beforeSecond = listOf(before))).use { server ->
+                    val client = HttpClient(loops)
+                    client.receive(server.address, "first") shouldBe "200 own first"
+                    withClue(before) { client.receive(server.address, "second", "HEAD") shouldBe "200 " }
+                }
+            }
         }
 
         for (copy in COPIES.filter { it.isShort }) {
