--- a/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
@@ -26,10 +26,8 @@
     private var isSkipping = false
     private var staleAtNanos = Long.MAX_VALUE
 
-    /** The echoed header of the last request on this connection; null if it had none. */
-    @Volatile
-    var lastEchoedHeader: Pair<String, String>? = null
-        private set
+    /** The requests so far; accessed only by the caller that holds the connection and while it is idle. */
+    private val carried = CarriedRequests()
 
     /** True if the connection ended with a reset rather than an orderly close. */
     var isReset: Boolean = false
@@ -38,6 +36,15 @@
     /** True if the server may close the connection at any moment because its keep-alive time is nearly over. */
     val isStale: Boolean get() = System.nanoTime() >= staleAtNanos
 
+    /** Returns whether [head] is the response to a HEAD request in progress, and so has no body. */
+    fun answersHead(head: HttpResponse): Boolean {
+        val exchange = current ?: return false
+        return exchange.isHead && exchange.originOf(head) == ResponseOrigin.OWN
+    }
+
+    /** Returns whether a late copy of an earlier response would pass for the response to [request]. */
+    fun mayConfuse(request: HttpRequestSpec): Boolean = request.echoedHeader?.let { carried.mayContain(it) } ?: false
+
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         this.ctx = ctx
     }
@@ -46,8 +53,9 @@
         request: HttpRequestSpec,
         release: () -> Unit,
     ): ExchangeResult {
-        val exchange = ClientExchange(this, request.echoedHeader) { onResponseComplete(it, release) }
-        lastEchoedHeader = request.echoedHeader
+        val isFirst = carried.count == 0
+        val exchange = ClientExchange(this, request, isFirst) { onResponseComplete(it, release) }
+        carried.add(request.echoedHeader)
         try {
             val message = request.toMessage()
             ctx.executor().execute { start(exchange, message) }
@@ -69,10 +77,9 @@
         val exchange = current
         when {
             exchange == null -> rejectUnsolicited(msg)
-            msg is HttpResponse && msg.decoderResult().isFailure -> ctx.close()
+            msg is HttpResponse && !msg.isValidHead() -> abandon(exchange, "the head of a response is malformed")
             msg is HttpResponse && msg.status().codeClass() == HttpStatusClass.INFORMATIONAL -> skipResponse()
-            msg is HttpResponse && !exchange.matches(msg) -> skipResponse()
-            msg is HttpResponse -> startResponse(exchange, msg)
+            msg is HttpResponse -> onResponse(exchange, msg)
             msg is HttpContent && isSkipping -> skipContent(msg)
             msg is HttpContent -> exchange.onContent(msg)
             else -> ReferenceCountUtil.release(msg)
@@ -125,7 +132,7 @@
         release: () -> Unit,
     ) {
         current = null
-        if (!exchange.canReuseConnection()) {
+        if (!exchange.canReuseConnection() || carried.isFull) {
             ctx.close()
             return
         }
@@ -135,6 +142,26 @@
         if (ctx.channel().isActive) release()
     }
 
+    private fun onResponse(
+        exchange: ClientExchange,
+        head: HttpResponse,
+    ) {
+        when (exchange.originOf(head)) {
+            ResponseOrigin.OWN -> startResponse(exchange, head)
+            ResponseOrigin.EARLIER -> skipResponse()
+            ResponseOrigin.UNKNOWN -> abandon(exchange, "a response does not name its request")
+        }
+    }
+
+    /** Ends [exchange] without a response, and the connection, whose next bytes may be of any response. */
+    private fun abandon(
+        exchange: ClientExchange,
+        reason: String,
+    ) {
+        exchange.onConnectionLost(reason)
+        ctx.close()
+    }
+
     private fun startResponse(
         exchange: ClientExchange,
         head: HttpResponse,
--- a/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
@@ -6,7 +6,7 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.flow.FlowControlHandler
 import kotlinx.coroutines.CancellationException
 import java.net.InetSocketAddress
@@ -25,7 +25,11 @@
     public val body: ByteArray = ByteArray(0),
     /** True to open a new connection instead of reusing an idle one, which the server may be closing. */
     public val newConnection: Boolean = false,
-    /** A header that the server echoes; a response with another value is a late one to an earlier request. */
+    /**
+     * A header that the server echoes; a response with another value is a late one to an earlier request.
+     *
+     * A response without it counts only if no earlier request was sent on the connection; otherwise it is lost.
+     */
     public val echoedHeader: Pair<String, String>? = null,
 )
 
@@ -85,7 +89,9 @@
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(ch: SocketChannel) {
                         val limit = UnansweredBytesLimit()
-                        ch.pipeline().addLast(limit, HttpClientCodec(), FlowControlHandler(), ClientConnection(limit))
+                        val connection = ClientConnection(limit)
+                        val decoder = ResponseDecoder { connection.answersHead(it) }
+                        ch.pipeline().addLast(limit, HttpRequestEncoder(), decoder, FlowControlHandler(), connection)
                     }
                 },
             )
@@ -124,10 +130,6 @@
         }
     }
 
-    /** Returns whether a late copy of this connection's last response would pass for the response to [request]. */
-    private fun ClientConnection.mayConfuse(request: HttpRequestSpec): Boolean =
-        request.echoedHeader != null && request.echoedHeader == lastEchoedHeader
-
     private fun release(
         address: String,
         channel: Channel,
