Wait for the own response after a late one that does not name its request

What callers saw: a 502 in place of an answer that was on its way, where a server's second answer to another request came first.

A late response without an id ended the exchange. One that ends only with its connection still ends the exchange.

Before the change LateResponseTest fails: expected "200 own second" but was null.

--- a/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
@@ -149,7 +150,19 @@
         when (exchange.originOf(head)) {
             ResponseOrigin.OWN -> startResponse(exchange, head)
             ResponseOrigin.EARLIER -> skipResponse()
-            ResponseOrigin.UNKNOWN -> abandon(exchange, "a response does not name its request")
+            ResponseOrigin.UNKNOWN -> skipUnnamed(exchange, head)
+        }
+    }
+
+    /** Skips a response that does not name its request, if it says where the next one begins. */
+    private fun skipUnnamed(
+        exchange: ClientExchange,
+        head: HttpResponse,
+    ) {
+        if (HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)) {
+            skipResponse()
+        } else {
+            abandon(exchange, "a response does not name its request")
         }
     }
 
--- a/http/src/test/kotlin/org/agatestream/http/LateResponseTest.kt
+++ b/http/src/test/kotlin/org/agatestream/http/LateResponseTest.kt
@@ -195,6 +195,19 @@
             }
         }
 
+        // Guards against an answer lost to its caller because a late one without an id came before it.
+        test("the awaited response is received after a late one without an id that says where it ends") {
+            for (copy in COPIES.filter { !it.hasId && it.isDelimited }) {
+                withClue("$copy") {
+                    StutteringServer(Stutter(beforeSecond = listOf(copy.text))).use { server ->
+                        val client = HttpClient(loops)
+                        client.receive(server.address, "first") shouldBe "200 own first"
+                        client.receive(server.address, "second") shouldBe "200 own second"
+                    }
+                }
+            }
+        }
+
         // Guards against a refusal taken for lost: a server that takes over an address refuses without the id.
         test("a response without an id counts on a new connection, which is not used again") {
             RawServer { socket ->
