Do not look up the handler of a connection that may be closed

What callers saw: HttpClient.exchange threw a NullPointerException, in place of reporting a request that was not sent, where a server closed an idle connection, or the client did after stray bytes, just as a request took it.

Cause: idle connections were kept as channels, and their handler was looked up when they were taken. A channel that closes in between has lost its handlers.

Idle connections are kept as ClientConnection now, which reports NotSent when its channel is closed. A new connection without handlers counts as refused.

Evidence: IdleConnectionTest sends a request as stray bytes arrive.

The test of cancelled requests passed before and stays as a guard.

--- a/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
@@ -33,6 +33,9 @@
     var isReset: Boolean = false
         private set
 
+    /** False once the connection is closed; by then it is no longer part of its channel's pipeline. */
+    val isActive: Boolean get() = ctx.channel().isActive
+
     /** True if the server may close the connection at any moment because its keep-alive time is nearly over. */
     val isStale: Boolean get() = System.nanoTime() >= staleAtNanos
 
@@ -115,7 +118,7 @@
         exchange: ClientExchange,
         message: DefaultFullHttpRequest,
     ) {
-        if (!ctx.channel().isActive) {
+        if (!isActive) {
             message.release()
             exchange.head.complete(ExchangeResult.NotSent("the connection was closed"))
             return
@@ -139,7 +142,7 @@
         staleAtNanos = exchange.keepAliveSeconds()?.let { System.nanoTime() + usableNanos(it) } ?: Long.MAX_VALUE
         // The read detects an unsolicited response and the close of the idle connection.
         demand.request(ctx)
-        if (ctx.channel().isActive) release()
+        if (isActive) release()
     }
 
     private fun onResponse(
--- a/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
@@ -1,7 +1,6 @@
 package org.agatestream.http
 
 import io.netty.bootstrap.Bootstrap
-import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.SocketChannel
@@ -76,7 +75,7 @@
     connectTimeout: Duration = 1.seconds,
     private val maxIdlePerAddress: Int = 64,
 ) {
-    private val idle = ConcurrentHashMap<String, ArrayDeque<Channel>>()
+    private val idle = ConcurrentHashMap<String, ArrayDeque<ClientConnection>>()
     private val bootstrap =
         Bootstrap()
             .group(loops.group)
@@ -98,45 +97,50 @@
 
     /** Sends [request] and waits for the head of the response; cancellation closes the connection. */
     public suspend fun exchange(request: HttpRequestSpec): ExchangeResult {
-        val channel =
+        val connection =
             takeIdle(request)
                 ?: connect(request.address)
                 ?: return ExchangeResult.NotSent("the connection was refused")
-        val connection = channel.pipeline().get(ClientConnection::class.java)
-        return connection.exchange(request) { release(request.address, channel) }
+        return connection.exchange(request) { release(request.address, connection) }
     }
 
-    private suspend fun connect(address: String): Channel? {
+    private suspend fun connect(address: String): ClientConnection? {
         val target = parseAddress(address)
         val future = bootstrap.connect(target)
         try {
-            return if (future.awaitDone()) future.channel() else null
+            // A connection that is closed at once has no handlers any more.
+            return if (future.awaitDone()) future.channel().pipeline().get(ClientConnection::class.java) else null
         } catch (e: CancellationException) {
             future.addListener { future.channel().close() }
             throw e
         }
     }
 
-    private fun takeIdle(request: HttpRequestSpec): Channel? {
+    private fun takeIdle(request: HttpRequestSpec): ClientConnection? {
         if (request.newConnection) return null
         val queue = idle[request.address] ?: return null
         synchronized(queue) {
             while (true) {
-                val channel = queue.pollFirst() ?: return null
-                val connection = channel.pipeline().get(ClientConnection::class.java)
-                if (channel.isActive && !connection.isStale && !connection.mayConfuse(request)) return channel
-                channel.close()
+                val connection = queue.pollFirst() ?: return null
+                if (connection.isActive && !connection.isStale && !connection.mayConfuse(request)) return connection
+                connection.close()
             }
         }
     }
 
     private fun release(
         address: String,
-        channel: Channel,
+        connection: ClientConnection,
     ) {
         val queue = idle.computeIfAbsent(address) { ArrayDeque() }
         synchronized(queue) {
-            if (queue.size < maxIdlePerAddress && channel.isActive) queue.addFirst(channel) else channel.close()
+            if (queue.size < maxIdlePerAddress &&
+                connection.isActive
+            ) {
+                queue.addFirst(connection)
+            } else {
+                connection.close()
+            }
         }
     }
 }
--- a/http/src/test/kotlin/org/agatestream/http/StutteringServer.kt
+++ b/http/src/test/kotlin/org/agatestream/http/StutteringServer.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /** The extra bytes that a server sends around the responses to the first two requests on one connection. */
@@ -67,8 +68,9 @@
     address: String,
     id: String,
     method: String = "GET",
+    timeout: Duration = 3.seconds,
 ): String? =
-    withTimeoutOrNull(3.seconds) {
+    withTimeoutOrNull(timeout) {
         val request = HttpRequestSpec(address, method, "/", listOf("x-id" to id), echoedHeader = "x-id" to id)
         val response = (exchange(request) as? ExchangeResult.Answered)?.response ?: return@withTimeoutOrNull null
         try {
