Close a connection that delivers bytes after its response

Cause: an idle connection was closed only once a whole head had been decoded.

UnansweredBytesLimit now allows no bytes while no response is awaited, and a connection is not released while its decoder holds bytes that follow the response. Blank lines in the segment of the response are still discarded by the decoder; they cannot become part of a head.

Evidence: IdleConnectionTest sends nine kinds of bytes to an idle connection and eight with the end of a response.

--- a/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
@@ -20,6 +20,9 @@
 internal class ClientConnection(
     private val unansweredBytes: UnansweredBytesLimit,
 ) : ChannelInboundHandlerAdapter() {
+    /** The decoder of this connection's responses. */
+    val decoder: ResponseDecoder = ResponseDecoder { answersHead(it) }
+
     private lateinit var ctx: ChannelHandlerContext
     private val demand = ReadDemand()
     private var current: ClientExchange? = null
@@ -39,12 +42,6 @@
     /** True if the server may close the connection at any moment because its keep-alive time is nearly over. */
     val isStale: Boolean get() = System.nanoTime() >= staleAtNanos
 
-    /** Returns whether [head] is the response to a HEAD request in progress, and so has no body. */
-    fun answersHead(head: HttpResponse): Boolean {
-        val exchange = current ?: return false
-        return exchange.isHead && exchange.originOf(head) == ResponseOrigin.OWN
-    }
-
     /** Returns whether a late copy of an earlier response would pass for the response to [request]. */
     fun mayConfuse(request: HttpRequestSpec): Boolean = request.echoedHeader?.let { carried.mayContain(it) } ?: false
 
@@ -135,7 +132,8 @@
         release: () -> Unit,
     ) {
         current = null
-        if (!exchange.canReuseConnection() || carried.isFull) {
+        unansweredBytes.onIdle()
+        if (!exchange.canReuseConnection() || carried.isFull || decoder.hasUndecodedBytes) {
             ctx.close()
             return
         }
@@ -145,6 +143,12 @@
         if (isActive) release()
     }
 
+    /** Returns whether [head] is the response to a HEAD request in progress, and so has no body. */
+    private fun answersHead(head: HttpResponse): Boolean {
+        val exchange = current ?: return false
+        return exchange.isHead && exchange.originOf(head) == ResponseOrigin.OWN
+    }
+
     private fun onResponse(
         exchange: ClientExchange,
         head: HttpResponse,
--- a/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
@@ -89,8 +89,13 @@
                     override fun initChannel(ch: SocketChannel) {
                         val limit = UnansweredBytesLimit()
                         val connection = ClientConnection(limit)
-                        val decoder = ResponseDecoder { connection.answersHead(it) }
-                        ch.pipeline().addLast(limit, HttpRequestEncoder(), decoder, FlowControlHandler(), connection)
+                        ch.pipeline().addLast(
+                            limit,
+                            HttpRequestEncoder(),
+                            connection.decoder,
+                            FlowControlHandler(),
+                            connection,
+                        )
                     }
                 },
             )
--- a/http/src/main/kotlin/org/agatestream/http/ResponseDecoder.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ResponseDecoder.kt
@@ -12,6 +12,9 @@
 internal class ResponseDecoder(
     private val answersHead: (HttpResponse) -> Boolean,
 ) : HttpResponseDecoder() {
+    /** True if bytes have arrived after the last response that was decoded; they would be read with the next one. */
+    val hasUndecodedBytes: Boolean get() = actualReadableBytes() > 0
+
     override fun isContentAlwaysEmpty(msg: HttpMessage): Boolean =
         super.isContentAlwaysEmpty(msg) || (msg is HttpResponse && answersHead(msg))
 }
--- a/http/src/main/kotlin/org/agatestream/http/UnansweredBytesLimit.kt
+++ b/http/src/main/kotlin/org/agatestream/http/UnansweredBytesLimit.kt
@@ -6,33 +6,40 @@
 import io.netty.util.ReferenceCountUtil
 
 /**
- * Closes a connection that delivers more than [MAX_UNANSWERED_BYTES] bytes without the head of the awaited response.
+ * Closes a connection that delivers more than [MAX_UNANSWERED_BYTES] bytes without the head of the awaited response, or
+ * any bytes while no response is awaited.
  *
  * Blank lines, interim responses and late copies of earlier responses are skipped, and a server may send them without
- * end. Stands before the codec, which discards some of these bytes itself. Used on the event loop only.
+ * end. Stands before the codec, which discards some of these bytes itself and keeps the beginning of a head for the next
+ * response. Used on the event loop only.
  */
 internal class UnansweredBytesLimit : ChannelInboundHandlerAdapter() {
-    private var isAwaitingHead = false
-    private var bytes = 0
+    private var remaining: Int? = 0
 
     /** Starts counting: a request is about to be sent. */
     fun onRequest() {
-        isAwaitingHead = true
-        bytes = 0
+        remaining = MAX_UNANSWERED_BYTES
     }
 
     /** Stops counting: the head of the response has arrived. */
     fun onHead() {
-        isAwaitingHead = false
+        remaining = null
+    }
+
+    /** Allows no bytes: the response is complete. */
+    fun onIdle() {
+        remaining = 0
     }
 
     override fun channelRead(
         ctx: ChannelHandlerContext,
         msg: Any,
     ) {
-        if (isAwaitingHead && msg is ByteBuf) {
-            bytes += msg.readableBytes()
-            if (bytes > MAX_UNANSWERED_BYTES) {
+        val before = remaining
+        if (before != null && msg is ByteBuf) {
+            val after = before - msg.readableBytes()
+            remaining = after
+            if (after < 0) {
                 ReferenceCountUtil.release(msg)
                 ctx.close()
                 return
--- a/http/src/test/kotlin/org/agatestream/http/IdleConnectionTest.kt
+++ b/http/src/test/kotlin/org/agatestream/http/IdleConnectionTest.kt
@@ -33,6 +33,25 @@
         afterSpec { loops.close() }
 
         for ((what, bytes) in EXTRA_BYTES) {
+            // Guards against bytes of an earlier response that wait in an idle connection for the next request.
+            test("an idle connection that delivers $what is closed") {
+                val isRead = CountDownLatch(1)
+                val closed = AtomicInteger()
+                RawServer { socket ->
+                    socket.send(rawResponse("200 OK", "own", "x-id: ${requestId(socket.readMessage())}"))
+                    if (!isRead.await(5, TimeUnit.SECONDS)) return@RawServer
+                    socket.send(bytes)
+                    if (runCatching { socket.readMessage() }.getOrDefault("").isEmpty()) closed.incrementAndGet()
+                }.use { server ->
+                    val client = HttpClient(loops)
+                    client.receive(server.address, "first") shouldBe "200 own"
+                    isRead.countDown()
+                    eventually(3.seconds) { closed.get() shouldBe 1 }
+                    client.receive(server.address, "second") shouldBe "200 own"
+                    server.accepted.get() shouldBe 2
+                }
+            }
+
             // Guards against a request that fails with an exception as the server closes the connection it was given.
             test("a request that crosses $what gets its own response or none") {
                 repeat(50) {
@@ -58,6 +77,20 @@
             }
         }
 
+        for ((what, bytes) in EXTRA_BYTES - BLANK_LINE) {
+            // Guards against bytes of an earlier response that stay in the decoder of a connection in use again.
+            test("a connection that delivers $what with the end of a response is closed") {
+                val closed = AtomicInteger()
+                RawServer { socket ->
+                    socket.send(rawResponse("200 OK", "own", "x-id: ${requestId(socket.readMessage())}") + bytes)
+                    if (runCatching { socket.readMessage() }.getOrDefault("").isEmpty()) closed.incrementAndGet()
+                }.use { server ->
+                    HttpClient(loops).receive(server.address, "first") shouldBe "200 own"
+                    eventually(3.seconds) { closed.get() shouldBe 1 }
+                }
+            }
+        }
+
         test("a request that is cancelled, or whose response is not read to the end, closes its connection") {
             val closed = AtomicInteger()
             RawServer { socket ->
