--- a/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
@@ -21,6 +21,9 @@
 internal class ClientConnection(
     private val unansweredBytes: UnansweredBytesLimit,
 ) : ChannelInboundHandlerAdapter() {
+    /** The decoder of this connection's responses. */
+    val decoder: ResponseDecoder = ResponseDecoder { answersHead(it) }
+
     private lateinit var ctx: ChannelHandlerContext
     private val demand = ReadDemand()
     private var current: ClientExchange? = null
@@ -34,15 +37,12 @@
     var isReset: Boolean = false
         private set
 
+    /** False once the connection is closed; by then it is no longer part of its channel's pipeline. */
+    val isActive: Boolean get() = ctx.channel().isActive
+
     /** True if the server may close the connection at any moment because its keep-alive time is nearly over. */
     val isStale: Boolean get() = System.nanoTime() >= staleAtNanos
 
-    /** Returns whether [head] is the response to a HEAD request in progress, and so has no body. */
-    fun answersHead(head: HttpResponse): Boolean {
-        val exchange = current ?: return false
-        return exchange.isHead && exchange.originOf(head) == ResponseOrigin.OWN
-    }
-
     /** Returns whether a late copy of an earlier response would pass for the response to [request]. */
     fun mayConfuse(request: HttpRequestSpec): Boolean = request.echoedHeader?.let { carried.mayContain(it) } ?: false
 
@@ -116,7 +116,7 @@
         exchange: ClientExchange,
         message: DefaultFullHttpRequest,
     ) {
-        if (!ctx.channel().isActive) {
+        if (!isActive) {
             message.release()
             exchange.head.complete(ExchangeResult.NotSent("the connection was closed"))
             return
@@ -133,14 +133,21 @@
         release: () -> Unit,
     ) {
         current = null
-        if (!exchange.canReuseConnection() || carried.isFull) {
+        unansweredBytes.onIdle()
+        if (!exchange.canReuseConnection() || carried.isFull || decoder.hasUndecodedBytes) {
             ctx.close()
             return
         }
         staleAtNanos = exchange.keepAliveSeconds()?.let { System.nanoTime() + usableNanos(it) } ?: Long.MAX_VALUE
         // The read detects an unsolicited response and the close of the idle connection.
         demand.request(ctx)
-        if (ctx.channel().isActive) release()
+        if (isActive) release()
+    }
+
+    /** Returns whether [head] is the response to a HEAD request in progress, and so has no body. */
+    private fun answersHead(head: HttpResponse): Boolean {
+        val exchange = current ?: return false
+        return exchange.isHead && exchange.originOf(head) == ResponseOrigin.OWN
     }
 
     private fun onResponse(
