Tell an orderly close by the server from any other end of a body

What callers saw: a whole response that a server sent after an interim response or a late copy, closing the connection then, was reported as broken. And a body without length counted as whole when this side closed its connection while the event loops shut down: the end of a planned stop could cut it.

Cause: every end of a connection looked alike to the decoder, and a reset alone was told from the rest. A close also drops what flow control holds back; each skipped message asks for another read of the socket, which then finds the close before the reader has asked for the response.

The client allows half-closed connections now. The server's close arrives as an event, after which the decoder ends the body and EndOfInput follows in order through flow control, so that all that came before is delivered first. A body without length is whole only after that event; a reset, a failed write and a close by this side leave it broken.

--- a/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
@@ -33,9 +33,8 @@
     /** The requests so far; accessed only by the caller that holds the connection and while it is idle. */
     private val carried = CarriedRequests()
 
-    /** True if the connection ended with a reset rather than an orderly close. */
-    var isReset: Boolean = false
-        private set
+    /** True if the server closed the connection in order; false after a reset and after a close by this side. */
+    val isEndedByServer: Boolean get() = decoder.isInputEnded
 
     /** False once the connection is closed; by then it is no longer part of its channel's pipeline. */
     val isActive: Boolean get() = ctx.channel().isActive
@@ -78,6 +77,7 @@
         val exchange = current
         when {
             exchange == null -> rejectUnsolicited(msg)
+            msg is EndOfInput -> abandon(exchange, "the connection was closed")
             msg is HttpResponse && !msg.isValidHead() -> abandon(exchange, "the head of a response is malformed")
             msg is HttpResponse && msg.status().codeClass() == HttpStatusClass.INFORMATIONAL -> skipResponse()
             msg is HttpResponse -> onResponse(exchange, msg)
@@ -99,7 +99,6 @@
         ctx: ChannelHandlerContext,
         cause: Throwable,
     ) {
-        isReset = true
         ctx.close()
     }
 
@@ -134,7 +133,7 @@
     ) {
         current = null
         unansweredBytes.onIdle()
-        if (!exchange.canReuseConnection() || carried.isFull || decoder.hasUndecodedBytes) {
+        if (!exchange.canReuseConnection() || !canCarryAnother()) {
             ctx.close()
             return
         }
@@ -144,6 +143,8 @@
         if (isActive) release()
     }
 
+    private fun canCarryAnother(): Boolean = !carried.isFull && !decoder.hasUndecodedBytes && !decoder.isInputEnded
+
     /** Returns whether [head] is the response to a HEAD request in progress, and so has no body. */
     private fun answersHead(head: HttpResponse): Boolean {
         val exchange = current ?: return false
--- a/http/src/main/kotlin/org/agatestream/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientExchange.kt
@@ -74,7 +74,9 @@
 
     /** Returns whether the body is delimited only by the close of the connection. */
     private fun isDelimitedByClose(): Boolean =
-        !HttpUtil.isTransferEncodingChunked(response) && !HttpUtil.isContentLengthSet(response)
+        !isBodyless() && !HttpUtil.isTransferEncodingChunked(response) && !HttpUtil.isContentLengthSet(response)
+
+    private fun isBodyless(): Boolean = isHead || status in BODYLESS_STATUSES
 
     fun onHead(message: HttpResponse) {
         response = message
@@ -90,8 +92,8 @@
             return
         }
         if (bytes.isNotEmpty()) parts.trySend(BodyPart.Chunk(bytes))
-        if (content is LastHttpContent && connection.isReset && isDelimitedByClose()) {
-            onConnectionLost("the connection was reset")
+        if (content is LastHttpContent && isDelimitedByClose() && !connection.isEndedByServer) {
+            onConnectionLost("the connection was not closed in order")
         } else if (content is LastHttpContent) {
             isComplete = true
             // Releases the connection first, so that the reader's next request can reuse it.
@@ -128,4 +130,8 @@
     override fun close() {
         if (!isComplete) connection.close()
     }
+
+    private companion object {
+        val BODYLESS_STATUSES = setOf(204, 304)
+    }
 }
--- a/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
@@ -82,6 +82,8 @@
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout.inWholeMilliseconds.toInt())
             .option(ChannelOption.AUTO_READ, false)
+            // Tells an orderly close by the server from any other end, and delivers what came before it.
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.ALLOCATOR, loops.allocator)
             .handler(
--- a/http/src/main/kotlin/org/agatestream/http/ResponseDecoder.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ResponseDecoder.kt
@@ -1,9 +1,14 @@
 package org.agatestream.http
 
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 
+/** Follows the last message of a connection that the server has closed. */
+internal object EndOfInput
+
 /**
  * Decodes responses, of which those that [answersHead] selects have no body.
  *
@@ -15,6 +20,22 @@
     /** True if bytes have arrived after the last response that was decoded; they would be read with the next one. */
     val hasUndecodedBytes: Boolean get() = actualReadableBytes() > 0
 
+    /** True once the server has closed its side of the connection in order. */
+    var isInputEnded: Boolean = false
+        private set
+
+    override fun userEventTriggered(
+        ctx: ChannelHandlerContext,
+        evt: Any,
+    ) {
+        if (evt !is ChannelInputShutdownEvent) return super.userEventTriggered(ctx, evt)
+        isInputEnded = true
+        // Decodes the end of a body that the close delimits.
+        super.userEventTriggered(ctx, evt)
+        ctx.fireChannelRead(EndOfInput)
+        ctx.fireChannelReadComplete()
+    }
+
     override fun isContentAlwaysEmpty(msg: HttpMessage): Boolean =
         super.isContentAlwaysEmpty(msg) || (msg is HttpResponse && answersHead(msg))
 }
