Find the prompt parts that end backend servers

Requests with one prompt part ended each server that began to answer them, and nothing compared what the lost requests had in common, so each of them was sent to the next server.

CrashSuspects keeps, for each part but a prompt's last, the servers that ended before an answer began. An answer that begins clears a part, and a part on which answers begin all the time is not suspected. Three separate crashes condemn: one counts only if its run was sent after the crash before, so servers that end together are one event. The parts that explain most crashes are blamed. Suspected requests run one at a time and apart; others are not delayed.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatch.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatch.kt
@@ -35,6 +35,8 @@
     val queueDeadline: MonotonicTime,
     /** Servers that must not be chosen. */
     val excluded: Set<BackendServerId>,
+    /** The prompt parts that other requests may share, in order. */
+    val parts: List<PromptPart> = emptyList(),
 )
 
 /** The outcome of a run, as evidence of the health of its server. */
@@ -70,6 +72,9 @@
 
     /** The run was cancelled or interrupted, and can be resumed on another server. */
     INTERRUPTED,
+
+    /** The item was not run, as its prompt would end the server; it may run once the part is forgotten. */
+    WITHHELD,
 }
 
 /** A run in flight on a VM, as the VM reports it to the coordinator. */
@@ -83,6 +88,8 @@
     val hasBegun: Boolean = false,
     /** How long the run has waited for its first event; null if it was received or the response is not streamed. */
     val silentMillis: Long? = null,
+    /** The prompt parts that other requests may share, in order. */
+    val parts: List<PromptPart> = emptyList(),
 )
 
 /** Why a coordinator restricts the work that it assigns to a server. */
--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -19,7 +19,10 @@
     private var nextNumber: Long,
     /** Breaks ties between equally good servers, so that VMs that choose independently choose differently. */
     random: Random = Random.Default,
+    /** What this VM knows about prompt parts that end servers. */
+    private val suspects: CrashSuspects = CrashSuspects(),
 ) {
+    private val isolation = SuspectIsolation(suspects)
     private val servers = ServerPool(random)
     private val queuedRequests = ArrayList<PlaceRequest>()
     private val rates = WorkspaceRates()
@@ -121,6 +124,7 @@
     ): List<DispatchAction> {
         if (queuedRequests.removeAll { it.call == call }) return schedule(now)
         jobs.onReleased(call, now)
+        isolation.onReleased(call, hasBegun = firstEvent != null || outcome == RunOutcome.ANSWERED, now)
         val held = heldSlots.remove(call)
         if (held == null) {
             earlyReleases[call] = now
@@ -232,7 +236,7 @@
     public fun tick(now: MonotonicTime): List<DispatchAction> {
         val expired = queuedRequests.filter { now >= it.queueDeadline }
         queuedRequests.removeAll(expired.toSet())
-        val refusals = expired.map { refuse(it, ErrorKind.NO_CAPACITY, expectedWait(it.service)) }
+        val refusals = expired.map { refuse(it, ErrorKind.NO_CAPACITY, expectedWait(it.service, now)) }
         val expiredItems = jobs.expiredItems(now).map { DispatchAction.GiveUpItem(it, "kept_too_long") }
         earlyReleases.values.removeAll { now - it > EARLY_RELEASE_RETENTION }
         servers.all.forEach { it.expireOrphans(now) }
@@ -248,10 +252,13 @@
         request.meteredWorkspace?.let { rates.timeToToken(it, now) }?.let { wait ->
             return DispatchAction.Refuse(request.call, ErrorKind.RATE_EXCEEDED, wait)
         }
+        if (suspects.judge(request.parts, now) is PromptVerdict.Condemned) {
+            return DispatchAction.Refuse(request.call, ErrorKind.PROMPT_REFUSED, Duration.ZERO)
+        }
         if (servers.slots(request.service, request.excluded) == 0) {
             return DispatchAction.Refuse(request.call, ErrorKind.NO_CAPACITY, NO_SERVER_RETRY_AFTER)
         }
-        val wait = expectedWait(request.service)
+        val wait = expectedWait(request.service, now)
         if (now + wait >= request.queueDeadline) return DispatchAction.Refuse(request.call, ErrorKind.NO_CAPACITY, wait)
         return null
     }
@@ -266,10 +273,13 @@
     }
 
     /** Estimates how long a new request would wait for a slot. */
-    private fun expectedWait(service: ServiceId): Duration {
+    private fun expectedWait(
+        service: ServiceId,
+        now: MonotonicTime,
+    ): Duration {
         val slots = servers.slots(service)
         if (slots == 0) return NO_SERVER_RETRY_AFTER
-        val ahead = queuedRequests.count { it.service == service }
+        val ahead = queuedRequests.count { it.service == service && !isolation.mustWait(it.parts, now) }
         if (ahead == 0) return Duration.ZERO
         val runs = meanRunMillis[service] ?: DEFAULT_RUN_TIME.toDouble(DurationUnit.MILLISECONDS)
         return (ahead * runs / slots).milliseconds
@@ -294,8 +304,26 @@
                 .filter { it.service == service }
                 .sortedWith(compareBy({ now > it.latestStart }, { it.priority }))
         for (request in order) {
-            val load = servers.choose(service, request.excluded, now) ?: preemptItem(request, now, actions) ?: continue
+            val load =
+                when (suspects.judge(request.parts, now)) {
+                    is PromptVerdict.Clear -> {
+                        servers.choose(service, request.excluded, now, isolation.servers(now))
+                            ?: preemptItem(request, now, actions)
+                    }
+
+                    is PromptVerdict.Suspected -> {
+                        if (isolation.mustWait(request.parts, now)) continue
+                        servers.chooseIdlest(service, request.excluded + isolation.servers(now), now)
+                    }
+
+                    is PromptVerdict.Condemned -> {
+                        queuedRequests.remove(request)
+                        actions += refuse(request, ErrorKind.PROMPT_REFUSED, Duration.ZERO)
+                        null
+                    }
+                } ?: continue
             queuedRequests.remove(request)
+            isolation.onStarted(request.call, load.id, request.parts)
             occupySlot(request.call, load, isItem = false, now)
             actions += DispatchAction.Place(request.call, load.id)
         }
@@ -339,7 +367,7 @@
         val spareSlots = HashMap<ServiceId, Int>()
         for (load in servers.all) spareSlots.merge(load.server.entry.service, maxOf(0, load.free), Int::plus)
         for (service in spareSlots.keys.toList()) spareSlots.computeIfPresent(service) { _, n -> n - headroom(service) }
-        queuedRequests.forEach { spareSlots[it.service] = 0 }
+        queuedRequests.filter { !isolation.mustWait(it.parts, now) }.forEach { spareSlots[it.service] = 0 }
         if (spareSlots.values.all { it <= 0 }) return
         for ((ref, plan) in jobs.pendingItems(now).take(MAX_ITEMS_PER_PASS)) {
             val service = serviceOf(ref, plan)
@@ -348,7 +376,7 @@
                 continue
             }
             if ((spareSlots[service] ?: 0) <= 0) continue
-            val load = servers.choose(service, emptySet(), now) ?: continue
+            val load = servers.choose(service, emptySet(), now, isolation.servers(now)) ?: continue
             val call = CallId(chooseVm(ref), nextNumber++)
             spareSlots.merge(service, -1, Int::plus)
             occupySlot(call, load, isItem = true, now)
@@ -406,6 +434,8 @@
             val load = servers.find(running.server) ?: return
             occupySlot(call, load, running.item != null, now)
         }
+        isolation.onStarted(call, running.server, running.parts)
+        if (running.hasBegun) isolation.onBegun(call, now)
         // The job may have been loaded after the run was first reported.
         running.item?.let { jobs.onReported(it, call, now) }
         servers.find(running.server)?.onRunReport(running, call, now)
@@ -424,6 +454,7 @@
         call: CallId,
         now: MonotonicTime,
     ) {
+        isolation.onAbandoned(call)
         val held = heldSlots.remove(call) ?: return
         val load = servers.find(held.server) ?: return
         val isItem = jobs.itemOf(call) != null
@@ -435,6 +466,7 @@
         meanRunMillis[load.server.entry.service]?.milliseconds ?: DEFAULT_RUN_TIME
 
     private fun releaseSlot(call: CallId) {
+        isolation.onAbandoned(call)
         heldSlots.remove(call)?.let { servers.find(it.server) }?.remove(call)
     }
 
--- a/core/src/main/kotlin/org/agatestream/core/ErrorKind.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ErrorKind.kt
@@ -36,6 +36,8 @@
 ) {
     MALFORMED_REQUEST(400, "malformed_request", RunState.NOT_RUN, RetryAdvice.NEVER),
     INVALID_SETTING(400, "invalid_setting", RunState.NOT_RUN, RetryAdvice.NEVER),
+    PROMPT_REFUSED(400, "prompt_refused", RunState.NOT_RUN, RetryAdvice.NEVER),
+    PROMPT_FAILED(400, "prompt_failed", RunState.UNKNOWN, RetryAdvice.NEVER),
     DUPLICATE_ITEM(400, "duplicate_item", RunState.NOT_RUN, RetryAdvice.NEVER),
     UNKNOWN_KEY(401, "unknown_key", RunState.NOT_RUN, RetryAdvice.NEVER),
     KEY_WITHDRAWN(401, "key_withdrawn", RunState.UNKNOWN, RetryAdvice.NEVER),
--- a/core/src/main/kotlin/org/agatestream/core/Ids.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Ids.kt
@@ -101,3 +101,12 @@
 ) {
     override fun toString(): String = value
 }
+
+/** Identifies a part of a prompt that several requests may share. */
+@Serializable
+@JvmInline
+public value class PromptPart(
+    public val value: String,
+) {
+    override fun toString(): String = value
+}
--- a/core/src/main/kotlin/org/agatestream/core/JobTracker.kt
+++ b/core/src/main/kotlin/org/agatestream/core/JobTracker.kt
@@ -228,6 +228,10 @@
             ItemOutcome.INTERRUPTED -> {
                 if (!isSuperseded) item.progress = Progress.Waiting(now)
             }
+
+            ItemOutcome.WITHHELD -> {
+                if (!isSuperseded) item.progress = Progress.Waiting(now + WITHHELD_DELAY)
+            }
         }
         return item.failures
     }
@@ -371,5 +375,8 @@
 
         // A failed item may run at another server at once; the delay keeps an item that always fails from looping.
         val RETRY_DELAY: Duration = 50.milliseconds
+
+        // A sixth of the time for which a condemned prompt part is kept without requests.
+        val WITHHELD_DELAY: Duration = 10.seconds
     }
 }
--- a/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
@@ -46,19 +46,37 @@
         now: MonotonicTime,
     ): Boolean = load.mayStart(coldRate(load), now)
 
-    /** Returns the server with the most free slots, a slow one only if there is no other; null if none is available. */
+    /**
+     * Returns the server with the most free slots, a slow one only if there is no other; null if none is available.
+     *
+     * Servers in [atRisk] are chosen only if there is no other.
+     */
     fun choose(
         service: ServiceId,
         excluded: Set<BackendServerId>,
         now: MonotonicTime,
+        atRisk: Set<BackendServerId> = emptySet(),
     ): ServerLoad? {
         val available = forService(service).filter { it.id !in excluded && mayStart(it, now) }
         if (available.isEmpty()) return null
         val median = available.map { it.firstEventMillis }.sorted()[available.size / 2]
         val threshold = maxOf(median * SLOW_FACTOR, MIN_SLOW_MILLIS)
-        return available.shuffled(random).minWith(compareBy({ it.firstEventMillis > threshold }, { -it.free }))
+        return available.shuffled(random).minWith(
+            compareBy({ it.id in atRisk }, { it.firstEventMillis > threshold }, { -it.free }),
+        )
     }
 
+    /** Returns the server with the fewest runs; null if none is available. */
+    fun chooseIdlest(
+        service: ServiceId,
+        excluded: Set<BackendServerId>,
+        now: MonotonicTime,
+    ): ServerLoad? =
+        forService(service)
+            .filter { it.id !in excluded && mayStart(it, now) }
+            .shuffled(random)
+            .minByOrNull { it.running }
+
     private fun coldRate(load: ServerLoad): Double {
         val rate = manifest?.services?.get(load.server.entry.service)?.coldRatePerSecond ?: 0.0
         return rate * share
