Refuse requests whose prompt would end a backend server

A VM that loses a run before its answer began looks whether the server refuses a new connection or has another entry; a broken connection alone says nothing. The facts go with placements and releases to the coordinator, and with status reports and their responses to all VMs, which keep them when the coordinator ends. A request with a condemned part is refused where it arrives with prompt_refused (400, not run); one that was lost before gets prompt_failed (400, unknown). An item with such a part waits until its retention ends, and the job's other items run.

--- a/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
@@ -2,13 +2,16 @@
 
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.flow.FlowControlHandler
 import kotlinx.coroutines.CancellationException
+import java.net.ConnectException
 import java.net.InetSocketAddress
 import java.util.ArrayDeque
 import java.util.concurrent.ConcurrentHashMap
@@ -100,11 +103,22 @@
         return connection.exchange(request) { release(request.address, channel) }
     }
 
-    private suspend fun connect(address: String): Channel? {
-        val target = parseAddress(address)
-        val future = bootstrap.connect(target)
+    /** Returns whether nothing listens at [address]; false if it can't be told within the timeout of a connection. */
+    public suspend fun isRefused(address: String): Boolean {
+        val future = connectFuture(address)
+        if (future.isSuccess) future.channel().close()
+        return future.cause() is ConnectException && future.cause() !is ConnectTimeoutException
+    }
+
+    private suspend fun connect(address: String): Channel? =
+        connectFuture(address).let { if (it.isSuccess) it.channel() else null }
+
+    /** Returns the completed attempt to connect to [address]. */
+    private suspend fun connectFuture(address: String): ChannelFuture {
+        val future = bootstrap.connect(parseAddress(address))
         try {
-            return if (future.awaitDone()) future.channel() else null
+            future.awaitDone()
+            return future
         } catch (e: CancellationException) {
             future.addListener { future.channel().close() }
             throw e
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -32,6 +32,7 @@
     term: CoordinatorTerm,
     private val network: PeerTransport,
     private val view: PlatformView,
+    private val parts: PromptPartWatch,
     private val scope: CoroutineScope,
     private val runItem: (RunItemRequest) -> Unit,
     private val stopItem: (StopItemRequest) -> Unit,
@@ -55,7 +56,7 @@
         val since: MonotonicTime,
     )
 
-    val dispatcher = Dispatcher(nextNumber = term.firstRunNumber, random = kotlin.random.Random.Default)
+    val dispatcher = Dispatcher(nextNumber = term.firstRunNumber, suspects = parts.suspects)
     private val followers = LinkedHashMap<VmId, Follower>()
     private val silentVms = HashMap<String, SilentVm>()
     private val markedSilent = HashSet<String>()
@@ -120,6 +121,7 @@
         request: PlaceSlotRequest,
         now: MonotonicTime,
     ): PlaceDecision {
+        parts.merge(request.facts, now)
         val call = CallId(from, request.number)
         val immediate = CompletableDeferred<PlaceDecision>()
         pendingPlacements[call] = immediate
@@ -132,6 +134,7 @@
                 latestStart = now + request.onTimeMillis.milliseconds,
                 queueDeadline = now + request.giveUpMillis.milliseconds,
                 excluded = request.excluded,
+                parts = request.parts,
             )
         execute(dispatcher.place(placeRequest, now))
         pendingPlacements.remove(call)
@@ -143,6 +146,7 @@
         request: ReleaseSlotRequest,
         now: MonotonicTime,
     ) {
+        parts.merge(request.facts, now)
         val call = CallId(from, request.number)
         execute(dispatcher.release(call, request.outcome, request.firstEventMillis?.milliseconds, now))
     }
@@ -190,7 +194,7 @@
         val snapshot =
             if (report.isStoreReachable) null else view.snapshotSince(report.operatorVersion, report.serverVersion)
         val list = liveVms.takeIf { report.liveVersion != liveVersion }
-        return StatusResponse(list, liveVersion, isResigning, snapshot)
+        return StatusResponse(list, liveVersion, isResigning, snapshot, parts.answer(report.parts, now))
     }
 
     private fun tick(now: MonotonicTime) {
--- a/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
@@ -32,6 +32,7 @@
     private val network: PeerTransport,
     private val view: PlatformView,
     private val status: () -> StatusReport,
+    private val parts: PromptPartWatch,
     private val random: Random,
     private val scope: CoroutineScope,
     private val onCoordinatorChanged: (VmId?) -> Unit,
@@ -182,7 +183,8 @@
         coordinator: VmId,
         now: MonotonicTime,
     ) {
-        val answer = network.call(coordinator, status(), REPORT_TIMEOUT)
+        val report = status()
+        val answer = network.call(coordinator, report, REPORT_TIMEOUT)
         if (record?.vm != coordinator) return
         if (answer is StatusResponse) {
             if (unreachableSince != null || lastHeardAt == null) {
@@ -192,6 +194,7 @@
             lastHeardAt = MonotonicTime.now()
             isResigning = answer.isResigning
             answer.live?.let { updateLiveVms(it, answer.liveVersion) }
+            parts.onAnswered(report.parts, answer.parts, MonotonicTime.now())
             answer.snapshot?.let { view.applySnapshot(it, MonotonicTime.now()) }
         } else {
             markCoordinatorSilent(coordinator, if (answer == null) "report_unanswered" else "not_coordinator", now)
@@ -340,6 +343,7 @@
         lastHeardAt = null
         isResigning = false
         liveVersion = 0
+        parts.onCoordinatorChanged()
         EventLog.info("coordinator_named", "coordinator" to next?.vm, "version" to version)
         updatePeerAddresses()
         onCoordinatorChanged(next?.vm)
--- a/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
@@ -9,6 +9,8 @@
 import org.agatestream.core.FailureDomainId
 import org.agatestream.core.ItemOutcome
 import org.agatestream.core.ItemRef
+import org.agatestream.core.PartFacts
+import org.agatestream.core.PromptPart
 import org.agatestream.core.RunOutcome
 import org.agatestream.core.RunningCall
 import org.agatestream.core.ServiceId
@@ -29,6 +31,10 @@
     /** The time left until a request without a slot is refused, in milliseconds. */
     val giveUpMillis: Long,
     val excluded: Set<BackendServerId>,
+    /** The prompt parts that other requests may share, in order. */
+    val parts: List<PromptPart> = emptyList(),
+    /** What the sender knows about servers that ended on these parts. */
+    val facts: List<PartFacts> = emptyList(),
 ) : PeerRequest
 
 /** The coordinator's decision on a [PlaceSlotRequest]; sent later as a [DecisionNotice] if the request was queued. */
@@ -74,6 +80,8 @@
     val number: Long,
     val outcome: RunOutcome,
     val firstEventMillis: Long?,
+    /** What the sender knows about servers that ended on the parts of the run. */
+    val facts: List<PartFacts> = emptyList(),
 ) : PeerRequest
 
 /** Tells a VM to run an item. */
@@ -142,6 +150,7 @@
     val serverVersion: Long,
     /** The version of the list of live VMs that this VM has from this coordinator; 0 if it has none. */
     val liveVersion: Long,
+    val parts: PartReport,
 ) : PeerRequest
 
 /** The coordinator's response to a [StatusReport]. */
@@ -156,6 +165,7 @@
     /** Newer rows for a reporting VM that does not reach the store; null if it is up to date. */
     @SerialName("news")
     val snapshot: PlatformSnapshot?,
+    val parts: PartReport,
 ) : PeerResponse
 
 /** A VM that serves callers. */
--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -13,6 +13,7 @@
 import org.agatestream.core.ItemRef
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.Outcome
+import org.agatestream.core.PromptVerdict
 import org.agatestream.core.RunOutcome
 import org.agatestream.core.RunningCall
 import org.agatestream.core.WorkspaceId
@@ -24,6 +25,7 @@
 import org.agatestream.platform.BackendCall
 import org.agatestream.platform.BackendProtocol
 import org.agatestream.platform.BackendReply
+import org.agatestream.platform.PromptHeader
 import org.agatestream.platform.SubmittedItem
 import kotlin.coroutines.coroutineContext
 import kotlin.time.Duration
@@ -35,6 +37,7 @@
     private val view: PlatformView,
     private val jobs: JobStore,
     private val client: HttpClient,
+    private val parts: PromptPartWatch,
     private val scope: CoroutineScope,
     private val report: (ItemReport) -> Unit,
     private val buffers: BufferBudget,
@@ -132,7 +135,7 @@
             end =
                 exchange(request) {
                     firstEvent = MonotonicTime.now() - startedAt
-                    slots.onFirstEvent(request.number)
+                    slots.onFirstEvent(request.number, MonotonicTime.now())
                 }
             outcome = end.outcome
         } finally {
@@ -176,6 +179,10 @@
                 report(ItemReport(request.number, request.item, ItemOutcome.FAILED))
             }
 
+            is ItemEnd.Withheld -> {
+                report(ItemReport(request.number, request.item, ItemOutcome.WITHHELD))
+            }
+
             is ItemEnd.Interrupted -> {
                 report(ItemReport(request.number, request.item, ItemOutcome.INTERRUPTED, output?.toPartial()))
             }
@@ -210,17 +217,24 @@
                 is Outcome.Ok -> row.value.host
                 is Outcome.Failed -> return ItemEnd.Interrupted("job_unavailable")
             }
+        val shared = PromptHeader.sharedParts(item.headers)
+        val sentAt = MonotonicTime.now()
+        if (parts.judge(shared, sentAt) is PromptVerdict.Condemned) return ItemEnd.Withheld
+        slots.onItemParts(request.number, shared)
         val output = outputs.getOrPut(request.item) { Output() }
         request.partial?.let { output.mergeFrom(it) }
         val call = toBackendCall(item, host, request.workspace)
         val spec = BackendProtocol.request(call, server.id, server.address, RUN_TIMEOUT, output.lastEvent)
         val result = withTimeoutOrNull(IDLE_TIMEOUT) { client.exchange(spec) }
-        return when (result) {
-            null -> ItemEnd.Interrupted("silent", RunOutcome.LOST)
-            is ExchangeResult.NotSent -> ItemEnd.Interrupted(result.reason, RunOutcome.UNREACHABLE)
-            is ExchangeResult.Lost -> ItemEnd.Interrupted(result.reason, RunOutcome.LOST)
-            is ExchangeResult.Answered -> readResponse(result.response, output, onFirst)
-        }
+        val end =
+            when (result) {
+                null -> ItemEnd.Interrupted("silent", RunOutcome.LOST)
+                is ExchangeResult.NotSent -> ItemEnd.Interrupted(result.reason, RunOutcome.UNREACHABLE)
+                is ExchangeResult.Lost -> ItemEnd.Interrupted(result.reason, RunOutcome.LOST)
+                is ExchangeResult.Answered -> readResponse(result.response, output, onFirst)
+            }
+        if (end.outcome == RunOutcome.LOST) slots.onLost(request.number, server, sentAt)
+        return end
     }
 
     private fun toBackendCall(
@@ -349,6 +363,12 @@
             override val outcome: RunOutcome get() = RunOutcome.ANSWERED
         }
 
+        /** The item was not run, as its prompt would end the server. */
+        data object Withheld : ItemEnd {
+            override val detail: String get() = "prompt_refused"
+            override val outcome: RunOutcome get() = RunOutcome.STOPPED
+        }
+
         data class Interrupted(
             override val detail: String,
             override val outcome: RunOutcome = RunOutcome.STOPPED,
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -49,6 +49,7 @@
             relays = { membership.storeRelayCandidates() },
         )
     private val jobStore = JobStore(relay, config.rowBytes)
+    private val parts = PromptPartWatch(view, client::isRefused)
     private val roster = VmRoster(config, self, store)
     private val membership: FleetMembership =
         FleetMembership(
@@ -58,14 +59,15 @@
             network = network,
             view = view,
             status = ::status,
+            parts = parts,
             random = Random.Default,
             scope = scope,
             onCoordinatorChanged = ::onCoordinatorChanged,
             onLocalStatus = { role?.onStatusReport(self, it, MonotonicTime.now()) },
         )
     private val slots: SlotAllocator =
-        SlotAllocator(self, network, view, scope, membership, { role })
-    private val itemExecutor = ItemExecutor(slots, view, jobStore, client, scope, ::sendItemReport, buffers)
+        SlotAllocator(self, network, view, scope, membership, parts, { role })
+    private val itemExecutor = ItemExecutor(slots, view, jobStore, client, parts, scope, ::sendItemReport, buffers)
     private val entryTtl = minOf(DEFAULT_ENTRY_TTL, config.entryTtlMaxSeconds.seconds)
     private val shutdown = gracefulShutdown()
     private val routes =
@@ -73,7 +75,7 @@
             config = config,
             view = view,
             membership = membership,
-            forwarder = RouteForwarder(slots, client, metrics, buffers),
+            forwarder = RouteForwarder(slots, client, parts, metrics, buffers),
             jobs = JobCalls(self, jobStore),
             shutdown = shutdown,
             entryTtl = entryTtl,
@@ -95,6 +97,7 @@
         startMetrics()
         scope.launch {
             view.start(this@PlatformVm.scope)
+            parts.start(this@PlatformVm.scope)
             membership.start()
         }
         EventLog.info(
@@ -123,6 +126,8 @@
         metrics.gauge("agatestream.dispatch.orphaned") { role?.dispatcher?.orphanedRuns ?: 0 }
         metrics.gauge("agatestream.dispatch.doubted") { role?.dispatcher?.suspectedServers?.size ?: 0 }
         metrics.gauge("agatestream.dispatch.jobs") { role?.dispatcher?.openJobs ?: 0 }
+        metrics.gauge("agatestream.prompt.parts.condemned") { parts.suspects.condemned.size }
+        metrics.gauge("agatestream.prompt.parts.suspected") { parts.suspects.suspectedCount }
         metrics.gauge("agatestream.manifest.version") { view.manifest?.version ?: 0 }
         val address = config.metricsAddress ?: return
         try {
@@ -197,6 +202,7 @@
             operatorVersion = view.operatorVersion,
             serverVersion = view.serverVersion,
             liveVersion = membership.liveVersion,
+            parts = parts.report(MonotonicTime.now()),
         )
 
     private fun sendItemReport(report: ItemReport) {
@@ -239,6 +245,7 @@
                 term = membership.coordinatorTerm,
                 network = network,
                 view = view,
+                parts = parts,
                 scope = scope,
                 runItem = itemExecutor::start,
                 stopItem = itemExecutor::stop,
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -8,6 +8,7 @@
 import org.agatestream.core.Failure
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.Outcome
+import org.agatestream.core.PromptVerdict
 import org.agatestream.core.RouteKind
 import org.agatestream.core.RunOutcome
 import org.agatestream.core.VmId
@@ -24,6 +25,7 @@
 import org.agatestream.platform.BackendProtocol
 import org.agatestream.platform.BackendReply
 import org.agatestream.platform.CallerProtocol
+import org.agatestream.platform.PromptHeader
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -32,6 +34,7 @@
 internal class RouteForwarder(
     private val slots: SlotAllocator,
     private val client: HttpClient,
+    private val parts: PromptPartWatch,
     private val metrics: VmMetrics,
     private val buffers: BufferBudget,
 ) {
@@ -70,6 +73,7 @@
         private val endAt = arrivedAt + minOf(callerTimeout, route.timeout)
         private val isStream = route.kind == RouteKind.STREAM
         private val service = route.chooseService(request.id.hashCode())
+        private val promptParts = PromptHeader.sharedParts(request.headers)
         private val excludedServers = HashSet<BackendServerId>()
         private var meteredWorkspace = admission.workspace?.id
         private var runs = 0
@@ -77,10 +81,12 @@
         private var writer: BodyWriter? = null
         private var lastEvent: Long? = CallerProtocol.lastEvent(call)
         private var failure: Failure? = null
+        private var isPromptRefused = false
         private var slotAfter: Duration? = null
         private var firstEventAfter: Duration? = null
 
         suspend fun run() {
+            if (isCondemned()) return refuse(CONDEMNED)
             while (true) {
                 val slot =
                     when (val placement = slots.acquire(requirements(), excludedServers)) {
@@ -106,12 +112,15 @@
                         runs++
                         log("lost", slot, end.reason)
                         failure = Failure(ErrorKind.BACKEND_FAILED, end.reason)
+                        if (isCondemned()) return fail(end.reason)
                         if (!canRetry()) return fail(end.reason)
                     }
                 }
             }
         }
 
+        private fun isCondemned(): Boolean = parts.judge(promptParts, MonotonicTime.now()) is PromptVerdict.Condemned
+
         private fun requirements(): SlotRequirements {
             val now = MonotonicTime.now()
             val queueDeadline = arrivedAt + minOf(callerTimeout, route.timeout) * QUEUE_TIMEOUT_SHARE
@@ -121,6 +130,7 @@
                 priority = admission.priority,
                 latestStart = arrivedAt + route.latencyTarget - FIRST_EVENT_RESERVE,
                 queueDeadline = maxOf(queueDeadline, now + 1.milliseconds),
+                parts = promptParts,
             )
         }
 
@@ -142,10 +152,12 @@
                             val now = MonotonicTime.now()
                             firstEvent = now - sentAt
                             if (firstEventAfter == null) firstEventAfter = now - arrivedAt
-                            slots.onFirstEvent(slot.number)
+                            slots.onFirstEvent(slot.number, now)
                         }
                     }
                 outcome = end?.outcome ?: RunOutcome.LOST
+                // Before the release, so that no other request with the same parts is placed meanwhile.
+                if (end is Attempt.Lost) slots.onLost(slot.number, slot.server, sentAt)
                 return end ?: Attempt.Lost("timeout")
             } finally {
                 slots.release(slot, outcome, firstEvent)
@@ -287,6 +299,7 @@
             reason: Failure,
             decidedBy: VmId? = null,
         ) {
+            isPromptRefused = reason.kind == ErrorKind.PROMPT_REFUSED
             if (writer != null || runs > 0) return fail(reason.message)
             log("refused", null, reason.kind.code, decidedBy)
             call.respondNotServed(reason)
@@ -298,13 +311,17 @@
             if (writer != null) {
                 writer.abort()
             } else {
-                val isLate = MonotonicTime.now() >= endAt
-                call.respondNotServed(
-                    Failure(if (isLate) ErrorKind.DEADLINE_EXCEEDED else ErrorKind.BACKEND_FAILED, reason),
-                )
+                call.respondNotServed(Failure(failureKind(), reason))
             }
         }
 
+        private fun failureKind(): ErrorKind =
+            when {
+                MonotonicTime.now() >= endAt -> ErrorKind.DEADLINE_EXCEEDED
+                isPromptRefused || isCondemned() -> ErrorKind.PROMPT_FAILED
+                else -> ErrorKind.BACKEND_FAILED
+            }
+
         private fun log(
             outcome: String,
             slot: Slot?,
@@ -370,6 +387,7 @@
         // The longest runs take 1.2 s of a caller's 5 s timeout, so a request that starts later would miss it.
         const val QUEUE_TIMEOUT_SHARE = 0.74
         val MISSING_ID = Failure(ErrorKind.MALFORMED_REQUEST, "the request has no id")
+        val CONDEMNED = Failure(ErrorKind.PROMPT_REFUSED, "servers end on a part of the prompt")
         val NO_CAPACITY = Failure(ErrorKind.NO_CAPACITY, "every server refused the request", 1.seconds)
     }
 }
--- a/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
+++ b/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
@@ -12,6 +12,7 @@
 import org.agatestream.core.Failure
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.PlaceRequest
+import org.agatestream.core.PromptPart
 import org.agatestream.core.RunOutcome
 import org.agatestream.core.RunningCall
 import org.agatestream.core.ServerEntry
@@ -32,6 +33,8 @@
     val latestStart: MonotonicTime,
     /** When the request is refused if it has no slot. */
     val queueDeadline: MonotonicTime,
+    /** The prompt parts that other requests may share, in order. */
+    val parts: List<PromptPart>,
 )
 
 /** Permission to run one request at [server]; the holder must release it. */
@@ -70,6 +73,7 @@
     private val view: PlatformView,
     private val scope: CoroutineScope,
     private val membership: FleetMembership,
+    private val parts: PromptPartWatch,
     private val role: () -> CoordinatorRole?,
 ) {
     private val pendingDecisions = HashMap<Long, CompletableDeferred<PlaceDecision>>()
@@ -77,7 +81,7 @@
 
     // Run number to the time when it was sent, for runs without a first event.
     private val awaitingFirstEvent = HashMap<Long, MonotonicTime>()
-    private val localDispatcher = Dispatcher(nextNumber = 0)
+    private val localDispatcher = Dispatcher(nextNumber = 0, suspects = parts.suspects)
     private var nextNumber = 1L
 
     /** Returns the runs in flight at this VM, with the time that each has waited for its first event at [now]. */
@@ -95,9 +99,31 @@
     }
 
     /** Records the first event of a run. */
-    fun onFirstEvent(number: Long) {
+    fun onFirstEvent(
+        number: Long,
+        now: MonotonicTime,
+    ) {
         awaitingFirstEvent -= number
-        runs.computeIfPresent(number) { _, call -> call.copy(hasBegun = true) }
+        val run = runs[number] ?: return
+        runs[number] = run.copy(hasBegun = true)
+        parts.onSoundStart(run.parts, now)
+    }
+
+    /** Looks for the reason why the run, sent to [server] at [sentAt], was lost. */
+    suspend fun onLost(
+        number: Long,
+        server: ServerEntry,
+        sentAt: MonotonicTime,
+    ) {
+        runs[number]?.let { parts.onLost(it, server, sentAt) }
+    }
+
+    /** Records the prompt parts of an item's run. */
+    fun onItemParts(
+        number: Long,
+        shared: List<PromptPart>,
+    ) {
+        runs.computeIfPresent(number) { _, call -> call.copy(parts = shared) }
     }
 
     /** Applies a change of the manifest or of the servers to the local dispatcher. */
@@ -139,11 +165,11 @@
                     meteredWorkspace = null
                     val server = view.registry.usable(decision.server)?.entry
                     if (server != null && server.service == requirements.service) {
-                        runs[number] = RunningCall(number, server.id)
+                        runs[number] = RunningCall(number, server.id, parts = requirements.parts)
                         return Placement.Granted(Slot(number, server, coordinator, decided.decidedBy))
                     }
                     // This VM and the coordinator disagree on the server, as one has older data; it must not be used.
-                    sendRelease(coordinator, number, RunOutcome.STOPPED, null)
+                    sendRelease(coordinator, number, RunOutcome.STOPPED, null, emptyList())
                     excludedServers += decision.server
                 }
 
@@ -168,10 +194,8 @@
         outcome: RunOutcome,
         firstEvent: Duration?,
     ) {
-        runs -= slot.number
-        awaitingFirstEvent -= slot.number
         localDispatcher.release(CallId(self, slot.number), outcome, firstEvent, MonotonicTime.now())
-        sendRelease(slot.coordinator, slot.number, outcome, firstEvent)
+        sendRelease(slot.coordinator, slot.number, outcome, firstEvent, removeRun(slot.number, outcome))
     }
 
     /** Releases the slot of an item's run. */
@@ -180,9 +204,18 @@
         outcome: RunOutcome,
         firstEvent: Duration?,
     ) {
-        runs -= number
+        sendRelease(membership.reachableCoordinator(), number, outcome, firstEvent, removeRun(number, outcome))
+    }
+
+    /** Removes a run that ended and returns its prompt parts. */
+    private fun removeRun(
+        number: Long,
+        outcome: RunOutcome,
+    ): List<PromptPart> {
         awaitingFirstEvent -= number
-        sendRelease(membership.reachableCoordinator(), number, outcome, firstEvent)
+        val shared = runs.remove(number)?.parts.orEmpty()
+        if (outcome == RunOutcome.ANSWERED) parts.onSoundStart(shared, MonotonicTime.now())
+        return shared
     }
 
     private suspend fun decide(
@@ -206,6 +239,8 @@
                     onTimeMillis = (requirements.latestStart - now).inWholeMilliseconds,
                     giveUpMillis = (requirements.queueDeadline - now).inWholeMilliseconds,
                     excluded = excludedServers,
+                    parts = requirements.parts,
+                    facts = parts.factsOn(requirements.parts, now),
                 )
             val immediate = requestSlot(coordinator, request, now)
             val decision =
@@ -229,7 +264,7 @@
             return AttributedDecision(decision ?: PlaceDecision.Queued, decidedBy)
         } finally {
             pendingDecisions -= number
-            if (!isFinal) sendRelease(coordinator, number, RunOutcome.STOPPED, null)
+            if (!isFinal) sendRelease(coordinator, number, RunOutcome.STOPPED, null, emptyList())
         }
     }
 
@@ -267,6 +302,7 @@
                 latestStart = requirements.latestStart,
                 queueDeadline = now + LOCAL_QUEUE_TIME,
                 excluded = excludedServers,
+                parts = requirements.parts,
             )
         val actions = localDispatcher.place(request, now) + localDispatcher.tick(now + LOCAL_QUEUE_TIME)
         for (action in actions) {
@@ -283,9 +319,11 @@
         number: Long,
         outcome: RunOutcome,
         firstEvent: Duration?,
+        shared: List<PromptPart>,
     ) {
         if (to == null) return
-        val request = ReleaseSlotRequest(number, outcome, firstEvent?.inWholeMilliseconds)
+        val facts = parts.factsOn(shared, MonotonicTime.now())
+        val request = ReleaseSlotRequest(number, outcome, firstEvent?.inWholeMilliseconds, facts)
         val own = role()
         if (to == self) {
             own?.release(self, request, MonotonicTime.now())
--- a/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
@@ -1,9 +1,11 @@
 package org.agatestream.standin
 
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import org.agatestream.http.BodyWriter
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicReference
+import kotlin.concurrent.thread
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -17,13 +19,18 @@
 
     /** The request is refused as not run, and the body of the refusal goes on until the caller closes. */
     ENDLESS_REFUSAL,
+
+    /** The connection is closed without an answer, and the server goes on. */
+    RESET,
 }
 
 /** A test backend server of the users' platform that responds with a stream of events. */
 internal class PlatformServerStandIn(
-    private val id: String,
+    val id: String,
     private val events: Int = 5,
     private val interval: Duration = 5.milliseconds,
+    /** The prompt part on which this server ends when it begins to answer; null for none. */
+    private val deadlyPart: String? = null,
 ) : AutoCloseable {
     private val server = StandInServer(::handle)
 
@@ -51,7 +58,9 @@
         }
         val fault = nextFault.getAndSet(null)
         if (fault == PlatformServerFault.ENDLESS_REFUSAL) return refuseWithoutEnd(call)
+        if (fault == PlatformServerFault.RESET) call.dropConnection()
         requests += call.httpCall.headers()
+        if (deadlyPart != null && deadlyPart in call.header("x-agatestream-prompt-prefix").orEmpty()) end()
         val first = (call.header("last-event-id")?.toIntOrNull() ?: -1) + 1
         val headers = mapOf("x-agatestream-attempt-id" to requestId, "x-agatestream-response-signature" to "signed")
         val writer = call.httpCall.startStream(STATUS_OK, "text/event-stream", headers)
@@ -63,6 +72,14 @@
         writer.finish()
     }
 
+    /** Ends the server with all its connections, as the end of its process does. */
+    private suspend fun end(): Nothing {
+        delay(interval)
+        // Not on a thread of the server, which the end waits for.
+        thread { close() }
+        awaitCancellation()
+    }
+
     private suspend fun refuseWithoutEnd(call: StandInCall) {
         val headers = mapOf("x-agatestream-not-executed" to "1")
         call.httpCall.startStream(STATUS_UNAVAILABLE, "text/plain", headers).writeCommentsWithoutEnd()
@@ -78,7 +95,7 @@
                 writeEventWithoutEnd()
             }
 
-            PlatformServerFault.ENDLESS_REFUSAL, null -> {}
+            PlatformServerFault.ENDLESS_REFUSAL, PlatformServerFault.RESET, null -> {}
         }
     }
 
--- /dev/null
+++ b/standins/src/test/kotlin/org/agatestream/standin/PlatformFleet.kt
@@ -0,0 +1,115 @@
+package org.agatestream.standin
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.withTimeout
+import org.agatestream.core.FailureDomainId
+import org.agatestream.core.Outcome
+import org.agatestream.http.EventLoops
+import org.agatestream.http.ExchangeResult
+import org.agatestream.http.HttpClient
+import org.agatestream.http.HttpRequestSpec
+import org.agatestream.http.readBody
+import org.agatestream.server.PlatformVm
+import org.agatestream.server.PlatformVmConfig
+import kotlin.time.Duration.Companion.seconds
+
+internal val FLEET_TIMEOUT = 10.seconds
+private const val MANIFEST =
+    """{"Version":1,"Routes":[
+    {"Name":"ask","Hostname":"h.example","Prefix":"/ask/","Type":"stream","Service":"s","SloMs":300,"TimeoutMs":5000,
+     "Resumable":true,"MaxAttempts":2},
+    {"Name":"lot","Hostname":"h.example","Prefix":"/lot/","Type":"batch","Service":"s","CompletionTargetMs":9000,
+     "KeepS":60,"MaxAttempts":3}],
+    "Services":[{"Name":"s"}],"Tenants":[{"Name":"team","ApiKeys":["secret-key"]}]}"""
+
+internal val CHANGED_MANIFEST =
+    MANIFEST.replace("\"Version\":1", "\"Version\":2").replace("\"/ask/\"", "\"/later/\"")
+
+/** VMs, a store and backend servers; the first VM coordinates, and the store can refuse the [restricted] VMs. */
+internal class PlatformFleet(
+    names: List<String> = listOf("a", "b"),
+    private val restricted: Set<String> = emptySet(),
+    val servers: List<PlatformServerStandIn> = listOf(PlatformServerStandIn("i-1")),
+) : AutoCloseable {
+    val store = RowStoreStandIn()
+    val server = servers.first()
+    private val loops = EventLoops(1)
+    private val client = HttpClient(loops)
+    private val storeAddress = "127.0.0.1:${store.listen(0)}"
+    private val restrictedAddress = "127.0.0.1:${store.listenRestricted(0)}"
+    private val configs = names.map { configOf(it) }
+    val vms = configs.map { PlatformVm(it, "secret".encodeToByteArray()) }
+
+    suspend fun start() {
+        store.put("op", "config", MANIFEST)
+        for (server in servers) {
+            val address = "127.0.0.1:${server.listen(0)}"
+            store.put(
+                "servers",
+                server.id,
+                """{"Service":"s","Address":"$address","Zone":"d","Slots":4,"State":"ready"}""",
+            )
+        }
+        vms.first().start()
+        eventually(FLEET_TIMEOUT) { store.valueOf("fleet", "coordinator").shouldNotBeNull() }
+        vms.drop(1).forEach { it.start() }
+        for (vm in configs.indices) eventually(FLEET_TIMEOUT) { send(vm, "GET", "/ask/1").first shouldBe 200 }
+    }
+
+    /** Sends a request to the VM with index [vm] and returns status and body; the status is 0 without a response. */
+    suspend fun send(
+        vm: Int,
+        method: String,
+        target: String,
+        key: String? = "secret-key",
+        id: String = "r1",
+        body: String = "",
+        headers: List<Pair<String, String>> = emptyList(),
+    ): Pair<Int, String> =
+        withTimeout(FLEET_TIMEOUT) {
+            val usual = listOf("host" to "h.example", "x-agatestream-attempt-id" to id, "x-custom" to "kept")
+            val all = usual + headers + listOfNotNull(key?.let { "api-key" to it })
+            val spec = HttpRequestSpec(configs[vm].callerAddress, method, target, all, body.encodeToByteArray())
+            when (val result = client.exchange(spec)) {
+                is ExchangeResult.Answered -> {
+                    val content = (result.response.readBody(1_000_000) as? Outcome.Ok)?.value
+                    (if (content == null) 0 else result.response.status) to content?.decodeToString().orEmpty()
+                }
+
+                is ExchangeResult.NotSent, is ExchangeResult.Lost -> {
+                    0 to ""
+                }
+            }
+        }
+
+    override fun close() {
+        store.close()
+        servers.forEach { it.close() }
+        loops.close()
+    }
+
+    private fun configOf(name: String): PlatformVmConfig =
+        PlatformVmConfig(
+            name = name,
+            failureDomain = FailureDomainId("d"),
+            callerAddress = FreePorts.nextAddress(),
+            entryAddress = FreePorts.nextAddress(),
+            readyAddress = FreePorts.nextAddress(),
+            peerAddress = FreePorts.nextAddress(),
+            storeAddress = if (name in restricted) restrictedAddress else storeAddress,
+            rowBytes = 65_536,
+            shutdownGraceSeconds = 3.0,
+            entryTtlMaxSeconds = 0.1,
+            resultsKeptSeconds = 120.0,
+        )
+}
+
+internal suspend fun withFleet(block: suspend (PlatformFleet) -> Unit) {
+    PlatformFleet().use {
+        it.start()
+        block(it)
+        it.vms.forEach { vm -> vm.stop() }
+    }
+}
--- a/standins/src/test/kotlin/org/agatestream/standin/PlatformVmTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/PlatformVmTest.kt
@@ -4,121 +4,16 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import io.kotest.matchers.comparables.shouldBeLessThan
-import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.withTimeout
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
-import org.agatestream.core.FailureDomainId
-import org.agatestream.core.Outcome
-import org.agatestream.http.EventLoops
-import org.agatestream.http.ExchangeResult
-import org.agatestream.http.HttpClient
-import org.agatestream.http.HttpRequestSpec
-import org.agatestream.http.readBody
-import org.agatestream.server.PlatformVm
-import org.agatestream.server.PlatformVmConfig
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
-private val TIMEOUT = 10.seconds
-private const val MANIFEST =
-    """{"Version":1,"Routes":[
-    {"Name":"ask","Hostname":"h.example","Prefix":"/ask/","Type":"stream","Service":"s","SloMs":300,"TimeoutMs":5000},
-    {"Name":"lot","Hostname":"h.example","Prefix":"/lot/","Type":"batch","Service":"s","CompletionTargetMs":9000,
-     "KeepS":60,"MaxAttempts":3}],
-    "Services":[{"Name":"s"}],"Tenants":[{"Name":"team","ApiKeys":["secret-key"]}]}"""
-
-private val CHANGED_MANIFEST =
-    MANIFEST.replace("\"Version\":1", "\"Version\":2").replace("\"/ask/\"", "\"/later/\"")
-
-/** VMs, a store and a backend server; the first VM coordinates, and the store can refuse the [restricted] VMs. */
-private class PlatformFleet(
-    names: List<String> = listOf("a", "b"),
-    private val restricted: Set<String> = emptySet(),
-) : AutoCloseable {
-    val store = RowStoreStandIn()
-    val server = PlatformServerStandIn("i-1")
-    private val loops = EventLoops(1)
-    private val client = HttpClient(loops)
-    private val storeAddress = "127.0.0.1:${store.listen(0)}"
-    private val restrictedAddress = "127.0.0.1:${store.listenRestricted(0)}"
-    private val configs = names.map { configOf(it) }
-    val vms = configs.map { PlatformVm(it, "secret".encodeToByteArray()) }
-
-    suspend fun start() {
-        val port = server.listen(0)
-        store.put("op", "config", MANIFEST)
-        store.put(
-            "servers",
-            "i-1",
-            """{"Service":"s","Address":"127.0.0.1:$port","Zone":"d","Slots":4,"State":"ready"}""",
-        )
-        vms.first().start()
-        eventually(TIMEOUT) { store.valueOf("fleet", "coordinator").shouldNotBeNull() }
-        vms.drop(1).forEach { it.start() }
-        for (vm in configs.indices) eventually(TIMEOUT) { send(vm, "GET", "/ask/1").first shouldBe 200 }
-    }
-
-    /** Sends a request to the VM with index [vm] and returns status and body; the status is 0 without a response. */
-    suspend fun send(
-        vm: Int,
-        method: String,
-        target: String,
-        key: String? = "secret-key",
-        id: String = "r1",
-        body: String = "",
-    ): Pair<Int, String> =
-        withTimeout(TIMEOUT) {
-            val headers = listOf("host" to "h.example", "x-agatestream-attempt-id" to id, "x-custom" to "kept")
-            val all = headers + listOfNotNull(key?.let { "api-key" to it })
-            val spec = HttpRequestSpec(configs[vm].callerAddress, method, target, all, body.encodeToByteArray())
-            when (val result = client.exchange(spec)) {
-                is ExchangeResult.Answered -> {
-                    val content = (result.response.readBody(1_000_000) as? Outcome.Ok)?.value
-                    (if (content == null) 0 else result.response.status) to content?.decodeToString().orEmpty()
-                }
-
-                is ExchangeResult.NotSent, is ExchangeResult.Lost -> {
-                    0 to ""
-                }
-            }
-        }
-
-    override fun close() {
-        store.close()
-        server.close()
-        loops.close()
-    }
-
-    private fun configOf(name: String): PlatformVmConfig =
-        PlatformVmConfig(
-            name = name,
-            failureDomain = FailureDomainId("d"),
-            callerAddress = FreePorts.nextAddress(),
-            entryAddress = FreePorts.nextAddress(),
-            readyAddress = FreePorts.nextAddress(),
-            peerAddress = FreePorts.nextAddress(),
-            storeAddress = if (name in restricted) restrictedAddress else storeAddress,
-            rowBytes = 65_536,
-            shutdownGraceSeconds = 3.0,
-            entryTtlMaxSeconds = 0.1,
-            resultsKeptSeconds = 120.0,
-        )
-}
-
-private suspend fun withFleet(block: suspend (PlatformFleet) -> Unit) {
-    PlatformFleet().use {
-        it.start()
-        block(it)
-        it.vms.forEach { vm -> vm.stop() }
-    }
-}
-
 class PlatformVmTest :
     FunSpec({
         timeout = 60_000
@@ -152,7 +47,7 @@
                     fleet.send(it, "POST", "/lot/j", id = "job1", body = """{"Requests":[$items]}""").first shouldBe
                         202
                 }
-                eventually(TIMEOUT) {
+                eventually(FLEET_TIMEOUT) {
                     val (status, body) = fleet.send(1, "GET", "/-/lots/job1?After=0")
                     status shouldBe 200
                     val results =
@@ -193,7 +88,7 @@
             withFleet { fleet ->
                 fleet.server.nextFault.set(PlatformServerFault.ENDLESS_EVENT)
                 fleet.send(0, "GET", "/ask/1", id = "endless").first shouldBe 0
-                eventually(TIMEOUT) { fleet.send(0, "GET", "/ask/1").first shouldBe 200 }
+                eventually(FLEET_TIMEOUT) { fleet.send(0, "GET", "/ask/1").first shouldBe 200 }
             }
         }
 
@@ -203,7 +98,7 @@
                     fleet.server.nextFault.set(fault)
                     val items = """{"Id":"i1","Path":"/lot/1","Body":"YQ==","Tokens":10}"""
                     fleet.send(0, "POST", "/lot/j", id = "job", body = """{"Requests":[$items]}""").first shouldBe 202
-                    eventually(TIMEOUT) {
+                    eventually(FLEET_TIMEOUT) {
                         fleet.send(1, "GET", "/-/lots/job?After=0").second shouldContain "i1-0\\ni1-1\\ni1-2"
                     }
                 }
@@ -228,7 +123,7 @@
                 delay(3.seconds)
                 fleet.store.put("op", "config", CHANGED_MANIFEST)
                 for (vm in fleet.vms.indices) {
-                    eventually(TIMEOUT) { fleet.send(vm, "GET", "/later/1").first shouldBe 200 }
+                    eventually(FLEET_TIMEOUT) { fleet.send(vm, "GET", "/later/1").first shouldBe 200 }
                 }
                 fleet.vms.forEach { it.stop() }
             }
@@ -239,7 +134,7 @@
                 fleet.start()
                 fleet.vms[0].stop()
                 repeat(20) { fleet.send(1, "GET", "/ask/1", id = "r$it").second shouldContain "r$it-4" }
-                eventually(TIMEOUT) { fleet.send(1, "GET", "/ask/1").first shouldBe 200 }
+                eventually(FLEET_TIMEOUT) { fleet.send(1, "GET", "/ask/1").first shouldBe 200 }
                 fleet.vms[1].stop()
             }
         }
