--- a/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
@@ -1,13 +1,16 @@
 package org.agatestream.http
 
 import io.netty.bootstrap.Bootstrap
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.flow.FlowControlHandler
 import kotlinx.coroutines.CancellationException
+import java.net.ConnectException
 import java.net.InetSocketAddress
 import java.util.ArrayDeque
 import java.util.concurrent.ConcurrentHashMap
@@ -111,12 +114,25 @@
         return connection.exchange(request) { release(request.address, connection) }
     }
 
+    /** Returns whether nothing listens at [address]; false if it can't be told within the timeout of a connection. */
+    public suspend fun isRefused(address: String): Boolean {
+        val future = connectFuture(address)
+        if (future.isSuccess) future.channel().close()
+        return future.cause() is ConnectException && future.cause() !is ConnectTimeoutException
+    }
+
     private suspend fun connect(address: String): ClientConnection? {
-        val target = parseAddress(address)
-        val future = bootstrap.connect(target)
+        val future = connectFuture(address)
+        // A connection that is closed at once has no handlers any more.
+        return if (future.isSuccess) future.channel().pipeline().get(ClientConnection::class.java) else null
+    }
+
+    /** Returns the completed attempt to connect to [address]. */
+    private suspend fun connectFuture(address: String): ChannelFuture {
+        val future = bootstrap.connect(parseAddress(address))
         try {
-            // A connection that is closed at once has no handlers any more.
-            return if (future.awaitDone()) future.channel().pipeline().get(ClientConnection::class.java) else null
+            future.awaitDone()
+            return future
         } catch (e: CancellationException) {
             future.addListener { future.channel().close() }
             throw e
--- a/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
@@ -1,9 +1,11 @@
 package org.agatestream.standin
 
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import org.agatestream.http.BodyWriter
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicReference
+import kotlin.concurrent.thread
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -29,13 +31,18 @@
 
     /** The stream has an event without a number before its second event. */
     UNNUMBERED_EVENT,
+
+    /** The connection is closed without an answer, and the server goes on. */
+    RESET,
 }
 
 /** A test backend server of the users' platform that responds with a stream of events. */
 internal class PlatformServerStandIn(
-    private val id: String,
+    val id: String,
     private val events: Int = 5,
     private val interval: Duration = 5.milliseconds,
+    /** The prompt part on which this server ends when it begins to answer; null for none. */
+    private val deadlyPart: String? = null,
 ) : AutoCloseable {
     private val server = StandInServer(::handle)
 
@@ -79,9 +86,14 @@
                 return respondUnsigned(call, STATUS_UNPROCESSABLE, "")
             }
 
+            PlatformServerFault.RESET -> {
+                call.dropConnection()
+            }
+
             else -> {}
         }
         requests += call.httpCall.headers()
+        if (deadlyPart != null && deadlyPart in call.header("x-agatestream-prompt-prefix").orEmpty()) end()
         val first = (call.header("last-event-id")?.toIntOrNull() ?: -1) + 1
         val headers = mapOf("x-agatestream-attempt-id" to requestId, "x-agatestream-response-signature" to "signed")
         val writer = call.httpCall.startStream(STATUS_OK, "text/event-stream", headers)
@@ -93,8 +105,17 @@
         writer.finish()
     }
 
+    /** Ends the server with all its connections, as the end of its process does. */
+    private suspend fun end(): Nothing {
+        delay(interval)
+        // Not on a thread of the server, which the end waits for.
+        thread { close() }
+        awaitCancellation()
+    }
+
     private suspend fun refuseWithoutEnd(call: StandInCall) {
-        val headers = mapOf("x-agatestream-not-executed" to "1")
+        val requestId = call.header("x-agatestream-attempt-id").orEmpty()
+        val headers = mapOf("x-agatestream-attempt-id" to requestId, "x-agatestream-not-executed" to "1")
         call.httpCall.startStream(STATUS_UNAVAILABLE, "text/plain", headers).writeCommentsWithoutEnd()
     }
 
