--- a/server/src/test/kotlin/org/agatestream/server/FleetMembershipTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/FleetMembershipTest.kt
@@ -121,6 +121,7 @@
         operatorVersion = 0,
         serverVersion = 0,
         liveVersion = 0,
+        parts = PartReport(facts = null, version = 0, knownVersion = 0),
     )
 
 /** Starts the membership of a VM that reaches [store], and runs [block] with its coroutines and its coordinators. */
@@ -139,6 +140,7 @@
         roster = VmRoster(CONFIG, SELF, store),
         network = NoPeers,
         view = view,
+        parts = PromptPartWatch(view) { false },
         status = { STATUS },
         random = Random(1),
         scope = scope,
