Do not close a connection that already carries another request

What callers saw: a request was lost, though its server did nothing wrong, because the reader of the response before it closed that response, or was cancelled, just as its end arrived.

Cause: the reader asked for the close while its response was incomplete. By the time the event loop ran it, the response was complete, and the connection had been released and taken by the next request.

The event loop now closes only while the exchange is the current one.

Evidence: a stress test of 5,000 rounds in IdleConnectionTest.

--- a/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
@@ -61,7 +61,7 @@
             ctx.executor().execute { start(exchange, message) }
             return exchange.head.await()
         } catch (e: CancellationException) {
-            ctx.close()
+            close(exchange)
             throw e
         } catch (e: IllegalArgumentException) {
             ctx.close()
@@ -107,10 +107,21 @@
         ctx.executor().execute { demand.request(ctx) }
     }
 
+    /** Closes the idle connection. */
     fun close() {
         ctx.close()
     }
 
+    /** Closes the connection unless [exchange] is complete, as the connection may carry another one by then. */
+    fun close(exchange: ClientExchange) {
+        val loop = ctx.executor()
+        if (loop.inEventLoop()) closeIfCurrent(exchange) else loop.execute { closeIfCurrent(exchange) }
+    }
+
+    private fun closeIfCurrent(exchange: ClientExchange) {
+        if (current === exchange) ctx.close()
+    }
+
     private fun start(
         exchange: ClientExchange,
         message: DefaultFullHttpRequest,
--- a/http/src/main/kotlin/org/agatestream/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientExchange.kt
@@ -88,7 +88,7 @@
         content.content().readBytes(bytes)
         content.release()
         if (content.decoderResult().isFailure) {
-            connection.close()
+            connection.close(this)
             return
         }
         if (bytes.isNotEmpty()) parts.trySend(BodyPart.Chunk(bytes))
@@ -128,7 +128,7 @@
     }
 
     override fun close() {
-        if (!isComplete) connection.close()
+        if (!isComplete) connection.close(this)
     }
 
     private companion object {
--- a/http/src/test/kotlin/org/agatestream/http/IdleConnectionTest.kt
+++ b/http/src/test/kotlin/org/agatestream/http/IdleConnectionTest.kt
@@ -5,6 +5,10 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeIn
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.launch
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
@@ -107,4 +111,29 @@
                 server.accepted.get() shouldBe 3
             }
         }
+
+        // Guards against a request that is lost as the reader of the response before it closes that response.
+        test("closing a response as it ends does not end the next request on its connection") {
+            RawServer { socket ->
+                while (true) {
+                    val id = requestId(socket.readMessage().ifEmpty { return@RawServer })
+                    socket.send(rawResponse("200 OK", "own", "x-id: $id"))
+                }
+            }.use { server ->
+                val client = HttpClient(loops)
+                repeat(5_000) { round ->
+                    val first =
+                        client.exchange(
+                            HttpRequestSpec(server.address, "GET", "/", listOf("x-id" to "a$round")),
+                        )
+                    val response = first.shouldBeInstanceOf<ExchangeResult.Answered>().response
+                    val reader = launch(loops.dispatcher) { response.nextChunk() }
+                    launch(Dispatchers.Default) { response.close() }
+                    val next = client.exchange(HttpRequestSpec(server.address, "GET", "/", listOf("x-id" to "b$round")))
+                    withClue("round $round") { next::class shouldNotBe ExchangeResult.Lost::class }
+                    (next as? ExchangeResult.Answered)?.response?.readText()
+                    reader.join()
+                }
+            }
+        }
     })
