Stop a replaced coordinator from placing items

A coordinator that had been replaced kept placing items at processes that had ended: each push that failed returned the item to the queue of the ended term, which placed it again. Besides the processor time, such a push can reach a live VM and cancel the acting coordinator's run of the item.

Nothing that a role decides is executed once it has stopped.

--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -66,6 +66,7 @@
     // Lets an interrupted item resume on whichever VM runs it next.
     private val partialOutputs = HashMap<ItemRef, PartialOutput>()
     private var tickLoop: Job? = null
+    private var isStopped = false
 
     /** True while this VM is leaving or does not reach the store, and a follower that reaches it can take over. */
     var isResigning = false
@@ -88,7 +89,9 @@
             }
     }
 
+    /** Ends this VM's term; messages in flight have no further effect. */
     suspend fun stop() {
+        isStopped = true
         tickLoop?.cancelAndJoin()
         pendingPlacements.values.forEach { it.cancel() }
     }
@@ -263,6 +266,7 @@
     }
 
     private fun execute(actions: List<DispatchAction>) {
+        if (isStopped) return
         for (action in actions) {
             when (action) {
                 is DispatchAction.Place -> sendDecision(action.call, PlaceDecision.Placed(action.server))
--- /dev/null
+++ b/server/src/test/kotlin/org/agatestream/server/CoordinatorRoleTest.kt
@@ -0,0 +1,136 @@
+package org.agatestream.server
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import org.agatestream.core.CoordinatorTerm
+import org.agatestream.core.FailureDomainId
+import org.agatestream.core.ItemId
+import org.agatestream.core.JobId
+import org.agatestream.core.JobLifetime
+import org.agatestream.core.JobPlan
+import org.agatestream.core.ListedVm
+import org.agatestream.core.MonotonicTime
+import org.agatestream.core.PlannedItem
+import org.agatestream.core.VmId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val COORDINATOR = VmId("a@1")
+private val ENDED_VM = VmId("b@1")
+private const val MANIFEST =
+    """{"Version":1,"Routes":[{"Name":"lot","Hostname":"h.example","Prefix":"/lot/","Type":"batch","Service":"s",
+    "CompletionTargetMs":9000,"KeepS":60,"MaxAttempts":3}],"Services":[{"Name":"s"}],"Tenants":[]}"""
+private const val SERVER = """{"Service":"s","Address":"127.0.0.1:1","Zone":"d","Slots":8,"State":"ready"}"""
+
+/** A network on which no VM answers; counts the runs of items that it was asked to pass on. */
+private class DeadNetwork : PeerTransport {
+    override val self: VmId = COORDINATOR
+    var placements = 0
+
+    override fun addHandler(handler: PeerHandler) = Unit
+
+    override fun updateAddresses(vms: List<ListedVm>) = Unit
+
+    override suspend fun call(
+        peer: VmId,
+        request: PeerRequest,
+        timeout: Duration,
+    ): PeerResponse? {
+        if (request is RunItemRequest) placements++
+        delay(1.milliseconds)
+        return null
+    }
+
+    override suspend fun callAddress(
+        address: String,
+        request: PeerRequest,
+        timeout: Duration,
+        expected: VmId?,
+    ): PeerResponse? = null
+}
+
+private fun viewOfOneServer(): PlatformView {
+    val view = PlatformView(FakeRowStore()) {}
+    val snapshot =
+        PlatformSnapshot(
+            operatorVersion = 1,
+            operatorRows = listOf(SnapshotRow("config", MANIFEST.encodeToByteArray())),
+            serverVersion = 1,
+            serverRows = listOf(SnapshotRow("i-1", SERVER.encodeToByteArray())),
+        )
+    view.applySnapshot(snapshot, MonotonicTime.now())
+    return view
+}
+
+private fun statusOf(name: String): StatusReport =
+    StatusReport(
+        name = name,
+        caller = "127.0.0.1:2",
+        peer = "127.0.0.1:3",
+        domain = FailureDomainId("d"),
+        isLeaving = false,
+        isStoreReachable = true,
+        running = emptyList(),
+        unlisted = emptyList(),
+        operatorVersion = 1,
+        serverVersion = 1,
+        liveVersion = 0,
+    )
+
+private fun roleOf(
+    network: PeerTransport,
+    scope: CoroutineScope,
+): CoordinatorRole =
+    CoordinatorRole(
+        self = COORDINATOR,
+        term = CoordinatorTerm(1),
+        network = network,
+        view = viewOfOneServer(),
+        scope = scope,
+        runItem = {},
+        stopItem = {},
+        giveUpItem = { _, _ -> },
+        onDecision = {},
+        markSilent = {},
+        unlist = {},
+        listedVms = { 1 },
+        isLeaving = { false },
+    )
+
+/** Has a coordinator place the items of a job at a VM that answers nothing, and runs [block]. */
+private fun withDeadFollower(block: suspend (CoordinatorRole, DeadNetwork) -> Unit) =
+    runBlocking {
+        val job = Job()
+        val network = DeadNetwork()
+        val role = roleOf(network, CoroutineScope(coroutineContext + job))
+        try {
+            val now = MonotonicTime.now()
+            role.start(now)
+            role.onStatusReport(ENDED_VM, statusOf("b"), now)
+            val items = (1..4).map { PlannedItem(ItemId("i$it"), "/lot/$it") }
+            val lifetime = JobLifetime(deadline = now + 18.seconds, expiresAt = null)
+            role.onJob(JobPlan(JobId("j"), null, "h.example", lifetime, null, items), emptySet(), now)
+            block(role, network)
+        } finally {
+            job.cancel()
+        }
+    }
+
+class CoordinatorRoleTest :
+    FunSpec({
+        // A replaced coordinator went on placing items at ended VMs, hundreds a second, until its process ended.
+        test("EndedCoordinator: a coordinator that was replaced places no more items") {
+            withDeadFollower { role, network ->
+                delay(50.milliseconds)
+                role.stop()
+                val before = network.placements
+                delay(200.milliseconds)
+                network.placements shouldBe before
+            }
+        }
+    })
