Place no items at a VM that did not take one until it reports again

The VM of an item depends on its job and position only, so an item whose push failed was placed at the same VM again at once, until the VM's silence was noticed a second later.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -34,6 +34,7 @@
     private var followers: List<VmId> = emptyList()
     private var expectedFollowers = 0
     private val reported = HashSet<VmId>()
+    private val unanswering = HashSet<VmId>()
     private var itemsAllowedAt: MonotonicTime? = null
 
     /** A slot occupied by a run. */
@@ -155,6 +156,11 @@
         return schedule(now)
     }
 
+    /** Records that [vm] did not take an item; it gets no items until its next report. */
+    public fun onUnanswered(vm: VmId) {
+        unanswering += vm
+    }
+
     /** Records that the result of [ref] is in the store. */
     public fun onListed(ref: ItemRef) {
         jobs.markDone(ref)
@@ -200,6 +206,7 @@
         running.forEach { applyReportedRun(vm, it, now) }
         unstoredResults.forEach { jobs.onUnstoredResult(it, vm, now) }
         reported += vm
+        unanswering -= vm
         val endsItemWait = itemsAllowedAt?.let { it > now } == true && hasAllReported()
         if (endsItemWait) itemsAllowedAt = now
         val hasRequeued =
@@ -229,6 +236,7 @@
         queuedRequests.removeAll { it.call.vm == vm }
         jobs.onVmLost(vm, hasEnded, now)
         reported -= vm
+        unanswering -= vm
         return schedule(now)
     }
 
@@ -362,7 +370,9 @@
         actions: MutableList<DispatchAction>,
     ) {
         val from = itemsAllowedAt ?: return
-        if (now < from || followers.isEmpty()) return
+        if (now < from) return
+        val vms = followers - unanswering
+        if (vms.isEmpty()) return
         val spareSlots = HashMap<ServiceId, Int>()
         for (load in servers.all) spareSlots.merge(load.server.entry.service, maxOf(0, load.free), Int::plus)
         for (service in spareSlots.keys.toList()) spareSlots.computeIfPresent(service) { _, n -> n - headroom(service) }
@@ -376,7 +386,7 @@
             }
             if ((spareSlots[service] ?: 0) <= 0) continue
             val load = servers.choose(service, emptySet(), now, isolation.servers(now)) ?: continue
-            val call = CallId(chooseVm(ref), nextNumber++)
+            val call = CallId(chooseVm(ref, vms), nextNumber++)
             spareSlots.merge(service, -1, Int::plus)
             occupySlot(call, load, isItem = true, now)
             jobs.onStarted(ref, call, now)
@@ -388,14 +398,17 @@
     private fun headroom(service: ServiceId): Int = ceil(servers.slots(service) * HEADROOM_FRACTION).toInt()
 
     /**
-     * Returns the VM that runs an item, one of [VMS_PER_JOB] for each job.
+     * Returns the VM among [vms] that runs an item, one of [VMS_PER_JOB] for each job.
      *
      * Spreading a job limits how many of its runs are interrupted, with their slots still occupied, when a VM is lost.
      * The number of VMs is small because each of them reads the job's bodies.
      */
-    private fun chooseVm(ref: ItemRef): VmId {
-        val holder = jobs.bodyHolder(ref)?.takeIf { it in followers }
-        val others = (followers - setOfNotNull(holder)).sortedByDescending { rendezvousRank(ref.job.value, it.value) }
+    private fun chooseVm(
+        ref: ItemRef,
+        vms: List<VmId>,
+    ): VmId {
+        val holder = jobs.bodyHolder(ref)?.takeIf { it in vms }
+        val others = (vms - setOfNotNull(holder)).sortedByDescending { rendezvousRank(ref.job.value, it.value) }
         val candidates = (listOfNotNull(holder) + others).take(VMS_PER_JOB)
         return candidates[jobs.position(ref) % candidates.size]
     }
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -311,6 +311,7 @@
         scope.launch {
             if (network.call(action.call.vm, request, PUSH_TIMEOUT) != null) return@launch
             val now = MonotonicTime.now()
+            dispatcher.onUnanswered(action.call.vm)
             execute(dispatcher.onItem(action.item, action.call, ItemOutcome.INTERRUPTED, now))
             execute(dispatcher.release(action.call, RunOutcome.STOPPED, null, now))
         }
--- a/server/src/test/kotlin/org/agatestream/server/CoordinatorRoleTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/CoordinatorRoleTest.kt
@@ -1,6 +1,7 @@
 package org.agatestream.server
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -133,4 +134,12 @@
                 network.placements shouldBe before
             }
         }
+
+        // A coordinator placed each item at an ended VM again and again until it noticed the VM's silence.
+        test("UnansweredPlacement: a VM that does not take an item gets no other before its next report") {
+            withDeadFollower { _, network ->
+                delay(300.milliseconds)
+                network.placements shouldBeLessThanOrEqualTo 4
+            }
+        }
     })
