--- a/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
@@ -150,7 +150,7 @@
     val serverVersion: Long,
     /** The version of the list of live VMs that this VM has from this coordinator; 0 if it has none. */
     val liveVersion: Long,
-    val parts: PartReport,
+    val parts: PartReport = PartReport.NONE,
 ) : PeerRequest
 
 /** The coordinator's response to a [StatusReport]. */
@@ -165,7 +165,7 @@
     /** Newer rows for a reporting VM that does not reach the store; null if it is up to date. */
     @SerialName("news")
     val snapshot: PlatformSnapshot?,
-    val parts: PartReport,
+    val parts: PartReport = PartReport.NONE,
 ) : PeerResponse
 
 /** A VM that serves callers. */
--- a/server/src/main/kotlin/org/agatestream/server/PromptPartWatch.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PromptPartWatch.kt
@@ -24,7 +24,12 @@
     val version: Long,
     /** The version of the receiver's facts that the sender has; 0 if it has none. */
     val knownVersion: Long,
-)
+) {
+    companion object {
+        /** The report of a VM whose build knows of no such facts. */
+        val NONE = PartReport(facts = null, version = 0, knownVersion = 0)
+    }
+}
 
 /** Notes the servers that end on requests, and shares what this VM knows about prompt parts with the coordinator. */
 internal class PromptPartWatch(
--- a/server/src/test/kotlin/org/agatestream/server/CoordinatorRoleTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/CoordinatorRoleTest.kt
@@ -92,6 +92,7 @@
         term = CoordinatorTerm(1),
         network = network,
         view = viewOfOneServer(),
+        parts = PromptPartWatch(viewOfOneServer()) { false },
         scope = scope,
         runItem = {},
         stopItem = {},
