Stop items where a server has more runs than slots

Online requests waited for whole items at a server whose slots became fewer than its runs, as after a change of its entry or of the coordinator: only servers that have room after one stop were considered. One item a request is stopped there now until one fits; servers with room come first.

Before the change the new test of DispatcherTest fails: expected 3 stops, got 0.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -351,18 +351,19 @@
         val candidates =
             servers
                 .forService(request.service)
-                .filter { it.id !in request.excluded && servers.mayStartAfterStop(it, now) }
+                .filter { it.id !in request.excluded && servers.acceptsWork(it, now) }
                 .flatMap { load -> load.stoppableItems().map { load to it } }
         val order =
             compareBy<Pair<ServerLoad, CallId>>(
+                { (load, _) -> load.free >= 0 },
                 { (_, call) -> !jobs.canMeetDeadline(call, now) },
                 { (_, call) -> jobs.remainingSteps(call, now) },
                 { (_, call) -> jobs.deadline(call) ?: now },
             )
         val (load, call) = candidates.maxWithOrNull(order) ?: return null
-        load.markStopping(call)
         actions += stopItem(call, "online_request")
-        return load
+        // A server with more runs than slots has no room yet.
+        return load.takeIf { it.free > 0 }
     }
 
     private fun startItems(
--- a/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
@@ -44,13 +44,13 @@
     private fun mayStart(
         load: ServerLoad,
         now: MonotonicTime,
-    ): Boolean = load.free > 0 && load.acceptsWork(coldRate(load), now)
+    ): Boolean = load.free > 0 && acceptsWork(load, now)
 
-    /** Returns whether a request may start at [load] now once one of its items is stopped. */
-    fun mayStartAfterStop(
+    /** Returns whether a request may start at [load] now, apart from free slots. */
+    fun acceptsWork(
         load: ServerLoad,
         now: MonotonicTime,
-    ): Boolean = load.free >= 0 && load.acceptsWork(coldRate(load), now)
+    ): Boolean = load.acceptsWork(coldRate(load), now)
 
     /**
      * Returns the server with the most free slots, a slow one only if there is no other; null if none is available.
--- a/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
@@ -304,6 +304,16 @@
             actions.filterIsInstance<DispatchAction.StopItem>().size shouldBe 1
         }
 
+        // Guards against online requests that wait for items at a server whose slots became fewer.
+        test("items are stopped at a server with more runs than slots until an online request fits") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
+            dispatcher.onJob(jobOf("j", 3), emptySet(), START).started().size shouldBe 3
+            dispatcher.onServers(listOf(serverOf("s1", slots = 1)), START)
+            val actions = dispatcher.place(requestOf(1), START) + List(2) { dispatcher.tick(START) }.flatten()
+            actions.filterIsInstance<DispatchAction.StopItem>().size shouldBe 3
+            actions.placed() shouldContainExactly listOf(1L)
+        }
+
         test("a release that arrives before its request cancels it") {
             val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 1))
             dispatcher.release(CallId(VM_A, 1), RunOutcome.STOPPED, null, START)
