End an exchange when a response that is skipped has no end

A late response with another id and without a length, or with a malformed chunk, was skipped for ever, so that the next request on the connection waited out its time. It ends the exchange and the connection now, as one without an id already did. Found in review.

Before the change both new tests of LateResponseTest time out after 3 s.

--- a/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
@@ -81,7 +81,7 @@
             msg is HttpResponse && !msg.isValidHead() -> abandon(exchange, "the head of a response is malformed")
             msg is HttpResponse && msg.status().codeClass() == HttpStatusClass.INFORMATIONAL -> skipResponse()
             msg is HttpResponse -> onResponse(exchange, msg)
-            msg is HttpContent && isSkipping -> skipContent(msg)
+            msg is HttpContent && isSkipping -> skipContent(exchange, msg)
             msg is HttpContent -> exchange.onContent(msg)
             else -> ReferenceCountUtil.release(msg)
         }
@@ -168,20 +168,19 @@
     ) {
         when (exchange.originOf(head)) {
             ResponseOrigin.OWN -> startResponse(exchange, head)
-            ResponseOrigin.EARLIER -> skipResponse()
-            ResponseOrigin.UNKNOWN -> skipUnnamed(exchange, head)
+            ResponseOrigin.EARLIER, ResponseOrigin.UNKNOWN -> skipOther(exchange, head)
         }
     }
 
-    /** Skips a response that does not name its request, if it says where the next one begins. */
-    private fun skipUnnamed(
+    /** Skips a response that is not the awaited one, if it says where the next one begins. */
+    private fun skipOther(
         exchange: ClientExchange,
         head: HttpResponse,
     ) {
         if (HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)) {
             skipResponse()
         } else {
-            abandon(exchange, "a response does not name its request")
+            abandon(exchange, "another response has no end")
         }
     }
 
@@ -207,10 +206,14 @@
         demand.request(ctx)
     }
 
-    private fun skipContent(content: HttpContent) {
+    private fun skipContent(
+        exchange: ClientExchange,
+        content: HttpContent,
+    ) {
+        val isMalformed = content.decoderResult().isFailure
         if (content is LastHttpContent) isSkipping = false
         content.release()
-        demand.request(ctx)
+        if (isMalformed) abandon(exchange, "another response is malformed") else demand.request(ctx)
     }
 
     /** Closes the connection after a response that no request is waiting for. */
--- a/http/src/test/kotlin/org/agatestream/http/LateResponseTest.kt
+++ b/http/src/test/kotlin/org/agatestream/http/LateResponseTest.kt
@@ -4,6 +4,9 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeIn
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.withTimeout
+import kotlin.time.Duration.Companion.seconds
 
 private val STATUSES =
     mapOf(
@@ -67,6 +70,13 @@
         "a head without end" to "HTTP/1.1 500 No\r\nx-more: value\r\n",
     )
 
+/** Copies with the id of an earlier request that don't say where they end. */
+private val ENDLESS_COPIES =
+    mapOf(
+        "without a length" to "HTTP/1.1 200 OK\r\nx-id: first\r\n\r\nlate",
+        "with a malformed chunk" to "HTTP/1.1 200 OK\r\nx-id: first\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+    )
+
 /** Sends three requests to a server that stutters; each gets its own response or none. */
 private suspend fun HttpClient.shouldReceiveOnlyOwn(
     stutter: Stutter,
@@ -208,6 +218,24 @@
             }
         }
 
+        for ((what, copy) in ENDLESS_COPIES) {
+            // Guards against a request that waits out its time behind a late copy that is skipped without end.
+            test("a late copy $what ends the next exchange at once") {
+                RawServer { socket ->
+                    socket.readMessage()
+                    socket.send(rawResponse("200 OK", "own", "x-id: first"))
+                    socket.readMessage()
+                    socket.send(copy)
+                    socket.readAll()
+                }.use { server ->
+                    val client = HttpClient(loops)
+                    client.receive(server.address, "first") shouldBe "200 own"
+                    val second = HttpRequestSpec(server.address, "GET", "/", echoedHeader = "x-id" to "second")
+                    withTimeout(3.seconds) { client.exchange(second) }.shouldBeInstanceOf<ExchangeResult.Lost>()
+                }
+            }
+        }
+
         // Guards against a refusal taken for lost: a server that takes over an address refuses without the id.
         test("a response without an id counts on a new connection, which is not used again") {
             RawServer { socket ->
