Let a VM claim again after a claim that failed unexpectedly

An exception in a claim, as from a row that can't be decoded, kept the VM from any further claim.

FleetMembershipTest depended on the clock: with 300 ms between two steps delays entered the queue of tasks. No delay ends there now, and the test requires that a claim was made and conflicted.

--- a/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
@@ -236,7 +236,13 @@
         if (!input.shouldClaim(MonotonicTime.now()) || isClaiming) return
         isClaiming = true
         // Claims in a separate coroutine: a slow store must not delay reports to a coordinator named in the meantime.
-        scope.launch { claim(input, version) }
+        scope.launch {
+            try {
+                claim(input, version)
+            } finally {
+                isClaiming = false
+            }
+        }
     }
 
     /** Asks some VMs whether they reach the coordinator; returns how many answered and how many reach it. */
@@ -286,7 +292,6 @@
 
             is WriteResult.NotDone -> {}
         }
-        isClaiming = false
     }
 
     /** Reads the coordinator's row, of which the feed may tell only after others have found this VM not coordinating. */
--- a/server/src/test/kotlin/org/agatestream/server/FleetMembershipTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/FleetMembershipTest.kt
@@ -2,9 +2,13 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Delay
+import kotlinx.coroutines.InternalCoroutinesApi
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.Runnable
 import kotlinx.coroutines.awaitCancellation
@@ -13,10 +17,12 @@
 import org.agatestream.core.ListedVm
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.RowChange
+import org.agatestream.core.RowName
 import org.agatestream.core.RowPage
 import org.agatestream.core.RowStore
 import org.agatestream.core.StoreRead
 import org.agatestream.core.VmId
+import org.agatestream.core.WriteResult
 import java.util.concurrent.ConcurrentLinkedDeque
 import kotlin.coroutines.CoroutineContext
 import kotlin.random.Random
@@ -25,8 +31,11 @@
 private val SELF = VmId("self@1")
 private val OTHER = CoordinatorRecord(VmId("other@1"), "other", "127.0.0.1:2")
 
-/** Runs coroutines only on demand, so that a test chooses their order. */
-private class StepDispatcher : CoroutineDispatcher() {
+/** Runs coroutines only on demand, so that a test chooses their order; no delay ends. */
+@OptIn(InternalCoroutinesApi::class)
+private class StepDispatcher :
+    CoroutineDispatcher(),
+    Delay {
     private val tasks = ConcurrentLinkedDeque<Runnable>()
 
     override fun dispatch(
@@ -36,6 +45,11 @@
         tasks += block
     }
 
+    override fun scheduleResumeAfterDelay(
+        timeMillis: Long,
+        continuation: CancellableContinuation<Unit>,
+    ) = Unit
+
     /** Runs the tasks that are waiting now, in their order. */
     fun runWaiting() = repeat(tasks.size) { tasks.pollFirst()?.run() }
 
@@ -49,6 +63,18 @@
 ) : RowStore by rows {
     val isOpen = CompletableDeferred<Unit>()
 
+    /** The results of the claims of the coordinator role. */
+    val claims = ArrayList<WriteResult>()
+
+    override suspend fun write(
+        expected: Map<RowName, Long>,
+        changes: List<RowChange>,
+    ): WriteResult {
+        val result = rows.write(expected, changes)
+        if (FleetTables.coordinator in expected) claims += result
+        return result
+    }
+
     override suspend fun rows(
         table: String,
         partition: String,
@@ -121,7 +147,6 @@
         operatorVersion = 0,
         serverVersion = 0,
         liveVersion = 0,
-        parts = PartReport(facts = null, version = 0, knownVersion = 0),
     )
 
 /** Starts the membership of a VM that reaches [store], and runs [block] with its coroutines and its coordinators. */
@@ -167,6 +192,7 @@
                 dispatcher.runLast()
                 coordinators shouldBe listOf(OTHER.vm)
                 dispatcher.runWaiting()
+                store.claims.single().shouldBeInstanceOf<WriteResult.Conflict>()
                 store.coordinator() shouldBe OTHER.vm
             }
         }
