Take no other response for a part of a stream

What callers saw: a whole answer with another response's head in its middle, where the body ends with its connection, or where a server continued an event that it had broken off with another response.

Cause: bytes up to a blank line passed as an event whatever they held, and without a data field they needed no number.

Change: each line of an event is a comment or a field that servers send; an event with any other line ends the run as lost before it is forwarded.

--- a/server/src/main/kotlin/org/agatestream/server/EventSplitter.kt
+++ b/server/src/main/kotlin/org/agatestream/server/EventSplitter.kt
@@ -1,6 +1,7 @@
 package org.agatestream.server
 
 import org.agatestream.http.BufferBudget
+import org.agatestream.platform.EventFields
 import java.io.ByteArrayOutputStream
 
 /** One server-sent event with its original bytes. */
@@ -8,9 +9,16 @@
     val bytes: ByteArray,
     /** The number in the `id` field; null if there is none. */
     val id: Long?,
+    /** True if the event has a line that belongs to no event, as where another response begins within a stream. */
+    private val hasForeignLine: Boolean,
 ) {
     /** Returns whether this event may follow the event number [last]; without a number, only if it has no data. */
-    fun follows(last: Long?): Boolean = if (id == null) data() == null else last == null || id == last + 1
+    fun follows(last: Long?): Boolean =
+        when {
+            hasForeignLine -> false
+            id == null -> data() == null
+            else -> last == null || id == last + 1
+        }
 
     /** The `data` fields, joined by line feeds; null if there are none. */
     fun data(): String? {
@@ -81,15 +89,19 @@
     }
 
     private fun toEvent(bytes: ByteArray): StreamEvent {
-        val id =
+        val lines =
             bytes
                 .decodeToString()
                 .lineSequence()
+                .filter { it.isNotEmpty() }
+                .toList()
+        val id =
+            lines
                 .firstOrNull { it.startsWith(ID) }
                 ?.removePrefix(ID)
                 ?.trim()
                 ?.toLongOrNull()
-        return StreamEvent(bytes, id)
+        return StreamEvent(bytes, id, hasForeignLine = lines.any { !EventFields.isField(it) })
     }
 
     private companion object {
--- a/server/src/test/kotlin/org/agatestream/server/EventSplitterTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/EventSplitterTest.kt
@@ -4,6 +4,8 @@
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
 
+private fun event(text: String): StreamEvent = EventSplitter().feed(text.encodeToByteArray()).single()
+
 class EventSplitterTest :
     FunSpec({
         val stream = "id: 0\ndata: a\n\nid: 1\r\ndata: b\r\ndata:  c\r\n\r\nid: 2\ndata: d"
@@ -37,10 +39,22 @@
 
         // Guards against text in an answer that no server made for it: servers number all events with data.
         test("an event with data follows another one only by its number") {
-            fun event(text: String) = EventSplitter().feed(text.encodeToByteArray()).single()
             event("id: 4\ndata: a\n\n").follows(3) shouldBe true
             event("id: 5\ndata: a\n\n").follows(3) shouldBe false
             event("data: a\n\n").follows(3) shouldBe false
             event("data: a\n\n").follows(null) shouldBe false
         }
+
+        // Guards against an answer with another response, or a part of one, in its middle.
+        test("an event with a line that belongs to no event follows none") {
+            val foreign =
+                listOf(
+                    "HTTP/1.1 200 OK\r\n\r\n",
+                    "id: 4\ndata: aHTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n",
+                    "id: 4\nword\n\n",
+                )
+            for (text in foreign) event(text).follows(3) shouldBe false
+            event(": comment\nid: 4\nevent: token\nretry: 5\ndata\n\n").follows(3) shouldBe true
+            event("x-agatestream-weight-versions: 3\nid: 4\ndata: a\n\n").follows(3) shouldBe true
+        }
     })
