Judge position and end of a stream in one place

What callers saw: a result said to be done with an empty text, where a signed response ended without an event; a stream that was cut because a comment came in the same bytes as an event; and a resumed stream that counted as whole where its server closed the connection without an event.

Cause: online requests and items each had their own rule for what continues and what ends a stream, and each lacked a part of it.

Change: StreamProgress has the rule for both. A run without events ends a stream only if it says where it ends. Beside it, an item's response that arrives as its wait runs out is closed; its connection and the server's slot were kept.

Before the change PlatformVmTest fails for an item with NO_EVENT: no result with the item's text in 10 s.

--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -45,19 +45,17 @@
     /** The output of an item, collected over all its runs at this VM. */
     private class Output {
         val data = ArrayList<String>()
-        var lastEvent: Long? = null
+        val progress = StreamProgress()
+        val lastEvent: Long? get() = progress.lastEvent
         private var chars = 0
 
         /** True once the output is longer than any item's; it must be discarded. */
         val isTooLong: Boolean get() = chars > MAX_OUTPUT_CHARS
 
-        /** Appends events that follow the last one; returns false at the first that does not. */
+        /** Appends events that continue the output; returns false and appends none if one does not. */
         fun append(events: List<StreamEvent>): Boolean {
-            for (event in events) {
-                if (!event.follows(lastEvent)) return false
-                lastEvent = event.id ?: lastEvent
-                event.data()?.let { add(it) }
-            }
+            if (!progress.accept(events)) return false
+            events.forEach { event -> event.data()?.let { add(it) } }
             return true
         }
 
@@ -65,7 +63,7 @@
         fun clear() {
             data.clear()
             chars = 0
-            lastEvent = null
+            progress.startRun(after = null)
         }
 
         private fun add(text: String) {
@@ -80,7 +78,7 @@
             if (partial.lastEvent <= (lastEvent ?: -1)) return
             clear()
             partial.data.forEach { add(it) }
-            lastEvent = partial.lastEvent
+            progress.startRun(partial.lastEvent)
         }
     }
 
@@ -223,9 +221,16 @@
         slots.onItemParts(request.number, shared)
         val output = outputs.getOrPut(request.item) { Output() }
         request.partial?.let { output.mergeFrom(it) }
+        output.progress.startRun()
         val call = toBackendCall(item, host, request.workspace)
         val spec = BackendProtocol.request(call, server.id, server.address, RUN_TIMEOUT, output.lastEvent)
-        val result = withTimeoutOrNull(IDLE_TIMEOUT) { client.exchange(spec) }
+        var answered: HttpClientResponse? = null
+        val result =
+            withTimeoutOrNull(IDLE_TIMEOUT) {
+                client.exchange(spec).also { answered = (it as? ExchangeResult.Answered)?.response }
+            }
+        // The response may have arrived as the time ran out.
+        if (result == null) answered?.close()
         val end =
             when (result) {
                 null -> ItemEnd.Interrupted("silent", RunOutcome.LOST)
@@ -321,15 +326,8 @@
                 }
 
                 is BodyPart.End -> {
-                    val isComplete = splitter.remainder.isEmpty()
-                    return if (isComplete) {
-                        ItemEnd.Complete
-                    } else {
-                        ItemEnd.Interrupted(
-                            "ended within an event",
-                            RunOutcome.LOST,
-                        )
-                    }
+                    val fault = output.progress.faultAtEnd(response, splitter.remainder) ?: return ItemEnd.Complete
+                    return ItemEnd.Interrupted(fault, RunOutcome.LOST)
                 }
 
                 is BodyPart.Broken -> {
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -79,7 +79,7 @@
         private var runs = 0
         private var rejections = 0
         private var writer: BodyWriter? = null
-        private var lastEvent: Long? = CallerProtocol.lastEvent(call)
+        private val progress = StreamProgress(CallerProtocol.lastEvent(call))
         private var failure: Failure? = null
         private var isPromptRefused = false
         private var slotAfter: Duration? = null
@@ -144,7 +144,8 @@
             if (isStream) slots.onSent(slot.number, sentAt)
             try {
                 val timeLeft = arrivedAt + callerTimeout - sentAt
-                val resumeFrom = lastEvent.takeIf { writer != null }
+                progress.startRun()
+                val resumeFrom = progress.lastEvent.takeIf { writer != null }
                 val spec = BackendProtocol.request(request, slot.server.id, slot.server.address, timeLeft, resumeFrom)
                 val end =
                     withTimeoutOrNull(endAt - sentAt) {
@@ -239,9 +240,8 @@
                             metrics.onFirstEvent(MonotonicTime.now() - arrivedAt)
                         }
                         isFirst = false
-                        if (!areInOrder(events)) return Attempt.Lost("event out of order")
+                        if (!progress.accept(events)) return Attempt.Lost("event out of order")
                         if (!write(response, events.joinBytes())) throw CancellationException("the caller is gone")
-                        events.last().id?.let { lastEvent = it }
                     }
 
                     is BodyPart.End -> {
@@ -259,27 +259,12 @@
             response: HttpClientResponse,
             remainder: ByteArray,
         ): Attempt {
-            if (remainder.isNotEmpty()) return Attempt.Lost("the stream ended within an event")
-            if (writer == null &&
-                response.header("content-length") != "0"
-            ) {
-                return Attempt.Lost("the stream had no event")
-            }
+            progress.faultAtEnd(response, remainder)?.let { return Attempt.Lost(it) }
             write(response, remainder)
             writer?.finish()
             return Attempt.Answered(STATUS_OK)
         }
 
-        /** Returns whether the numbers of [events] follow the last event; those without a number have no data. */
-        private fun areInOrder(events: List<StreamEvent>): Boolean {
-            var last = lastEvent
-            for (event in events) {
-                if (!event.follows(last)) return false
-                last = event.id ?: last
-            }
-            return true
-        }
-
         private suspend fun write(
             response: HttpClientResponse,
             bytes: ByteArray,
@@ -343,7 +328,7 @@
                 "manifest" to manifestVersion,
                 "server" to slot?.server?.id,
                 "decided_by" to decidedBy,
-                "events" to lastEvent,
+                "events" to progress.lastEvent,
                 "slot_after" to slotAfter,
                 "first_event_after" to firstEventAfter,
                 "took" to took,
--- a/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
@@ -32,6 +32,18 @@
     /** The stream has an event without a number before its second event. */
     UNNUMBERED_EVENT,
 
+    /** The signed response ends without an event. */
+    NO_EVENT,
+
+    /** The stream's second event has a comment in the same bytes. */
+    COMMENT_AFTER_EVENT,
+
+    /** The stream's first event breaks off in its data, and another response goes on there. */
+    MERGED_RESPONSE,
+
+    /** Another response stands between two events. */
+    RESPONSE_BETWEEN_EVENTS,
+
     /** The connection is closed without an answer, and the server goes on. */
     RESET,
 }
@@ -97,9 +109,12 @@
         val first = (call.header("last-event-id")?.toIntOrNull() ?: -1) + 1
         val headers = mapOf("x-agatestream-attempt-id" to requestId, "x-agatestream-response-signature" to "signed")
         val writer = call.httpCall.startStream(STATUS_OK, "text/event-stream", headers)
+        if (fault == PlatformServerFault.NO_EVENT) return writer.finish()
         for (number in first until events) {
             if (number == first + 1) writer.writeFault(fault)
-            if (!writer.write("id: $number\ndata: $requestId-$number\n\n".encodeToByteArray())) return
+            val isCommented = fault == PlatformServerFault.COMMENT_AFTER_EVENT && number == first + 1
+            val comment = if (isCommented) ": still here\n\n" else ""
+            if (!writer.write("id: $number\ndata: $requestId-$number\n\n$comment".encodeToByteArray())) return
             delay(interval)
         }
         writer.finish()
@@ -142,6 +157,14 @@
                 write("data: of no request\n\n".encodeToByteArray())
             }
 
+            PlatformServerFault.MERGED_RESPONSE -> {
+                write("id: 1\ndata: of no requ$STRAY_RESPONSE".encodeToByteArray())
+            }
+
+            PlatformServerFault.RESPONSE_BETWEEN_EVENTS -> {
+                write(STRAY_RESPONSE.encodeToByteArray())
+            }
+
             else -> {}
         }
     }
@@ -160,6 +183,7 @@
         const val STATUS_MISDIRECTED = 421
         const val STATUS_UNPROCESSABLE = 422
         const val STATUS_UNAVAILABLE = 503
+        const val STRAY_RESPONSE = "HTTP/1.1 200 OK\r\nX-Other: of no request\r\n\r\n"
         const val STRAY_EVENT = "id: 0\ndata: of no request\n\n"
         const val EVENT_PART_BYTES = 4_096
         val EVENT_PART_INTERVAL = 1.milliseconds
--- a/standins/src/test/kotlin/org/agatestream/standin/PlatformVmTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/PlatformVmTest.kt
@@ -21,6 +21,9 @@
         PlatformServerFault.UNSIGNED_EVENT,
         PlatformServerFault.UNSIGNED_IMPOSSIBLE,
         PlatformServerFault.UNNUMBERED_EVENT,
+        PlatformServerFault.NO_EVENT,
+        PlatformServerFault.MERGED_RESPONSE,
+        PlatformServerFault.RESPONSE_BETWEEN_EVENTS,
     )
 
 class PlatformVmTest :
@@ -139,6 +142,16 @@
             }
         }
 
+        // Guards against a stream that is cut because a comment hides the number of the event before it.
+        test("a stream with comments after its events is relayed whole") {
+            withFleet { fleet ->
+                fleet.server.nextFault.set(PlatformServerFault.COMMENT_AFTER_EVENT)
+                val (status, body) = fleet.send(0, "GET", "/ask/1", id = "own")
+                status shouldBe 200
+                body shouldContain "own-4"
+            }
+        }
+
         test("online requests are served while the store is unavailable, and jobs are refused") {
             withFleet { fleet ->
                 fleet.store.isDown = true
