--- a/core/src/test/kotlin/org/agatestream/core/PromptCrashModelTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/PromptCrashModelTest.kt
@@ -16,7 +16,7 @@
         val crashesUntilKnown = 5
         val requestsAfter = 3
         val contactTime = 4.seconds
-        val seeds = 1..8
+        val modelSeeds = seeds(defaultCount = 8).map { it.toInt() }
 
         fun simulate(
             seed: Int,
@@ -36,7 +36,7 @@
             return sent[part].orEmpty().count { it > fifth + contactTime }
         }
 
-        for (seed in seeds) {
+        for (seed in modelSeeds) {
             test("each deadly part is known after five crashes, beside ends for other reasons: seed $seed") {
                 val model = simulate(seed, Blame.PART)
                 for (part in PromptCrashModel.DEADLY_PARTS) {
