Close a connection whose exchange is cancelled before it starts

A request could be sent with nobody to read its response, and its connection stayed open: a caller that is cancelled on the event loop, just as it takes an idle connection, asked for the close before the queued start of the exchange, and was not yet the current one.

The close is queued behind the start now.

--- a/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
@@ -114,8 +114,8 @@
 
     /** Closes the connection unless [exchange] is complete, as the connection may carry another one by then. */
     fun close(exchange: ClientExchange) {
-        val loop = ctx.executor()
-        if (loop.inEventLoop()) closeIfCurrent(exchange) else loop.execute { closeIfCurrent(exchange) }
+        // Queued also on the event loop, as the start of the exchange may still be queued there.
+        ctx.executor().execute { closeIfCurrent(exchange) }
     }
 
     private fun closeIfCurrent(exchange: ClientExchange) {
