--- a/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
@@ -30,7 +30,8 @@
     /**
      * A header that the server echoes; a response with another value is a late one to an earlier request.
      *
-     * A response without it counts only if no earlier request was sent on the connection; otherwise it is lost.
+     * A response without it counts only if no earlier request was sent on the connection; otherwise it is skipped, and
+     * the exchange is lost if such a response does not say where it ends.
      */
     public val echoedHeader: Pair<String, String>? = null,
 )
