Hold a job until the coordinator has the manifest under which it was accepted

Cause: manifest and jobs reach the coordinator by two feeds that are not ordered with one another. With the feed of the operator's rows silent, the coordinator read a job on a route that it did not know yet and took the route for removed. Ruled out: the accepting VM had the manifest, and the store gave it to any new read.

A job's row now holds the version of its manifest and the limits of its route. The coordinator neither places nor gives up items of a job with a newer manifest, and reads the operator's rows at once when a VM reports newer ones. The same cause on related paths: the lifetime of a job on an unknown route, the allowed failures of an item.

With the check taken out, three of the new tests in DispatcherTest fail, the first with GiveUpItem(item=j/j-1, reason=route_dropped).

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -149,8 +149,7 @@
         now: MonotonicTime,
     ): List<DispatchAction> {
         val failures = jobs.onOutcome(ref, call, outcome, now)
-        val attempts = route(ref)?.maxAttempts ?: DEFAULT_ITEM_ATTEMPTS
-        if (outcome == ItemOutcome.FAILED && failures >= attempts) {
+        if (outcome == ItemOutcome.FAILED && failures >= allowedFailures(ref)) {
             return listOf(DispatchAction.GiveUpItem(ref, "failed_attempts")) + schedule(now)
         }
         return schedule(now)
@@ -379,10 +378,11 @@
         for (service in spareSlots.keys.toList()) spareSlots.computeIfPresent(service) { _, n -> n - headroom(service) }
         queuedRequests.filter { !isolation.mustWait(it.parts, now) }.forEach { spareSlots[it.service] = 0 }
         if (spareSlots.values.all { it <= 0 }) return
-        for ((ref, plan) in jobs.pendingItems(now).take(MAX_ITEMS_PER_PASS)) {
-            val service = serviceOf(ref, plan)
+        val ready = jobs.pendingItems(now).filter { (_, plan) -> isCurrentFor(plan) }
+        for ((ref, plan) in ready.take(MAX_ITEMS_PER_PASS)) {
+            val service = route(ref, plan)?.chooseService(ref.item.hashCode())
             if (service == null) {
-                if (manifest != null) actions += DispatchAction.GiveUpItem(ref, "route_dropped")
+                actions += DispatchAction.GiveUpItem(ref, "route_dropped")
                 continue
             }
             if ((spareSlots[service] ?: 0) <= 0) continue
@@ -414,16 +414,21 @@
         return candidates[jobs.position(ref) % candidates.size]
     }
 
-    private fun serviceOf(
-        ref: ItemRef,
-        plan: JobPlan,
-    ): ServiceId? = manifest?.route(plan.host, jobs.path(ref) ?: return null)?.chooseService(ref.item.hashCode())
+    /** Returns whether the known manifest is at least as new as the one under which the job was accepted. */
+    private fun isCurrentFor(plan: JobPlan): Boolean = manifest?.let { it.version >= plan.manifestVersion } == true
 
-    private fun route(ref: ItemRef): ManifestRoute? {
-        val host = jobs.host(ref) ?: return null
-        return manifest?.route(host, jobs.path(ref) ?: return null)
+    /** Returns how often the item may fail before it is given up; unlimited while its route may not be known yet. */
+    private fun allowedFailures(ref: ItemRef): Int {
+        val plan = jobs.plan(ref.job) ?: return DEFAULT_ITEM_ATTEMPTS
+        if (!isCurrentFor(plan)) return Int.MAX_VALUE
+        return route(ref, plan)?.maxAttempts ?: DEFAULT_ITEM_ATTEMPTS
     }
 
+    private fun route(
+        ref: ItemRef,
+        plan: JobPlan,
+    ): ManifestRoute? = manifest?.route(plan.host, jobs.path(ref) ?: return null)
+
     private fun occupySlot(
         call: CallId,
         load: ServerLoad,
--- a/core/src/main/kotlin/org/agatestream/core/JobTracker.kt
+++ b/core/src/main/kotlin/org/agatestream/core/JobTracker.kt
@@ -11,6 +11,8 @@
     /** The host of the job's route, used to look up the routes of its items. */
     val host: String,
     val lifetime: JobLifetime,
+    /** The version of the manifest under which the job was accepted; an older manifest may lack its route. */
+    val manifestVersion: Long,
     /** The VM that accepted the job and holds its bodies. */
     val acceptedBy: VmId?,
     val items: List<PlannedItem>,
@@ -166,7 +168,7 @@
 
     fun path(ref: ItemRef): String? = item(ref)?.plan?.path
 
-    fun host(ref: ItemRef): String? = jobs[ref.job]?.plan?.host
+    fun plan(job: JobId): JobPlan? = jobs[job]?.plan
 
     /** Returns the VM that holds the bodies of the item's job, or null if it is lost or not known. */
     fun bodyHolder(ref: ItemRef): VmId? = jobs[ref.job]?.bodyHolder
--- a/core/src/main/kotlin/org/agatestream/core/Manifest.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Manifest.kt
@@ -35,6 +35,7 @@
 )
 
 /** Limits of a batch route. */
+@Serializable
 public data class JobRules(
     /** The time from the first submission of a job to the deadline of its results. */
     val completionTarget: Duration,
--- a/core/src/test/kotlin/org/agatestream/core/DispatcherFixture.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherFixture.kt
@@ -92,12 +92,14 @@
     name: String,
     items: Int,
     dueIn: Duration = 18.seconds,
+    manifestVersion: Long = 1,
 ): JobPlan =
     JobPlan(
         id = JobId(name),
         workspace = TEAM,
         host = "h.example",
         lifetime = JobLifetime(deadline = START + dueIn, expiresAt = START + 60.seconds),
+        manifestVersion = manifestVersion,
         acceptedBy = VM_A,
         items = (1..items).map { PlannedItem(ItemId("$name-$it"), "/batch/$it") },
     )
--- a/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
@@ -473,6 +473,43 @@
             dispatcher.tick(START + 800.milliseconds).started() shouldHaveSize 1
         }
 
+        // Guards against the loss of an accepted job whose route is newer than the coordinator's manifest.
+        test("StaleManifest: a job accepted under a newer manifest waits until the coordinator has it") {
+            val withoutBatch = manifestOf().run { copy(routes = routes.filter { it.kind != RouteKind.BATCH }) }
+            val dispatcher = dispatcherOf(withoutBatch, serverOf("s1", slots = 4))
+            dispatcher.onJob(jobOf("j", 2, manifestVersion = 2), emptySet(), START).shouldBeEmpty()
+            dispatcher.tick(START + 2.seconds).shouldBeEmpty()
+            dispatcher.onManifest(manifestOf().copy(version = 2))
+            dispatcher.tick(START + 2.seconds).started() shouldHaveSize 2
+        }
+
+        test("StaleManifest: jobs that wait for a newer manifest do not delay others") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
+            dispatcher.onJob(jobOf("newer", 300, manifestVersion = 2), emptySet(), START).shouldBeEmpty()
+            dispatcher.onJob(jobOf("j", 2), emptySet(), START).started() shouldHaveSize 2
+        }
+
+        test("StaleManifest: an item is not given up for its failures under an older manifest than its job's") {
+            val withoutBatch = manifestOf().run { copy(routes = routes.filter { it.kind != RouteKind.BATCH }) }
+            val dispatcher = dispatcherOf(manifestOf().copy(version = 2), serverOf("s1", slots = 4))
+            val run = dispatcher.onJob(jobOf("j", 1, manifestVersion = 2), emptySet(), START).started().single()
+            dispatcher.onManifest(withoutBatch)
+            repeat(3) { dispatcher.onItem(run.item, run.call, ItemOutcome.FAILED, START).shouldBeEmpty() }
+        }
+
+        test("an item whose route a current manifest lacks is given up") {
+            val withoutBatch =
+                manifestOf().run {
+                    copy(
+                        version = 3,
+                        routes = routes.filter { it.kind != RouteKind.BATCH },
+                    )
+                }
+            val dispatcher = dispatcherOf(withoutBatch, serverOf("s1", slots = 4))
+            val actions = dispatcher.onJob(jobOf("j", 1, manifestVersion = 2), emptySet(), START)
+            actions.single().shouldBeInstanceOf<DispatchAction.GiveUpItem>().reason shouldBe "route_dropped"
+        }
+
         test("the items of a job are spread over a few VMs, so that the loss of one interrupts few") {
             val vms = (1..11).map { VmId("vm-$it") } + VM_A
             val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 40))
--- a/server/src/main/kotlin/org/agatestream/server/CallerRoutes.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CallerRoutes.kt
@@ -48,7 +48,7 @@
                 .getOrElse { return refuse(call, it) }
         val body = call.readBody(manifest.maxBodyBytes).getOrElse { return refuse(call, it) }
         if (admission.route.kind == RouteKind.BATCH) {
-            jobs.submit(call, admission, body, System.currentTimeMillis())
+            jobs.submit(call, admission, body, manifest.version, System.currentTimeMillis())
         } else {
             forwarder.forward(call, admission, body, manifest.version, now)
         }
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -66,6 +66,7 @@
     // Lets an interrupted item resume on whichever VM runs it next.
     private val partialOutputs = HashMap<ItemRef, PartialOutput>()
     private var tickLoop: Job? = null
+    private var refresh: Job? = null
     private var isStopped = false
 
     /** True while this VM is leaving or does not reach the store, and a follower that reaches it can take over. */
@@ -107,6 +108,10 @@
         now: MonotonicTime,
     ) {
         plan.items.forEach { workspaces[ItemRef(plan.id, it.id)] = plan.workspace }
+        val known = view.manifest?.version ?: 0
+        if (known < plan.manifestVersion) {
+            EventLog.info("job_held", "job" to plan.id, "accepted_under" to plan.manifestVersion, "manifest" to known)
+        }
         execute(dispatcher.onJob(plan, done, now))
     }
 
@@ -193,6 +198,7 @@
             follower.isStoreReachable = report.isStoreReachable
         }
         updateFollowers()
+        if (report.operatorVersion > view.operatorVersion) refreshManifest()
         execute(dispatcher.onReport(from, report.running, report.unlisted, now))
         val snapshot =
             if (report.isStoreReachable) null else view.snapshotSince(report.operatorVersion, report.serverVersion)
@@ -200,6 +206,12 @@
         return StatusResponse(list, liveVersion, isResigning, snapshot, parts.answer(report.parts, now))
     }
 
+    /** Catches up with a VM that has newer rows: the feed of this VM may be silent. */
+    private fun refreshManifest() {
+        if (refresh?.isActive == true) return
+        refresh = scope.launch { view.refreshOperatorRows() }
+    }
+
     private fun tick(now: MonotonicTime) {
         val lost = followers.values.filter { it.vm.id != self && now - it.lastHeardAt > FOLLOWER_TIMEOUT }
         for (follower in lost) {
--- a/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
@@ -10,6 +10,7 @@
 import org.agatestream.core.ItemId
 import org.agatestream.core.ItemRef
 import org.agatestream.core.JobId
+import org.agatestream.core.JobRules
 import org.agatestream.core.RowName
 import org.agatestream.core.StoreTime
 import org.agatestream.core.VmId
@@ -49,6 +50,10 @@
     val items: List<JobRowItem>,
     /** When the job was accepted; null in rows of builds that recorded only a time of day. */
     val acceptedAt: StoreTime? = null,
+    /** The version of the manifest under which the job was accepted; 0 in rows of builds that did not record it. */
+    val manifestVersion: Long = 0,
+    /** The limits of its route in that manifest; null in rows of builds that did not record them. */
+    val rules: JobRules? = null,
 )
 
 @Serializable
--- a/server/src/main/kotlin/org/agatestream/server/JobCalls.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobCalls.kt
@@ -19,11 +19,12 @@
     private val self: VmId,
     private val jobs: JobStore,
 ) {
-    /** Accepts the job in [body], received at [nowMillis] of the Unix clock. */
+    /** Accepts the job in [body], admitted by the manifest [manifestVersion] and received at [nowMillis] (Unix). */
     suspend fun submit(
         call: HttpCall,
         admission: Admission,
         body: ByteArray,
+        manifestVersion: Long,
         nowMillis: Long,
     ) {
         val id = CallerProtocol.requestId(call)?.value?.let { JobId(it) }
@@ -38,9 +39,11 @@
                 receivedAtMillis = nowMillis,
                 acceptedBy = self,
                 items = items.map { JobRowItem(it.id, it.path, it.tokens) },
+                manifestVersion = manifestVersion,
+                rules = admission.route.jobs,
             )
         val accepted = jobs.accept(row, body, items, admission.route.jobs?.maxWaitingTokens ?: 0)
-        log("job_submitted", row.workspace, id, accepted, "items" to items.size)
+        log("job_submitted", row.workspace, id, accepted, "items" to items.size, "manifest" to manifestVersion)
         when (accepted) {
             is Outcome.Ok -> call.respond(STATUS_ACCEPTED, JSON, "{}".encodeToByteArray())
             is Outcome.Failed -> call.respondNotServed(accepted.failure)
--- a/server/src/main/kotlin/org/agatestream/server/JobWatcher.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobWatcher.kt
@@ -21,6 +21,7 @@
 /** Watches the store's jobs for the coordinator. */
 internal class JobWatcher(
     private val store: RowStore,
+    /** Returns the limits of a job whose row does not hold them. */
     private val rules: (JobRow) -> JobRules?,
     private val onJob: (JobPlan, Set<ItemId>, MonotonicTime) -> Unit,
     private val onJobEnded: (JobId, MonotonicTime) -> Unit,
@@ -83,7 +84,8 @@
                 id = row.id,
                 workspace = row.workspace,
                 host = row.host,
-                lifetime = JobLifetime.of(row.acceptedAt, readAt, rules(row), now),
+                lifetime = JobLifetime.of(row.acceptedAt, readAt, row.rules ?: rules(row), now),
+                manifestVersion = row.manifestVersion,
                 acceptedBy = row.acceptedBy,
                 items = row.items.map { PlannedItem(it.id, it.path) },
             )
--- a/server/src/main/kotlin/org/agatestream/server/PlatformView.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformView.kt
@@ -83,6 +83,11 @@
         }
     }
 
+    /** Reads the operator's rows now, without waiting for the feed. */
+    suspend fun refreshOperatorRows() {
+        store.readAll(PlatformNames.OPERATOR_TABLE, "")?.let { replaceOperatorRows(it.rows, it.version) }
+    }
+
     /** Returns all rows if there are any newer than the versions [operators] and [servers]; null otherwise. */
     fun snapshotSince(
         operators: Long,
--- a/server/src/test/kotlin/org/agatestream/server/CoordinatorRoleTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/CoordinatorRoleTest.kt
@@ -1,5 +1,6 @@
 package org.agatestream.server
 
+import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
 import io.kotest.matchers.shouldBe
@@ -16,6 +17,9 @@
 import org.agatestream.core.ListedVm
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.PlannedItem
+import org.agatestream.core.RowChange
+import org.agatestream.core.RowName
+import org.agatestream.core.RowStore
 import org.agatestream.core.VmId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -55,8 +59,8 @@
     ): PeerResponse? = null
 }
 
-private fun viewOfOneServer(): PlatformView {
-    val view = PlatformView(FakeRowStore()) {}
+private fun viewOfOneServer(store: RowStore = FakeRowStore()): PlatformView {
+    val view = PlatformView(store) {}
     val snapshot =
         PlatformSnapshot(
             operatorVersion = 1,
@@ -68,7 +72,10 @@
     return view
 }
 
-private fun statusOf(name: String): StatusReport =
+private fun statusOf(
+    name: String,
+    operatorVersion: Long = 1,
+): StatusReport =
     StatusReport(
         name = name,
         caller = "127.0.0.1:2",
@@ -78,7 +85,7 @@
         isStoreReachable = true,
         running = emptyList(),
         unlisted = emptyList(),
-        operatorVersion = 1,
+        operatorVersion = operatorVersion,
         serverVersion = 1,
         liveVersion = 0,
     )
@@ -86,12 +93,13 @@
 private fun roleOf(
     network: PeerTransport,
     scope: CoroutineScope,
+    view: PlatformView = viewOfOneServer(),
 ): CoordinatorRole =
     CoordinatorRole(
         self = COORDINATOR,
         term = CoordinatorTerm(1),
         network = network,
-        view = viewOfOneServer(),
+        view = view,
         parts = PromptPartWatch(viewOfOneServer()) { false },
         scope = scope,
         runItem = {},
@@ -116,7 +124,7 @@
             role.onStatusReport(ENDED_VM, statusOf("b"), now)
             val items = (1..4).map { PlannedItem(ItemId("i$it"), "/lot/$it") }
             val lifetime = JobLifetime(deadline = now + 18.seconds, expiresAt = null)
-            role.onJob(JobPlan(JobId("j"), null, "h.example", lifetime, null, items), emptySet(), now)
+            role.onJob(JobPlan(JobId("j"), null, "h.example", lifetime, 1, null, items), emptySet(), now)
             block(role, network)
         } finally {
             job.cancel()
@@ -143,4 +151,22 @@
                 network.placements shouldBeLessThanOrEqualTo 4
             }
         }
+
+        // Guards against a coordinator that works by an old manifest for as long as its own feed is silent.
+        test("StaleManifest: a coordinator reads the manifest anew when a VM reports a newer one") {
+            val store = FakeRowStore()
+            val view = viewOfOneServer(store)
+            val newer = MANIFEST.replace("\"Version\":1", "\"Version\":2").encodeToByteArray()
+            repeat(2) { store.write(emptyMap(), listOf(RowChange(RowName("op", "", "config"), newer))) }
+            runBlocking {
+                val job = Job()
+                try {
+                    val role = roleOf(DeadNetwork(), CoroutineScope(coroutineContext + job), view)
+                    role.onStatusReport(ENDED_VM, statusOf("b", operatorVersion = 2), MonotonicTime.now())
+                    eventually(3.seconds) { view.manifest?.version shouldBe 2 }
+                } finally {
+                    job.cancel()
+                }
+            }
+        }
     })
--- a/server/src/test/kotlin/org/agatestream/server/JobClockTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/JobClockTest.kt
@@ -35,9 +35,13 @@
 private val START = StoreTime(1_000_000)
 
 /** Accepts a job at a VM whose time of day is [clockError] ahead of the true time. */
-private suspend fun FakeRowStore.acceptJob(clockError: Duration) {
+private suspend fun FakeRowStore.acceptJob(
+    clockError: Duration,
+    rules: JobRules? = null,
+) {
     val receivedAt = System.currentTimeMillis() + clockError.inWholeMilliseconds
-    val row = JobRow(JOB, TEAM, "h", "r", receivedAt, VmId("v"), listOf(JobRowItem(ItemId("i1"), "/b/1", 60)))
+    val jobItems = listOf(JobRowItem(ItemId("i1"), "/b/1", 60))
+    val row = JobRow(JOB, TEAM, "h", "r", receivedAt, VmId("v"), jobItems, rules = rules)
     val items = (parseJob(CONTENT) as Outcome.Ok).value
     JobStore(this, 65_536).accept(row, CONTENT, items, 0).shouldBeInstanceOf<Outcome.Ok<JobRow>>()
 }
@@ -95,6 +99,17 @@
             }
         }
 
+        // Guards against a job that never expires since the coordinator did not know its route yet.
+        test("StaleManifest: a job keeps the limits under which it was accepted") {
+            val store = FakeRowStore()
+            store.now = START
+            store.acceptJob(clockError = 0.seconds, rules = RULES.copy(retention = 10.seconds))
+            store
+                .plan()
+                .lifetime.expiresAt
+                .shouldNotBeNull() shouldBeLessThan MonotonicTime.now() + 12.seconds
+        }
+
         test("a job that records only a time of day is neither expired nor deleted") {
             val store = FakeRowStore()
             store.acceptJob(clockError = (-1).hours)
