Refuse orders of replaced coordinators, and place nothing after a pause without proof

Cause: a coordinator that woke from a freeze of 3.9 s acted on messages that had waited on its connections, and the other VMs, which had named a new coordinator 3.3 s before, carried out whatever order came. Ruled out by the logs: that they had not heard of the new coordinator.

Orders carry the term, and a VM refuses those older than the newest term that it knows of, from whichever source it came first. A coordinator that did not run for over half a second, by either clock, or whose order is refused places no item until it has read from the store that it still coordinates, and all jobs. The same for orders to stop an item and for orders to the coordinator's own VM.

With the check of the pause and of refusals taken out, three cases of CoordinatorRoleTest fail (8, 14 and 21 items placed in place of 7).

--- /dev/null
+++ b/core/src/main/kotlin/org/agatestream/core/ClockReading.kt
@@ -0,0 +1,9 @@
+package org.agatestream.core
+
+/** A reading of both clocks of one VM. */
+public data class ClockReading(
+    /** Does not count the time for which the VM is suspended. */
+    val monotonic: MonotonicTime,
+    /** The time of day in Unix milliseconds; counts the time for which the VM is suspended, and may be set. */
+    val unixMillis: Long,
+)
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.launch
 import org.agatestream.core.BackendServerId
 import org.agatestream.core.CallId
+import org.agatestream.core.ClockReading
 import org.agatestream.core.CoordinatorTerm
 import org.agatestream.core.DispatchAction
 import org.agatestream.core.Dispatcher
@@ -18,18 +19,20 @@
 import org.agatestream.core.JobId
 import org.agatestream.core.JobPlan
 import org.agatestream.core.MonotonicTime
+import org.agatestream.core.PauseDetector
 import org.agatestream.core.PlaceRequest
 import org.agatestream.core.RunOutcome
 import org.agatestream.core.ServerSuspicion
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Coordinates the fleet: feeds VM reports into a [Dispatcher] and sends its decisions to the VMs. */
 internal class CoordinatorRole(
     private val self: VmId,
-    term: CoordinatorTerm,
+    private val term: CoordinatorTerm,
     private val network: PeerTransport,
     private val view: PlatformView,
     private val parts: PromptPartWatch,
@@ -42,6 +45,8 @@
     private val unlist: suspend (String) -> Unit,
     private val listedVms: () -> Int,
     private val isLeaving: () -> Boolean,
+    /** Asked for proof that this VM still coordinates and knows every job; [onConfirmed] is called with the number. */
+    private val confirm: (Int) -> Unit,
 ) {
     private class Follower(
         var vm: LiveVm,
@@ -68,6 +73,11 @@
     private var tickLoop: Job? = null
     private var refresh: Job? = null
     private var isStopped = false
+    private val pauses = PauseDetector(MAX_PAUSE)
+
+    // Counts the requests for proof, of which only the last one may be met.
+    private var confirmations = 0
+    private var isConfirmed = true
 
     /** True while this VM is leaving or does not reach the store, and a follower that reaches it can take over. */
     var isResigning = false
@@ -97,7 +107,37 @@
         pendingPlacements.values.forEach { it.cancel() }
     }
 
+    /** Places items again after [confirm] was called with [number], unless it was called again since. */
+    fun onConfirmed(
+        number: Int,
+        now: MonotonicTime,
+    ) {
+        if (isStopped || number != confirmations) return
+        isConfirmed = true
+        EventLog.info("coordinator_confirmed", "vm" to self, "term" to term)
+        if (!isResigning) dispatcher.allowItems(now + TAKEOVER_WAIT)
+    }
+
+    /** Suspends items if this process was paused: another VM may coordinate, and jobs may have ended meanwhile. */
+    private fun noticePause(now: MonotonicTime) {
+        val pause = pauses.onRunning(ClockReading(now, System.currentTimeMillis())) ?: return
+        requireConfirmation("paused", pause)
+    }
+
+    private fun requireConfirmation(
+        reason: String,
+        pause: Duration? = null,
+    ) {
+        val isAwaited = !isConfirmed && pause == null
+        if (isStopped || isAwaited) return
+        EventLog.warn("coordinator_unconfirmed", "vm" to self, "term" to term, "reason" to reason, "for" to pause)
+        isConfirmed = false
+        dispatcher.pauseItems()
+        confirm(++confirmations)
+    }
+
     fun onViewChanged(now: MonotonicTime) {
+        noticePause(now)
         view.manifest?.let { dispatcher.onManifest(it) }
         execute(dispatcher.onServers(view.registry.usable(), now))
     }
@@ -107,6 +147,7 @@
         done: Set<ItemId>,
         now: MonotonicTime,
     ) {
+        noticePause(now)
         plan.items.forEach { workspaces[ItemRef(plan.id, it.id)] = plan.workspace }
         val known = view.manifest?.version ?: 0
         if (known < plan.manifestVersion) {
@@ -129,6 +170,7 @@
         request: PlaceSlotRequest,
         now: MonotonicTime,
     ): PlaceDecision {
+        noticePause(now)
         parts.merge(request.facts, now)
         val call = CallId(from, request.number)
         val immediate = CompletableDeferred<PlaceDecision>()
@@ -154,6 +196,7 @@
         request: ReleaseSlotRequest,
         now: MonotonicTime,
     ) {
+        noticePause(now)
         parts.merge(request.facts, now)
         val call = CallId(from, request.number)
         execute(dispatcher.release(call, request.outcome, request.firstEventMillis?.milliseconds, now))
@@ -164,6 +207,7 @@
         report: ItemReport,
         now: MonotonicTime,
     ) {
+        noticePause(now)
         if (report.outcome == ItemOutcome.LISTED) {
             workspaces -= report.item
             partialOutputs -= report.item
@@ -179,6 +223,7 @@
         report: StatusReport,
         now: MonotonicTime,
     ): StatusResponse {
+        noticePause(now)
         val vm = LiveVm(from, report.name, report.caller, report.peer, report.domain)
         val follower = followers[from]
         if (follower == null) {
@@ -213,6 +258,7 @@
     }
 
     private fun tick(now: MonotonicTime) {
+        noticePause(now)
         val lost = followers.values.filter { it.vm.id != self && now - it.lastHeardAt > FOLLOWER_TIMEOUT }
         for (follower in lost) {
             removeFollower(follower.vm.id, "silent", hasEnded = false, now)
@@ -252,7 +298,11 @@
         if (shouldResign == isResigning) return
         isResigning = shouldResign
         EventLog.info("coordinator_resigning", "resigns" to shouldResign)
-        if (shouldResign) dispatcher.pauseItems() else dispatcher.allowItems(now)
+        if (shouldResign) {
+            dispatcher.pauseItems()
+        } else if (isConfirmed) {
+            dispatcher.allowItems(now)
+        }
     }
 
     private fun removeFollower(
@@ -314,6 +364,7 @@
                 workspace = workspaces[action.item],
                 server = action.server,
                 partial = partialOutputs[action.item],
+                term = term,
             )
         EventLog.info("item_placed", "item" to action.item, "vm" to action.call.vm, "server" to action.server)
         if (action.call.vm == self) {
@@ -321,7 +372,9 @@
             return
         }
         scope.launch {
-            if (network.call(action.call.vm, request, PUSH_TIMEOUT) != null) return@launch
+            val answer = network.call(action.call.vm, request, PUSH_TIMEOUT)
+            if (answer is Superseded) requireConfirmation("superseded")
+            if (answer != null && answer !is Superseded) return@launch
             val now = MonotonicTime.now()
             dispatcher.onUnanswered(action.call.vm)
             execute(dispatcher.onItem(action.item, action.call, ItemOutcome.INTERRUPTED, now))
@@ -330,7 +383,7 @@
     }
 
     private fun cancelItem(action: DispatchAction.StopItem) {
-        val request = StopItemRequest(action.call.number, action.reason)
+        val request = StopItemRequest(action.call.number, action.reason, term)
         if (action.call.vm == self) {
             stopItem(request)
         } else {
@@ -351,6 +404,9 @@
         val TAKEOVER_WAIT = 800.milliseconds
         val FOLLOWER_TIMEOUT = 1.seconds
 
+        // Ten ticks; short against the 3 s within which the end of a job must take effect.
+        val MAX_PAUSE = 500.milliseconds
+
         // Together with [FOLLOWER_TIMEOUT], half of the 6 s for which a dead VM may be listed to callers.
         val MARK_SILENT_AFTER = 2.seconds
 
--- a/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
@@ -17,6 +17,7 @@
 import org.agatestream.core.RowStore
 import org.agatestream.core.StoreRead
 import org.agatestream.core.StoredRow
+import org.agatestream.core.TermFence
 import org.agatestream.core.VmId
 import org.agatestream.core.WriteResult
 import org.agatestream.core.shouldClaim
@@ -53,6 +54,7 @@
         private set
     private var isLeaving = false
     private var isClaiming = false
+    private val fence = TermFence()
     private val reportTrigger = Channel<Unit>(Channel.CONFLATED)
 
     val self: VmId get() = network.self
@@ -63,6 +65,9 @@
     /** The version of the row that names the coordinator, as this VM knows it. */
     val coordinatorTerm: CoordinatorTerm get() = CoordinatorTerm(recordVersion)
 
+    /** Returns whether an order of [term] may be carried out; orders of builds that do not send a term always may. */
+    fun admitsOrder(term: CoordinatorTerm?): Boolean = term == null || fence.admits(term)
+
     /** The number of VMs that the store lists. */
     val listedCount: Int get() = roster.size
 
@@ -287,6 +292,7 @@
             }
 
             is WriteResult.Written, is WriteResult.Unknown -> {
+                // The feed may tell of the change only after others have found this VM not coordinating.
                 readCoordinator()
             }
 
@@ -294,11 +300,12 @@
         }
     }
 
-    /** Reads the coordinator's row, of which the feed may tell only after others have found this VM not coordinating. */
-    private suspend fun readCoordinator() {
+    /** Reads the coordinator's row, without waiting for the feed; returns whether the store answered. */
+    suspend fun readCoordinator(): Boolean {
         val key = FleetTables.coordinator.key
         val read = store.rows(FleetTables.FLEET, "", key, key + '\u0000')
         if (read is StoreRead.Found) applyChanges(read.value.rows)
+        return read is StoreRead.Found
     }
 
     /** Fetches snapshots from seeds until there is a manifest, then from peers while the store is unreachable. */
@@ -366,6 +373,7 @@
         version: Long,
     ) {
         recordVersion = version
+        fence.raise(coordinatorTerm)
         if (next == record) return
         record = next
         recordedAt = MonotonicTime.now()
--- a/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
 import org.agatestream.core.BackendServerId
+import org.agatestream.core.CoordinatorTerm
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.FailureDomainId
 import org.agatestream.core.ItemOutcome
@@ -94,6 +95,8 @@
     val server: BackendServerId,
     /** The output of earlier runs, from which this one resumes; null if there is none. */
     val partial: PartialOutput?,
+    /** The term of the coordinator; null from builds that do not send it. */
+    val term: CoordinatorTerm? = null,
 ) : PeerRequest
 
 /** The output of an interrupted item: the data of its events up to the one numbered [lastEvent]. */
@@ -109,6 +112,8 @@
 internal class StopItemRequest(
     val number: Long,
     val reason: String,
+    /** The term of the coordinator; null from builds that do not send it. */
+    val term: CoordinatorTerm? = null,
 ) : PeerRequest
 
 /** Reports the outcome of an item's run to the coordinator. */
@@ -127,6 +132,11 @@
 @SerialName("taken")
 internal data object Acknowledged : PeerResponse
 
+/** Refuses an order, as its sender has been replaced as coordinator. */
+@Serializable
+@SerialName("superseded")
+internal data object Superseded : PeerResponse
+
 /** Reports that the receiver is not the coordinator. */
 @Serializable
 @SerialName("not-coordinator")
--- a/server/src/main/kotlin/org/agatestream/server/JobWatcher.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobWatcher.kt
@@ -25,6 +25,8 @@
     private val rules: (JobRow) -> JobRules?,
     private val onJob: (JobPlan, Set<ItemId>, MonotonicTime) -> Unit,
     private val onJobEnded: (JobId, MonotonicTime) -> Unit,
+    /** Called whenever all jobs have been read from the store. */
+    private val onLoaded: () -> Unit = {},
 ) {
     private val seen = HashSet<JobId>()
 
@@ -34,7 +36,10 @@
                 store = store,
                 table = FleetTables.JOBS,
                 readSnapshot = ::readAllPartitions,
-                onSnapshot = { partitions, _ -> addAll(partitions) },
+                onSnapshot = { partitions, _ ->
+                    addAll(partitions)
+                    onLoaded()
+                },
                 onChanges = ::applyChanges,
             )
         return scope.launch { feed.run() }
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -5,8 +5,10 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import org.agatestream.core.CoordinatorTerm
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.VmId
 import org.agatestream.http.BufferBudget
@@ -176,8 +178,8 @@
             is ItemReport -> acknowledge { role?.onItemReport(from, request, now) }
             is StatusReport -> role?.onStatusReport(from, request, now) ?: NotCoordinator
             is DecisionNotice -> acknowledge { slots.onDecision(request) }
-            is RunItemRequest -> acknowledge { itemExecutor.start(request) }
-            is StopItemRequest -> acknowledge { itemExecutor.stop(request) }
+            is RunItemRequest -> carryOut(from, request.term) { itemExecutor.start(request) }
+            is StopItemRequest -> carryOut(from, request.term) { itemExecutor.stop(request) }
             is CoordinatorProbe, is SnapshotRequest -> membership.answer(request)
             is StoreRequest -> relay.answer(request)
             else -> null
@@ -189,6 +191,19 @@
         return Acknowledged
     }
 
+    /** Carries out an order of the coordinator [from], unless that has been replaced. */
+    private inline fun carryOut(
+        from: VmId,
+        term: CoordinatorTerm?,
+        order: () -> Unit,
+    ): PeerResponse {
+        if (!membership.admitsOrder(term)) {
+            EventLog.warn("order_refused", "from" to from, "term" to term, "newest" to membership.coordinatorTerm)
+            return Superseded
+        }
+        return acknowledge(order)
+    }
+
     private fun status(): StatusReport =
         StatusReport(
             name = config.name,
@@ -247,18 +262,28 @@
                 view = view,
                 parts = parts,
                 scope = scope,
-                runItem = itemExecutor::start,
-                stopItem = itemExecutor::stop,
+                runItem = { carryOut(self, it.term) { itemExecutor.start(it) } },
+                stopItem = { carryOut(self, it.term) { itemExecutor.stop(it) } },
                 giveUpItem = itemExecutor::giveUp,
                 onDecision = slots::onDecision,
                 markSilent = roster::markSilent,
                 unlist = roster::unlist,
                 listedVms = { membership.listedCount },
                 isLeaving = { shutdown.hasBegun },
+                confirm = ::confirmRole,
             )
         role = started
         started.start(MonotonicTime.now())
         started.onStatusReport(self, status(), MonotonicTime.now())
+        watchJobs(started)
+        cleaner = JobCleaner(store, jobStore, config.resultsKeptSeconds.seconds).start(scope)
+    }
+
+    private fun watchJobs(
+        coordinator: CoordinatorRole,
+        onLoaded: () -> Unit = {},
+    ) {
+        jobWatcher?.cancel()
         jobWatcher =
             JobWatcher(
                 store = store,
@@ -268,10 +293,20 @@
                         ?.firstOrNull { it.name == job.route }
                         ?.jobs
                 },
-                onJob = started::onJob,
-                onJobEnded = started::onJobEnded,
+                onJob = coordinator::onJob,
+                onJobEnded = coordinator::onJobEnded,
+                onLoaded = onLoaded,
             ).start(scope)
-        cleaner = JobCleaner(store, jobStore, config.resultsKeptSeconds.seconds).start(scope)
+    }
+
+    /** Reads from the store who coordinates and, if that is still this VM, all jobs. */
+    private fun confirmRole(number: Int) {
+        val unconfirmed = role ?: return
+        scope.launch {
+            while (role === unconfirmed && !membership.readCoordinator()) delay(CONFIRM_RETRY_INTERVAL)
+            if (role !== unconfirmed) return@launch
+            watchJobs(unconfirmed) { unconfirmed.onConfirmed(number, MonotonicTime.now()) }
+        }
     }
 
     private fun stopCoordinating() {
@@ -308,6 +343,7 @@
         // Writing an object takes 25 ms, and up to a hundred times as long while the store is slow.
         val STORE_WRITE_TIMEOUT = 3.seconds
         val ITEM_REPORT_TIMEOUT = 500.milliseconds
+        val CONFIRM_RETRY_INTERVAL = 100.milliseconds
 
         // Callers reuse connections that were idle for up to 12 s, four fifths of the manifest's limit of 15 s.
         val CALLER_LIMITS = HttpLimits(maxRequestLineBytes = 16_384, keepAliveTimeout = 120.seconds)
--- a/server/src/test/kotlin/org/agatestream/server/CoordinatorRoleTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/CoordinatorRoleTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.CoroutineScope
@@ -11,6 +12,7 @@
 import org.agatestream.core.CoordinatorTerm
 import org.agatestream.core.FailureDomainId
 import org.agatestream.core.ItemId
+import org.agatestream.core.ItemOutcome
 import org.agatestream.core.JobId
 import org.agatestream.core.JobLifetime
 import org.agatestream.core.JobPlan
@@ -20,6 +22,7 @@
 import org.agatestream.core.RowChange
 import org.agatestream.core.RowName
 import org.agatestream.core.RowStore
+import org.agatestream.core.RunOutcome
 import org.agatestream.core.VmId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -32,10 +35,13 @@
     "CompletionTargetMs":9000,"KeepS":60,"MaxAttempts":3}],"Services":[{"Name":"s"}],"Tenants":[]}"""
 private const val SERVER = """{"Service":"s","Address":"127.0.0.1:1","Zone":"d","Slots":8,"State":"ready"}"""
 
-/** A network on which no VM answers; counts the runs of items that it was asked to pass on. */
-private class DeadNetwork : PeerTransport {
+/** A network on which every VM responds with [response]; keeps the runs of items that it was asked to pass on. */
+private class FakeNetwork(
+    private val response: PeerResponse?,
+) : PeerTransport {
     override val self: VmId = COORDINATOR
-    var placements = 0
+    val runs = ArrayList<RunItemRequest>()
+    val placements: Int get() = runs.size
 
     override fun addHandler(handler: PeerHandler) = Unit
 
@@ -46,9 +52,9 @@
         request: PeerRequest,
         timeout: Duration,
     ): PeerResponse? {
-        if (request is RunItemRequest) placements++
+        if (request is RunItemRequest) runs += request
         delay(1.milliseconds)
-        return null
+        return response
     }
 
     override suspend fun callAddress(
@@ -82,7 +88,8 @@
         peer = "127.0.0.1:3",
         domain = FailureDomainId("d"),
         isLeaving = false,
-        isStoreReachable = true,
+        // A coordinator without the store resigns only if a follower reaches it.
+        isStoreReachable = false,
         running = emptyList(),
         unlisted = emptyList(),
         operatorVersion = operatorVersion,
@@ -94,6 +101,7 @@
     network: PeerTransport,
     scope: CoroutineScope,
     view: PlatformView = viewOfOneServer(),
+    confirm: (Int) -> Unit = {},
 ): CoordinatorRole =
     CoordinatorRole(
         self = COORDINATOR,
@@ -110,26 +118,37 @@
         unlist = {},
         listedVms = { 1 },
         isLeaving = { false },
+        confirm = confirm,
     )
 
-/** Has a coordinator place the items of a job at a VM that answers nothing, and runs [block]. */
-private fun withDeadFollower(block: suspend (CoordinatorRole, DeadNetwork) -> Unit) =
-    runBlocking {
-        val job = Job()
-        val network = DeadNetwork()
-        val role = roleOf(network, CoroutineScope(coroutineContext + job))
-        try {
-            val now = MonotonicTime.now()
-            role.start(now)
-            role.onStatusReport(ENDED_VM, statusOf("b"), now)
-            val items = (1..4).map { PlannedItem(ItemId("i$it"), "/lot/$it") }
-            val lifetime = JobLifetime(deadline = now + 18.seconds, expiresAt = null)
-            role.onJob(JobPlan(JobId("j"), null, "h.example", lifetime, 1, null, items), emptySet(), now)
-            block(role, network)
-        } finally {
-            job.cancel()
-        }
+/** Has a coordinator place the items of a job at a VM that responds with [response], and runs [block]. */
+private fun withFollower(
+    response: PeerResponse?,
+    items: Int,
+    confirm: (Int) -> Unit = {},
+    block: suspend (CoordinatorRole, FakeNetwork) -> Unit,
+) = runBlocking {
+    val job = Job()
+    val network = FakeNetwork(response)
+    val role = roleOf(network, CoroutineScope(coroutineContext + job), confirm = confirm)
+    try {
+        val now = MonotonicTime.now()
+        role.start(now)
+        role.onStatusReport(ENDED_VM, statusOf("b"), now)
+        val planned = (1..items).map { PlannedItem(ItemId("i$it"), "/lot/$it") }
+        val lifetime = JobLifetime(deadline = now + 18.seconds, expiresAt = null)
+        role.onJob(JobPlan(JobId("j"), null, "h.example", lifetime, 1, null, planned), emptySet(), now)
+        block(role, network)
+    } finally {
+        job.cancel()
     }
+}
+
+/** Keeps the only thread of the test from running anything else, as a freeze of its VM would. */
+private fun freeze() = Thread.sleep(700)
+
+private fun withDeadFollower(block: suspend (CoordinatorRole, FakeNetwork) -> Unit) =
+    withFollower(response = null, items = 4, block = block)
 
 class CoordinatorRoleTest :
     FunSpec({
@@ -152,6 +171,57 @@
             }
         }
 
+        // Guards against items of ended jobs that a coordinator places as it wakes, before it has heard of the end.
+        test("FrozenCoordinator: a coordinator that was frozen places no items before it is confirmed") {
+            val confirmations = ArrayList<Int>()
+            withFollower(Acknowledged, items = 20, confirm = { confirmations += it }) { role, network ->
+                eventually(3.seconds) { network.placements shouldBe 7 }
+                freeze()
+                val woken = MonotonicTime.now()
+                val ended = network.runs.first()
+                role.onItemReport(ENDED_VM, ItemReport(ended.number, ended.item, ItemOutcome.INTERRUPTED), woken)
+                role.release(ENDED_VM, ReleaseSlotRequest(ended.number, RunOutcome.STOPPED, null), woken)
+                delay(100.milliseconds)
+                network.placements shouldBe 7
+                confirmations shouldBe listOf(1)
+                role.onConfirmed(1, MonotonicTime.now())
+                eventually(3.seconds) {
+                    role.onStatusReport(ENDED_VM, statusOf("b"), MonotonicTime.now())
+                    network.placements shouldBeGreaterThan 7
+                }
+            }
+        }
+
+        // Guards against orders of a coordinator that does not know that it was replaced.
+        test("FrozenCoordinator: a coordinator whose order is refused places no more items") {
+            val confirmations = ArrayList<Int>()
+            withFollower(Superseded, items = 20, confirm = { confirmations += it }) { role, network ->
+                eventually(3.seconds) { network.placements shouldBe 7 }
+                repeat(3) {
+                    role.onStatusReport(ENDED_VM, statusOf("b"), MonotonicTime.now())
+                    delay(50.milliseconds)
+                }
+                network.placements shouldBe 7
+                confirmations shouldBe listOf(1)
+            }
+        }
+
+        test("a confirmation from before a further pause does not count") {
+            withFollower(Acknowledged, items = 20) { role, network ->
+                eventually(3.seconds) { network.placements shouldBe 7 }
+                repeat(2) {
+                    freeze()
+                    role.onViewChanged(MonotonicTime.now())
+                }
+                role.onConfirmed(1, MonotonicTime.now())
+                repeat(5) {
+                    role.onStatusReport(ENDED_VM, statusOf("b"), MonotonicTime.now())
+                    delay(200.milliseconds)
+                }
+                network.placements shouldBe 7
+            }
+        }
+
         // Guards against a coordinator that works by an old manifest for as long as its own feed is silent.
         test("StaleManifest: a coordinator reads the manifest anew when a VM reports a newer one") {
             val store = FakeRowStore()
@@ -161,7 +231,7 @@
             runBlocking {
                 val job = Job()
                 try {
-                    val role = roleOf(DeadNetwork(), CoroutineScope(coroutineContext + job), view)
+                    val role = roleOf(FakeNetwork(null), CoroutineScope(coroutineContext + job), view)
                     role.onStatusReport(ENDED_VM, statusOf("b", operatorVersion = 2), MonotonicTime.now())
                     eventually(3.seconds) { view.manifest?.version shouldBe 2 }
                 } finally {
--- a/server/src/test/kotlin/org/agatestream/server/FleetMembershipTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/FleetMembershipTest.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.Runnable
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancel
+import org.agatestream.core.CoordinatorTerm
 import org.agatestream.core.FailureDomainId
 import org.agatestream.core.ListedVm
 import org.agatestream.core.MonotonicTime
@@ -152,28 +153,30 @@
 /** Starts the membership of a VM that reaches [store], and runs [block] with its coroutines and its coordinators. */
 private suspend fun withMembership(
     store: GatedStore,
-    block: suspend (StepDispatcher, List<VmId?>) -> Unit,
+    block: suspend (StepDispatcher, List<VmId?>, FleetMembership) -> Unit,
 ) {
     val dispatcher = StepDispatcher()
     val scope = CoroutineScope(Job() + dispatcher)
     val coordinators = ArrayList<VmId?>()
     val view = PlatformView(store) {}
     view.onStoreContact(answered = true, MonotonicTime.now())
-    FleetMembership(
-        config = CONFIG,
-        store = store,
-        roster = VmRoster(CONFIG, SELF, store),
-        network = NoPeers,
-        view = view,
-        parts = PromptPartWatch(view) { false },
-        status = { STATUS },
-        random = Random(1),
-        scope = scope,
-        onCoordinatorChanged = { coordinators += it },
-        onLocalStatus = { null },
-    ).start()
+    val membership =
+        FleetMembership(
+            config = CONFIG,
+            store = store,
+            roster = VmRoster(CONFIG, SELF, store),
+            network = NoPeers,
+            view = view,
+            parts = PromptPartWatch(view) { false },
+            status = { STATUS },
+            random = Random(1),
+            scope = scope,
+            onCoordinatorChanged = { coordinators += it },
+            onLocalStatus = { null },
+        )
+    membership.start()
     try {
-        block(dispatcher, coordinators)
+        block(dispatcher, coordinators, membership)
     } finally {
         scope.cancel()
     }
@@ -186,7 +189,7 @@
             val store = GatedStore(FakeRowStore())
             val row = FleetTables.encode(CoordinatorRecord.serializer(), OTHER)
             store.write(emptyMap(), listOf(RowChange(FleetTables.coordinator, row)))
-            withMembership(store) { dispatcher, coordinators ->
+            withMembership(store) { dispatcher, coordinators, _ ->
                 dispatcher.runWaiting()
                 store.isOpen.complete(Unit)
                 dispatcher.runLast()
@@ -197,10 +200,25 @@
             }
         }
 
+        // Guards against items that a replaced coordinator has run through other VMs.
+        test("a VM refuses orders of a coordinator that it knows to be replaced") {
+            val store = GatedStore(FakeRowStore())
+            val row = FleetTables.encode(CoordinatorRecord.serializer(), OTHER)
+            repeat(2) { store.write(emptyMap(), listOf(RowChange(FleetTables.coordinator, row))) }
+            withMembership(store) { dispatcher, _, membership ->
+                membership.admitsOrder(CoordinatorTerm(1)) shouldBe true
+                store.isOpen.complete(Unit)
+                repeat(3) { dispatcher.runWaiting() }
+                membership.coordinatorTerm shouldBe CoordinatorTerm(2)
+                membership.admitsOrder(CoordinatorTerm(1)) shouldBe false
+                membership.admitsOrder(CoordinatorTerm(2)) shouldBe true
+            }
+        }
+
         // Guards against a named coordinator that does not answer as one, because no change of the row reaches it.
         test("a VM coordinates from its claim on, whether or not the store tells of the change") {
             val store = GatedStore(FakeRowStore())
-            withMembership(store) { dispatcher, coordinators ->
+            withMembership(store) { dispatcher, coordinators, _ ->
                 store.isOpen.complete(Unit)
                 repeat(3) { dispatcher.runWaiting() }
                 store.coordinator() shouldBe SELF
