Accept a request in a planned stop only if it can end before the VM does

Cause: the shutdown was open for as long as callers may know the address, and left the requests 1 s, whatever they may take. Ruled out: the exit itself, which takes 0.07 s, and the servers.

While the VM drains, a request is accepted only if its own timeout ends before the VM closes; others are refused at once as not run. The same cause on related paths: what outlasts the grace period without a response is answered with 504, the VM waits for items and unstored results, and the output of items that outlast it goes to the coordinator.

--- a/core/src/main/kotlin/org/agatestream/core/ShutdownState.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ShutdownState.kt
@@ -52,6 +52,17 @@
         Step.Ignored, Step.Refused -> this
     }
 
+/** Returns whether a request that may take up to [atMost] can end before the VM closes if it is accepted at [now]. */
+public fun ShutdownState.admits(
+    now: MonotonicTime,
+    atMost: Duration,
+): Boolean =
+    when (this) {
+        is ShutdownState.Running -> true
+        is ShutdownState.Draining -> atMost <= closeAt - now
+        is ShutdownState.Closing, ShutdownState.Closed -> false
+    }
+
 /** Advances a shutdown; [runningCalls] is the number of requests in flight. */
 public fun ShutdownState.advance(
     now: MonotonicTime,
--- a/server/src/main/kotlin/org/agatestream/server/CallerRoutes.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CallerRoutes.kt
@@ -46,11 +46,15 @@
             manifest
                 .admit(CallerProtocol.host(call), call.path, CallerProtocol.key(call))
                 .getOrElse { return refuse(call, it) }
+        val isOnline = admission.route.kind != RouteKind.BATCH
+        if (isOnline && !shutdown.admits(now, forwarder.timeoutOf(call, admission))) {
+            return refuse(call, SHUTTING_DOWN)
+        }
         val body = call.readBody(manifest.maxBodyBytes).getOrElse { return refuse(call, it) }
-        if (admission.route.kind == RouteKind.BATCH) {
-            jobs.submit(call, admission, body, manifest.version, System.currentTimeMillis())
-        } else {
+        if (isOnline) {
             forwarder.forward(call, admission, body, manifest.version, now)
+        } else {
+            jobs.submit(call, admission, body, manifest.version, System.currentTimeMillis())
         }
     }
 
--- a/server/src/main/kotlin/org/agatestream/server/GracefulShutdown.kt
+++ b/server/src/main/kotlin/org/agatestream/server/GracefulShutdown.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.delay
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.ShutdownState
+import org.agatestream.core.admits
 import org.agatestream.core.advance
 import org.agatestream.core.begin
 import kotlin.time.Duration
@@ -32,6 +33,12 @@
     /** Returns whether new requests are refused. */
     public fun isRefusingRequests(): Boolean = state is ShutdownState.Closing || state is ShutdownState.Closed
 
+    /** Returns whether a request that may take up to [atMost] can end before the VM closes if it is accepted at [now]. */
+    public fun admits(
+        now: MonotonicTime,
+        atMost: Duration,
+    ): Boolean = state.admits(now, atMost)
+
     /** Runs the shutdown to its end; [runningCalls] returns the number of requests in flight. */
     public suspend fun run(runningCalls: () -> Int) {
         state = state.begin(clock(), entryTtl, grace)
--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.isActive
+import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
@@ -94,6 +95,9 @@
     /** Items that are finished but whose results are not in the store yet. */
     val unlisted: List<ItemRef> get() = pendingResults.toList()
 
+    /** The number of items that run here or whose results are not in the store yet. */
+    val unfinished: Int get() = running.size + pendingResults.size
+
     /** Starts the requested run. */
     fun start(request: RunItemRequest) {
         slots.onItemStarted(RunningCall(request.number, request.server, request.item))
@@ -110,6 +114,13 @@
         running[request.number]?.job?.cancel()
     }
 
+    /** Cancels all runs and reports their outputs, so that they are resumed by other VMs. */
+    suspend fun interruptAll() {
+        val jobs = running.values.map { it.job }
+        jobs.forEach { it.cancel() }
+        jobs.joinAll()
+    }
+
     /** Stores an empty result for an item that is given up. */
     fun giveUp(
         ref: ItemRef,
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -6,10 +6,15 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
 import org.agatestream.core.CoordinatorTerm
+import org.agatestream.core.ErrorKind
+import org.agatestream.core.Failure
 import org.agatestream.core.MonotonicTime
+import org.agatestream.core.ShutdownState
 import org.agatestream.core.VmId
 import org.agatestream.http.BufferBudget
 import org.agatestream.http.EventLoops
@@ -85,7 +90,8 @@
     private var role: CoordinatorRole? = null
     private var jobWatcher: Job? = null
     private var cleaner: Job? = null
-    private var callsInFlight = 0
+    private val calls = HashSet<Job>()
+    private val itemReports = SupervisorJob(scope.coroutineContext[Job])
     private val httpServers = ArrayList<HttpServer>()
 
     /** Listens, joins the fleet and serves until [stop] is called. */
@@ -113,16 +119,26 @@
     /** Leaves the fleet, serves callers that still use this VM's address, and stops. */
     public suspend fun stop() {
         withContext(eventLoops.dispatcher) {
-            shutdown.run { callsInFlight }
-            EventLog.info("stopped", "vm" to self, "calls" to callsInFlight)
+            shutdown.run { calls.size + itemExecutor.unfinished }
+            EventLog.info("stopped", "vm" to self, "calls" to calls.size, "items" to itemExecutor.unfinished)
+            withTimeoutOrNull(LAST_MESSAGES_TIMEOUT) { endWork() }
         }
         network.close()
         scope.cancel()
         eventLoops.close()
     }
 
+    /** Ends what outlasts the grace period; callers and the coordinator are told so. */
+    private suspend fun endWork() {
+        val left = calls.toList()
+        left.forEach { it.cancel() }
+        itemExecutor.interruptAll()
+        itemReports.children.toList().joinAll()
+        while (calls.isNotEmpty()) delay(LAST_MESSAGES_POLL_INTERVAL)
+    }
+
     private fun startMetrics() {
-        metrics.gauge("agatestream.calls") { callsInFlight }
+        metrics.gauge("agatestream.calls") { calls.size }
         metrics.gauge("agatestream.dispatch.running") { role?.dispatcher?.runningCalls ?: 0 }
         metrics.gauge("agatestream.dispatch.waiting") { role?.dispatcher?.waitingRequests ?: 0 }
         metrics.gauge("agatestream.dispatch.orphaned") { role?.dispatcher?.orphanedRuns ?: 0 }
@@ -154,16 +170,17 @@
     }
 
     private suspend fun answer(call: HttpCall) {
-        callsInFlight++
-        try {
-            coroutineScope {
-                val work = launch { routes.serve(call) }
-                val watcher = call.callerDisconnected.invokeOnCompletion { work.cancel() }
+        coroutineScope {
+            val work = launch { routes.serve(call) }
+            calls += work
+            val watcher = call.callerDisconnected.invokeOnCompletion { work.cancel() }
+            try {
                 work.join()
+                if (shutdown.state == ShutdownState.Closed) call.respondNotServed(CUT_BY_SHUTDOWN)
+            } finally {
                 watcher.dispose()
+                calls -= work
             }
-        } finally {
-            callsInFlight--
         }
     }
 
@@ -226,7 +243,7 @@
         if (to == self) {
             role?.onItemReport(self, report, MonotonicTime.now())
         } else {
-            scope.launch { network.call(to, report, ITEM_REPORT_TIMEOUT) }
+            scope.launch(itemReports) { network.call(to, report, ITEM_REPORT_TIMEOUT) }
         }
     }
 
@@ -329,6 +346,11 @@
 
         // The platform kills a process that outlives its grace period; exiting takes about 0.1 s.
         val EXIT_MARGIN = 1.seconds
+
+        // Half of the margin.
+        val LAST_MESSAGES_TIMEOUT = 500.milliseconds
+        val LAST_MESSAGES_POLL_INTERVAL = 5.milliseconds
+        val CUT_BY_SHUTDOWN = Failure(ErrorKind.DEADLINE_EXCEEDED, "the VM stopped before the request ended")
         const val TEXT_PLAIN = "text/plain"
 
         // An eighth of a VM's heap of 128 MB; a growing buffer exists twice for a moment.
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -38,6 +38,12 @@
     private val metrics: VmMetrics,
     private val buffers: BufferBudget,
 ) {
+    /** Returns how long [call] may take until it is answered or has failed. */
+    fun timeoutOf(
+        call: HttpCall,
+        admission: Admission,
+    ): Duration = minOf(CallerProtocol.callerTimeout(call), admission.route.timeout)
+
     /** Serves [call], which arrived at [arrivedAt] with the body [body]. */
     suspend fun forward(
         call: HttpCall,
@@ -70,7 +76,7 @@
     ) {
         private val route = admission.route
         private val callerTimeout = CallerProtocol.callerTimeout(call)
-        private val endAt = arrivedAt + minOf(callerTimeout, route.timeout)
+        private val endAt = arrivedAt + timeoutOf(call, admission)
         private val isStream = route.kind == RouteKind.STREAM
         private val service = route.chooseService(request.id.hashCode())
         private val promptParts = PromptHeader.sharedParts(request.headers)
@@ -123,7 +129,7 @@
 
         private fun requirements(): SlotRequirements {
             val now = MonotonicTime.now()
-            val queueDeadline = arrivedAt + minOf(callerTimeout, route.timeout) * QUEUE_TIMEOUT_SHARE
+            val queueDeadline = arrivedAt + timeoutOf(call, admission) * QUEUE_TIMEOUT_SHARE
             return SlotRequirements(
                 service = service,
                 meteredWorkspace = meteredWorkspace,
--- a/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
@@ -44,6 +44,9 @@
     /** Another response stands between two events. */
     RESPONSE_BETWEEN_EVENTS,
 
+    /** The request is taken and never answered. */
+    SILENCE,
+
     /** The connection is closed without an answer, and the server goes on. */
     RESET,
 }
@@ -105,6 +108,7 @@
             else -> {}
         }
         requests += call.httpCall.headers()
+        if (fault == PlatformServerFault.SILENCE) awaitCancellation()
         if (deadlyPart != null && deadlyPart in call.header("x-agatestream-prompt-prefix").orEmpty()) end()
         val first = (call.header("last-event-id")?.toIntOrNull() ?: -1) + 1
         val headers = mapOf("x-agatestream-attempt-id" to requestId, "x-agatestream-response-signature" to "signed")
