Take no entry for a server whose address or slots can't exist

Cause: the address was checked by a pattern of digits, and the exception of Netty's address passed through the client, which reports all else as a value. So the server was never suspected and got each request. Ruled out: the coordinator's choice, and what a VM remembers, as a restarted one did the same.

The entry is now parsed in full, and an address that can't be used is a request that was not sent. The same cause on related paths: a feed starts over when its reader fails, whatever the table; values that are not base64 or that their type refuses are skipped; sums of times saturate.

--- a/core/src/main/kotlin/org/agatestream/core/MonotonicTime.kt
+++ b/core/src/main/kotlin/org/agatestream/core/MonotonicTime.kt
@@ -15,9 +15,12 @@
 public value class MonotonicTime(
     private val nanos: Long,
 ) : Comparable<MonotonicTime> {
-    public operator fun plus(span: Duration): MonotonicTime = MonotonicTime(nanos + span.inWholeNanoseconds)
+    /** Returns the reading [span] later, or the last one that can be represented. */
+    public operator fun plus(span: Duration): MonotonicTime =
+        MonotonicTime(saturatedSum(nanos, span.inWholeNanoseconds))
 
-    public operator fun minus(span: Duration): MonotonicTime = MonotonicTime(nanos - span.inWholeNanoseconds)
+    /** Returns the reading [span] earlier, or the first one that can be represented. */
+    public operator fun minus(span: Duration): MonotonicTime = plus(-span)
 
     public operator fun minus(other: MonotonicTime): Duration = (nanos - other.nanos).nanoseconds
 
@@ -33,3 +36,19 @@
         public fun now(): MonotonicTime = MonotonicTime(System.nanoTime())
     }
 }
+
+/** Returns the sum of [a] and [b], or the limit of the range that it exceeds. */
+private fun saturatedSum(
+    a: Long,
+    b: Long,
+): Long {
+    val sum = a + b
+    val hasOverflowed = (a >= 0) == (b >= 0) && (sum >= 0) != (a >= 0)
+    return if (!hasOverflowed) {
+        sum
+    } else if (a >= 0) {
+        Long.MAX_VALUE
+    } else {
+        Long.MIN_VALUE
+    }
+}
--- a/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
@@ -108,29 +108,32 @@
 
     /** Sends [request] and waits for the head of the response; cancellation closes the connection. */
     public suspend fun exchange(request: HttpRequestSpec): ExchangeResult {
+        val address =
+            parseAddressOrNull(request.address)
+                ?: return ExchangeResult.NotSent("${request.address} is no address")
         val connection =
             takeIdle(request)
-                ?: connect(request.address)
+                ?: connect(address)
                 ?: return ExchangeResult.NotSent("the connection was refused")
         return connection.exchange(request) { release(request.address, connection) }
     }
 
     /** Returns whether nothing listens at [address]; false if it can't be told within the timeout of a connection. */
     public suspend fun isRefused(address: String): Boolean {
-        val future = connectFuture(address)
+        val future = connectFuture(parseAddressOrNull(address) ?: return false)
         if (future.isSuccess) future.channel().close()
         return future.cause() is ConnectException && future.cause() !is ConnectTimeoutException
     }
 
-    private suspend fun connect(address: String): ClientConnection? {
+    private suspend fun connect(address: InetSocketAddress): ClientConnection? {
         val future = connectFuture(address)
         // A connection that is closed at once has no handlers any more.
         return if (future.isSuccess) future.channel().pipeline().get(ClientConnection::class.java) else null
     }
 
     /** Returns the completed attempt to connect to [address]. */
-    private suspend fun connectFuture(address: String): ChannelFuture {
-        val future = bootstrap.connect(parseAddress(address))
+    private suspend fun connectFuture(address: InetSocketAddress): ChannelFuture {
+        val future = bootstrap.connect(address)
         try {
             future.awaitDone()
             return future
@@ -169,6 +172,20 @@
     }
 }
 
-/** Parses `host:port`. */
+/**
+ * Parses `host:port`.
+ *
+ * @throws IllegalArgumentException if the text has another form or a port that does not exist
+ */
 public fun parseAddress(text: String): InetSocketAddress =
-    InetSocketAddress(text.substringBeforeLast(':'), text.substringAfterLast(':').toInt())
+    requireNotNull(parseAddressOrNull(text)) { "$text is no address" }
+
+/** Parses `host:port`; returns null if the text has another form or a port that does not exist. */
+public fun parseAddressOrNull(text: String): InetSocketAddress? {
+    val host = text.substringBeforeLast(':', missingDelimiterValue = "")
+    val port = text.substringAfterLast(':').toIntOrNull()
+    return if (host.isEmpty() || port == null || port !in PORTS) null else InetSocketAddress(host, port)
+}
+
+// Port 0 stands for any free port of a listener.
+private val PORTS = 0..65_535
--- a/http/src/test/kotlin/org/agatestream/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/org/agatestream/http/HttpClientTest.kt
@@ -45,6 +45,15 @@
             }
         }
 
+        // Guards against an address of another writer that fails every request in place of the server's.
+        test("a request to an address that can't exist is not sent") {
+            val client = HttpClient(loops)
+            for (address in listOf("127.0.0.1:70000", "127.0.0.1:-1", "127.0.0.1:x", "127.0.0.1", ":80", "")) {
+                client.exchange(HttpRequestSpec(address, "GET", "/")).shouldBeInstanceOf<ExchangeResult.NotSent>()
+                client.isRefused(address) shouldBe false
+            }
+        }
+
         test("an unsolicited response is not delivered to any request") {
             val count = AtomicInteger()
             val server =
--- a/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
@@ -3,7 +3,6 @@
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.SerializationStrategy
 import kotlinx.serialization.json.Json
 import org.agatestream.core.FailureDomainId
@@ -99,7 +98,8 @@
     ): T? =
         try {
             json.decodeFromString(strategy, value.decodeToString())
-        } catch (e: SerializationException) {
+        } catch (e: IllegalArgumentException) {
+            // Malformed JSON, or a value that its type refuses.
             EventLog.warn("fleet_row_unreadable", "shape" to strategy.descriptor.serialName, "reason" to e.message)
             null
         }
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -1,5 +1,6 @@
 package org.agatestream.server
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
@@ -23,6 +24,7 @@
 import org.agatestream.http.HttpLimits
 import org.agatestream.http.HttpServer
 import org.agatestream.http.parseAddress
+import org.agatestream.platform.CallerProtocol
 import org.agatestream.platform.PlatformStore
 import java.io.IOException
 import java.security.SecureRandom
@@ -171,7 +173,7 @@
 
     private suspend fun answer(call: HttpCall) {
         coroutineScope {
-            val work = launch { routes.serve(call) }
+            val work = launch { serve(call) }
             calls += work
             val watcher = call.callerDisconnected.invokeOnCompletion { work.cancel() }
             try {
@@ -184,6 +186,17 @@
         }
     }
 
+    private suspend fun serve(call: HttpCall) {
+        try {
+            routes.serve(call)
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            EventLog.error("request_fault", e, "id" to CallerProtocol.requestId(call), "method" to call.method)
+            throw e
+        }
+    }
+
     private suspend fun answerPeer(
         from: VmId,
         request: PeerRequest,
--- a/server/src/main/kotlin/org/agatestream/server/TableFeed.kt
+++ b/server/src/main/kotlin/org/agatestream/server/TableFeed.kt
@@ -1,5 +1,6 @@
 package org.agatestream.server
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.delay
 import org.agatestream.core.Backoff
 import org.agatestream.core.RowPage
@@ -28,17 +29,24 @@
 
     suspend fun run() {
         while (true) {
-            val read = readSnapshot()
-            if (read == null) {
+            try {
+                readAndFollow()
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: Exception) {
+                EventLog.error("feed_failed", e, "table" to table)
                 awaitRetry()
-                continue
             }
-            failures = 0
-            onSnapshot(read.first, read.second)
-            follow(read.second)
         }
     }
 
+    private suspend fun readAndFollow() {
+        val read = readSnapshot() ?: return awaitRetry()
+        failures = 0
+        onSnapshot(read.first, read.second)
+        follow(read.second)
+    }
+
     private suspend fun awaitRetry() {
         failures++
         delay(RETRY_BACKOFF.delay(failures, random))
--- a/standins/src/test/kotlin/org/agatestream/standin/PlatformVmTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/PlatformVmTest.kt
@@ -12,6 +12,7 @@
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
@@ -87,6 +88,25 @@
             }
         }
 
+        // Guards against an entry of another writer that fails all requests, as it has the most free slots.
+        test("entries that name no server keep no request from the others") {
+            withFleet { fleet ->
+                val entry = """{"Service":"s","Address":"127.0.0.1:70000","Zone":"d","Slots":64,"State":"ready"}"""
+                val odd =
+                    listOf(
+                        entry,
+                        entry.replace("127.0.0.1:70000", "127.0.0.999:80"),
+                        entry.replace("\"s\"", "[".repeat(30_000)),
+                        entry.replace("70000", "1").replace("64", "2147483647"),
+                        entry.replace("70000", "1").replace("64", "1,\"ColdLeftMs\":9223372036854775807"),
+                    )
+                odd.forEachIndexed { number, text -> fleet.store.put("servers", "odd-$number", text) }
+                delay(500.milliseconds)
+                val statuses = (1..20).map { fleet.send(it % 2, "GET", "/ask/1", id = "r$it").first }
+                statuses shouldBe List(20) { 200 }
+            }
+        }
+
         test("a refusal whose body has no end is passed on at once") {
             withFleet { fleet ->
                 fleet.server.nextFault.set(PlatformServerFault.ENDLESS_REFUSAL)
