Carry out no orders from before a pause of the VM

A VM that did not run for a second, by either clock, carries out no order until the coordinator has answered a report that was sent after the pause; until then orders get no response, which the coordinator takes for an item that was not started. Found by reading; with the check taken out the new test of FleetMembershipTest fails (ADMITTED in place of OUTDATED).

--- a/core/src/main/kotlin/org/agatestream/core/ClockReading.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ClockReading.kt
@@ -6,4 +6,9 @@
     val monotonic: MonotonicTime,
     /** The time of day in Unix milliseconds; counts the time for which the VM is suspended, and may be set. */
     val unixMillis: Long,
-)
+) {
+    public companion object {
+        /** Reads this process's clocks; decision code takes the reading as a parameter instead. */
+        public fun now(): ClockReading = ClockReading(MonotonicTime.now(), System.currentTimeMillis())
+    }
+}
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -29,6 +29,9 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/** How long a coordinator waits for a VM's next report before it gives the VM up. */
+internal val FOLLOWER_TIMEOUT: Duration = 1.seconds
+
 /** Coordinates the fleet: feeds VM reports into a [Dispatcher] and sends its decisions to the VMs. */
 internal class CoordinatorRole(
     private val self: VmId,
@@ -402,7 +405,6 @@
 
         // Every VM reports several times within this time, so that its running items are known before new ones start.
         val TAKEOVER_WAIT = 800.milliseconds
-        val FOLLOWER_TIMEOUT = 1.seconds
 
         // Ten ticks; short against the 3 s within which the end of a job must take effect.
         val MAX_PAUSE = 500.milliseconds
--- a/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
@@ -9,10 +9,12 @@
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.agatestream.core.ClockReading
 import org.agatestream.core.CoordinatorClaimInput
 import org.agatestream.core.CoordinatorTerm
 import org.agatestream.core.ListedVm
 import org.agatestream.core.MonotonicTime
+import org.agatestream.core.PauseDetector
 import org.agatestream.core.RowChange
 import org.agatestream.core.RowStore
 import org.agatestream.core.StoreRead
@@ -55,6 +57,11 @@
     private var isLeaving = false
     private var isClaiming = false
     private val fence = TermFence()
+    private val pauses = PauseDetector(FOLLOWER_TIMEOUT)
+    private var pauseCount = 0
+
+    // False from a pause until the coordinator has answered a report sent after it.
+    private var isFollowing = true
     private val reportTrigger = Channel<Unit>(Channel.CONFLATED)
 
     val self: VmId get() = network.self
@@ -65,8 +72,30 @@
     /** The version of the row that names the coordinator, as this VM knows it. */
     val coordinatorTerm: CoordinatorTerm get() = CoordinatorTerm(recordVersion)
 
-    /** Returns whether an order of [term] may be carried out; orders of builds that do not send a term always may. */
-    fun admitsOrder(term: CoordinatorTerm?): Boolean = term == null || fence.admits(term)
+    /** Returns whether an order that arrives at [now] may be carried out. */
+    fun judgeOrder(
+        term: CoordinatorTerm?,
+        now: ClockReading,
+    ): OrderVerdict {
+        noticePause(now)
+        return when {
+            // Builds that do not send a term can't be told from each other.
+            term != null && !fence.admits(term) -> OrderVerdict.SUPERSEDED
+
+            // The coordinator may have given this VM up and placed the work elsewhere.
+            !isFollowing && recordedCoordinator != self -> OrderVerdict.OUTDATED
+
+            else -> OrderVerdict.ADMITTED
+        }
+    }
+
+    private fun noticePause(now: ClockReading) {
+        val pause = pauses.onRunning(now) ?: return
+        EventLog.warn("vm_paused", "vm" to self, "for" to pause)
+        pauseCount++
+        isFollowing = false
+        reportTrigger.trySend(Unit)
+    }
 
     /** The number of VMs that the store lists. */
     val listedCount: Int get() = roster.size
@@ -190,6 +219,7 @@
         now: MonotonicTime,
     ) {
         val report = status()
+        val pausesBefore = pauseCount
         val answer = network.call(coordinator, report, REPORT_TIMEOUT)
         if (record?.vm != coordinator) return
         if (answer is StatusResponse) {
@@ -198,6 +228,7 @@
             }
             unreachableSince = null
             lastHeardAt = MonotonicTime.now()
+            if (pauseCount == pausesBefore) isFollowing = true
             isResigning = answer.isResigning
             answer.live?.let { updateLiveVms(it, answer.liveVersion) }
             parts.onAnswered(report.parts, answer.parts, MonotonicTime.now())
@@ -316,6 +347,7 @@
                 config.seedPeers.filter { it != config.peerAddress }.forEach { bootstrapFrom(it) }
                 delay(BOOTSTRAP_RETRY_INTERVAL)
             } else {
+                noticePause(ClockReading.now())
                 if (!view.isStoreReachable(MonotonicTime.now())) syncFromRandomPeer()
                 delay(SYNC_INTERVAL)
             }
@@ -402,6 +434,7 @@
     private companion object {
         // The coordinator of a fleet of 90 VMs handles about a thousand messages per second.
         const val MIN_COORDINATOR_CORES = 0.5
+
         val SILENT_REPORT_INTERVAL = 100.milliseconds
         val MIN_REPORT_INTERVAL = 250.milliseconds
 
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
+import org.agatestream.core.ClockReading
 import org.agatestream.core.CoordinatorTerm
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.Failure
@@ -221,17 +222,22 @@
         return Acknowledged
     }
 
-    /** Carries out an order of the coordinator [from], unless that has been replaced. */
+    /** Carries out an order of the coordinator [from], if it still counts; an outdated one gets no response. */
     private inline fun carryOut(
         from: VmId,
         term: CoordinatorTerm?,
         order: () -> Unit,
-    ): PeerResponse {
-        if (!membership.admitsOrder(term)) {
-            EventLog.warn("order_refused", "from" to from, "term" to term, "newest" to membership.coordinatorTerm)
-            return Superseded
+    ): PeerResponse? {
+        val verdict = membership.judgeOrder(term, ClockReading.now())
+        if (verdict != OrderVerdict.ADMITTED) {
+            val newest = membership.coordinatorTerm
+            EventLog.warn("order_refused", "from" to from, "verdict" to verdict, "term" to term, "newest" to newest)
+        }
+        return when (verdict) {
+            OrderVerdict.ADMITTED -> acknowledge(order)
+            OrderVerdict.SUPERSEDED -> Superseded
+            OrderVerdict.OUTDATED -> null
         }
-        return acknowledge(order)
     }
 
     private fun status(): StatusReport =
--- a/server/src/test/kotlin/org/agatestream/server/FleetMembershipTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/FleetMembershipTest.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.Runnable
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancel
+import org.agatestream.core.ClockReading
 import org.agatestream.core.CoordinatorTerm
 import org.agatestream.core.FailureDomainId
 import org.agatestream.core.ListedVm
@@ -28,6 +29,7 @@
 import kotlin.coroutines.CoroutineContext
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 private val SELF = VmId("self@1")
 private val OTHER = CoordinatorRecord(VmId("other@1"), "other", "127.0.0.1:2")
@@ -98,8 +100,10 @@
     private fun decode(bytes: ByteArray) = FleetTables.decode(CoordinatorRecord.serializer(), bytes)
 }
 
-/** A network without other VMs. */
-private object NoPeers : PeerTransport {
+/** A network on which every VM responds with [response]. */
+private class FakePeers(
+    var response: PeerResponse? = null,
+) : PeerTransport {
     override val self: VmId = SELF
 
     override fun addHandler(handler: PeerHandler) = Unit
@@ -110,7 +114,7 @@
         peer: VmId,
         request: PeerRequest,
         timeout: Duration,
-    ): PeerResponse? = null
+    ): PeerResponse? = response
 
     override suspend fun callAddress(
         address: String,
@@ -153,6 +157,7 @@
 /** Starts the membership of a VM that reaches [store], and runs [block] with its coroutines and its coordinators. */
 private suspend fun withMembership(
     store: GatedStore,
+    peers: FakePeers = FakePeers(),
     block: suspend (StepDispatcher, List<VmId?>, FleetMembership) -> Unit,
 ) {
     val dispatcher = StepDispatcher()
@@ -165,7 +170,7 @@
             config = CONFIG,
             store = store,
             roster = VmRoster(CONFIG, SELF, store),
-            network = NoPeers,
+            network = peers,
             view = view,
             parts = PromptPartWatch(view) { false },
             status = { STATUS },
@@ -206,12 +211,33 @@
             val row = FleetTables.encode(CoordinatorRecord.serializer(), OTHER)
             repeat(2) { store.write(emptyMap(), listOf(RowChange(FleetTables.coordinator, row))) }
             withMembership(store) { dispatcher, _, membership ->
-                membership.admitsOrder(CoordinatorTerm(1)) shouldBe true
+                fun judge(term: Long) = membership.judgeOrder(CoordinatorTerm(term), ClockReading.now())
+                judge(1) shouldBe OrderVerdict.ADMITTED
                 store.isOpen.complete(Unit)
                 repeat(3) { dispatcher.runWaiting() }
                 membership.coordinatorTerm shouldBe CoordinatorTerm(2)
-                membership.admitsOrder(CoordinatorTerm(1)) shouldBe false
-                membership.admitsOrder(CoordinatorTerm(2)) shouldBe true
+                judge(1) shouldBe OrderVerdict.SUPERSEDED
+                judge(2) shouldBe OrderVerdict.ADMITTED
+            }
+        }
+
+        // Guards against items that a VM starts as it wakes from a freeze, and that have been placed elsewhere meanwhile.
+        test("a VM that was frozen carries out no orders before the coordinator has answered a report") {
+            val store = GatedStore(FakeRowStore())
+            val row = FleetTables.encode(CoordinatorRecord.serializer(), OTHER)
+            store.write(emptyMap(), listOf(RowChange(FleetTables.coordinator, row)))
+            val peers = FakePeers()
+            withMembership(store, peers) { dispatcher, _, membership ->
+                fun judge(now: ClockReading) = membership.judgeOrder(CoordinatorTerm(1), now)
+                store.isOpen.complete(Unit)
+                repeat(3) { dispatcher.runWaiting() }
+                val start = ClockReading.now()
+                judge(start) shouldBe OrderVerdict.ADMITTED
+                val woken = ClockReading(start.monotonic + 4.seconds, start.unixMillis + 4_000)
+                repeat(2) { judge(woken) shouldBe OrderVerdict.OUTDATED }
+                peers.response = StatusResponse(null, 0, isResigning = false, snapshot = null)
+                repeat(3) { dispatcher.runWaiting() }
+                judge(woken) shouldBe OrderVerdict.ADMITTED
             }
         }
 
