--- a/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
@@ -72,21 +72,23 @@
     /** The version of the row that names the coordinator, as this VM knows it. */
     val coordinatorTerm: CoordinatorTerm get() = CoordinatorTerm(recordVersion)
 
-    /** Returns whether an order that arrives at [now] may be carried out. */
-    fun judgeOrder(
+    /** Returns whether an order to stop work may be carried out. */
+    fun judgeStop(term: CoordinatorTerm?): OrderVerdict {
+        // Builds that do not send a term can't be told from each other.
+        val isSuperseded = term != null && !fence.admits(term)
+        return if (isSuperseded) OrderVerdict.SUPERSEDED else OrderVerdict.ADMITTED
+    }
+
+    /** Returns whether an order to start work that arrives at [now] may be carried out. */
+    fun judgeStart(
         term: CoordinatorTerm?,
         now: ClockReading,
     ): OrderVerdict {
         noticePause(now)
-        return when {
-            // Builds that do not send a term can't be told from each other.
-            term != null && !fence.admits(term) -> OrderVerdict.SUPERSEDED
-
-            // The coordinator may have given this VM up and placed the work elsewhere.
-            !isFollowing && recordedCoordinator != self -> OrderVerdict.OUTDATED
-
-            else -> OrderVerdict.ADMITTED
-        }
+        val verdict = judgeStop(term)
+        // The coordinator may have given this VM up and placed the work elsewhere.
+        val isOutdated = !isFollowing && recordedCoordinator != self
+        return if (verdict == OrderVerdict.ADMITTED && isOutdated) OrderVerdict.OUTDATED else verdict
     }
 
     private fun noticePause(now: ClockReading) {
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -209,8 +209,8 @@
             is ItemReport -> acknowledge { role?.onItemReport(from, request, now) }
             is StatusReport -> role?.onStatusReport(from, request, now) ?: NotCoordinator
             is DecisionNotice -> acknowledge { slots.onDecision(request) }
-            is RunItemRequest -> carryOut(from, request.term) { itemExecutor.start(request) }
-            is StopItemRequest -> carryOut(from, request.term) { itemExecutor.stop(request) }
+            is RunItemRequest -> startItem(from, request)
+            is StopItemRequest -> stopItem(from, request)
             is CoordinatorProbe, is SnapshotRequest -> membership.answer(request)
             is StoreRequest -> relay.answer(request)
             else -> null
@@ -222,13 +222,26 @@
         return Acknowledged
     }
 
-    /** Carries out an order of the coordinator [from], if it still counts; an outdated one gets no response. */
+    private fun startItem(
+        from: VmId,
+        request: RunItemRequest,
+    ): PeerResponse? {
+        val verdict = membership.judgeStart(request.term, ClockReading.now())
+        return carryOut(from, request.term, verdict) { itemExecutor.start(request) }
+    }
+
+    private fun stopItem(
+        from: VmId,
+        request: StopItemRequest,
+    ): PeerResponse? = carryOut(from, request.term, membership.judgeStop(request.term)) { itemExecutor.stop(request) }
+
+    /** Carries out an order of the coordinator [from], if it is admitted; an outdated one gets no response. */
     private inline fun carryOut(
         from: VmId,
         term: CoordinatorTerm?,
+        verdict: OrderVerdict,
         order: () -> Unit,
     ): PeerResponse? {
-        val verdict = membership.judgeOrder(term, ClockReading.now())
         if (verdict != OrderVerdict.ADMITTED) {
             val newest = membership.coordinatorTerm
             EventLog.warn("order_refused", "from" to from, "verdict" to verdict, "term" to term, "newest" to newest)
@@ -298,8 +311,8 @@
                 view = view,
                 parts = parts,
                 scope = scope,
-                runItem = { carryOut(self, it.term) { itemExecutor.start(it) } },
-                stopItem = { carryOut(self, it.term) { itemExecutor.stop(it) } },
+                runItem = { startItem(self, it) },
+                stopItem = { stopItem(self, it) },
                 giveUpItem = itemExecutor::giveUp,
                 onDecision = slots::onDecision,
                 markSilent = roster::markSilent,
