Let a confirmed coordinator go on when the feed of jobs starts over

Since the check after a pause, each later full read of the jobs counted as a new confirmation and held items for up to 0.8 s. Found by reading the change again; the new test of CoordinatorRoleTest fails without the fix, as no item is placed within 0.3 s.

--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -115,7 +115,7 @@
         number: Int,
         now: MonotonicTime,
     ) {
-        if (isStopped || number != confirmations) return
+        if (isStopped || isConfirmed || number != confirmations) return
         isConfirmed = true
         EventLog.info("coordinator_confirmed", "vm" to self, "term" to term)
         if (!isResigning) dispatcher.allowItems(now + TAKEOVER_WAIT)
--- a/server/src/test/kotlin/org/agatestream/server/CoordinatorRoleTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/CoordinatorRoleTest.kt
@@ -206,6 +206,25 @@
             }
         }
 
+        // Guards against items that wait again whenever the feed of jobs starts over.
+        test("a coordinator that is confirmed already places items without a wait") {
+            withFollower(Acknowledged, items = 20) { role, network ->
+                eventually(3.seconds) { network.placements shouldBe 7 }
+                freeze()
+                role.onStatusReport(ENDED_VM, statusOf("b"), MonotonicTime.now())
+                role.onConfirmed(1, MonotonicTime.now())
+                role.onStatusReport(ENDED_VM, statusOf("b"), MonotonicTime.now())
+                eventually(3.seconds) { network.placements shouldBeGreaterThan 7 }
+                val before = network.placements
+                role.onConfirmed(1, MonotonicTime.now())
+                val run = network.runs.last()
+                val now = MonotonicTime.now()
+                role.onItemReport(ENDED_VM, ItemReport(run.number, run.item, ItemOutcome.FINISHED), now)
+                role.release(ENDED_VM, ReleaseSlotRequest(run.number, RunOutcome.ANSWERED, null), now)
+                eventually(300.milliseconds) { network.placements shouldBeGreaterThan before }
+            }
+        }
+
         test("a confirmation from before a further pause does not count") {
             withFollower(Acknowledged, items = 20) { role, network ->
                 eventually(3.seconds) { network.placements shouldBe 7 }
