--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -48,7 +48,7 @@
     private val unlist: suspend (String) -> Unit,
     private val listedVms: () -> Int,
     private val isLeaving: () -> Boolean,
-    /** Asked for proof that this VM still coordinates and knows every job; [onConfirmed] is called with the number. */
+    /** Starts a check that this VM still coordinates and knows every job; if so, [onConfirmed] gets the same number. */
     private val confirm: (Int) -> Unit,
 ) {
     private class Follower(
@@ -78,7 +78,7 @@
     private var isStopped = false
     private val pauses = PauseDetector(MAX_PAUSE)
 
-    // Counts the requests for proof, of which only the last one may be met.
+    // The number of the last check; the result of an earlier one does not count.
     private var confirmations = 0
     private var isConfirmed = true
 
@@ -110,7 +110,7 @@
         pendingPlacements.values.forEach { it.cancel() }
     }
 
-    /** Places items again after [confirm] was called with [number], unless it was called again since. */
+    /** Places items again once the check [number] has passed, unless a later one was started. */
     fun onConfirmed(
         number: Int,
         now: MonotonicTime,
