Log what a planned stop ends and what it refuses

A VM logged a request at its end only, and nothing of one that its exit ended, so that a record of a stop could not tell a request that was cut from one whose last bytes were lost. Each phase of the shutdown now logs what is in flight, a request that is cancelled logs by whom and how far it was, and a refusal for lack of time logs the two figures that decided it.

No decision changes.

--- a/server/src/main/kotlin/org/agatestream/server/CallerRoutes.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CallerRoutes.kt
@@ -47,8 +47,9 @@
                 .admit(CallerProtocol.host(call), call.path, CallerProtocol.key(call))
                 .getOrElse { return refuse(call, it) }
         val isOnline = admission.route.kind != RouteKind.BATCH
-        if (isOnline && !shutdown.admits(now, forwarder.timeoutOf(call, admission))) {
-            return refuse(call, SHUTTING_DOWN)
+        val timeout = forwarder.timeoutOf(call, admission)
+        if (isOnline && !shutdown.admits(now, timeout)) {
+            return refuse(call, SHUTTING_DOWN, "timeout" to timeout, "time_left" to shutdown.timeLeft(now))
         }
         val body = call.readBody(manifest.maxBodyBytes).getOrElse { return refuse(call, it) }
         if (isOnline) {
@@ -82,6 +83,7 @@
     private suspend fun refuse(
         call: HttpCall,
         failure: Failure,
+        vararg details: Pair<String, Any?>,
     ) {
         EventLog.info(
             "request",
@@ -89,6 +91,7 @@
             "outcome" to "refused",
             "detail" to failure.kind.code,
             "manifest" to view.manifest?.version,
+            *details,
         )
         call.respondNotServed(failure)
     }
--- a/server/src/main/kotlin/org/agatestream/server/GracefulShutdown.kt
+++ b/server/src/main/kotlin/org/agatestream/server/GracefulShutdown.kt
@@ -39,16 +39,48 @@
         atMost: Duration,
     ): Boolean = state.admits(now, atMost)
 
+    /** Returns how long after [now] the VM closes; null unless it is draining. */
+    public fun timeLeft(now: MonotonicTime): Duration? = (state as? ShutdownState.Draining)?.let { it.closeAt - now }
+
     /** Runs the shutdown to its end; [runningCalls] returns the number of requests in flight. */
     public suspend fun run(runningCalls: () -> Int) {
-        state = state.begin(clock(), entryTtl, grace)
-        EventLog.info("shutdown_draining", "open_for" to entryTtl)
+        enter(state.begin(clock(), entryTtl, grace), runningCalls())
         hooks.forEach { runHook(it) }
         while (state != ShutdownState.Closed) {
-            state = state.advance(clock(), runningCalls())
+            enter(state.advance(clock(), runningCalls()), runningCalls())
             if (state != ShutdownState.Closed) delay(POLL_INTERVAL)
         }
-        EventLog.info("shutdown_closed", "running" to runningCalls())
+    }
+
+    private fun enter(
+        next: ShutdownState,
+        runningCalls: Int,
+    ) {
+        if (next == state) return
+        state = next
+        when (next) {
+            is ShutdownState.Running -> {}
+
+            is ShutdownState.Draining -> {
+                log("shutdown_draining", runningCalls, "open_for" to entryTtl, "grace" to grace)
+            }
+
+            is ShutdownState.Closing -> {
+                log("shutdown_closing", runningCalls)
+            }
+
+            is ShutdownState.Closed -> {
+                log("shutdown_closed", runningCalls)
+            }
+        }
+    }
+
+    private fun log(
+        event: String,
+        runningCalls: Int,
+        vararg details: Pair<String, Any?>,
+    ) {
+        EventLog.info(event, "running" to runningCalls, *details)
     }
 
     private suspend fun runHook(hook: suspend () -> Unit) {
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -134,7 +134,7 @@
     /** Ends what outlasts the grace period; callers and the coordinator are told so. */
     private suspend fun endWork() {
         val left = calls.toList()
-        left.forEach { it.cancel() }
+        left.forEach { it.cancel(VM_STOPPED) }
         itemExecutor.interruptAll()
         itemReports.children.toList().joinAll()
         while (calls.isNotEmpty()) delay(LAST_MESSAGES_POLL_INTERVAL)
@@ -176,7 +176,7 @@
         coroutineScope {
             val work = launch { serve(call) }
             calls += work
-            val watcher = call.callerDisconnected.invokeOnCompletion { work.cancel() }
+            val watcher = call.callerDisconnected.invokeOnCompletion { work.cancel(CALLER_GONE) }
             try {
                 work.join()
                 if (shutdown.state == ShutdownState.Closed) call.respondNotServed(CUT_BY_SHUTDOWN)
@@ -382,6 +382,7 @@
         // Half of the margin.
         val LAST_MESSAGES_TIMEOUT = 500.milliseconds
         val LAST_MESSAGES_POLL_INTERVAL = 5.milliseconds
+        const val VM_STOPPED = "the VM stopped"
         val CUT_BY_SHUTDOWN = Failure(ErrorKind.DEADLINE_EXCEEDED, "the VM stopped before the request ended")
         const val TEXT_PLAIN = "text/plain"
 
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -30,6 +30,9 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/** The reason of a cancellation once the caller has disconnected. */
+internal const val CALLER_GONE: String = "the caller is gone"
+
 /** Forwards requests of online routes to backend servers and relays the answers to callers. */
 internal class RouteForwarder(
     private val slots: SlotAllocator,
@@ -90,8 +93,18 @@
         private var isPromptRefused = false
         private var slotAfter: Duration? = null
         private var firstEventAfter: Duration? = null
+        private var currentSlot: Slot? = null
 
         suspend fun run() {
+            try {
+                serve()
+            } catch (e: CancellationException) {
+                log("cancelled", currentSlot, e.message.orEmpty())
+                throw e
+            }
+        }
+
+        private suspend fun serve() {
             if (isCondemned()) return refuse(CONDEMNED)
             while (true) {
                 val slot =
@@ -100,6 +113,7 @@
                         is Placement.Refused -> return refuse(placement.failure, placement.decidedBy)
                     }
                 meteredWorkspace = null
+                currentSlot = slot
                 slotAfter = MonotonicTime.now() - arrivedAt
                 when (val end = attempt(slot)) {
                     is Attempt.Answered -> {
@@ -247,7 +261,7 @@
                         }
                         isFirst = false
                         if (!progress.accept(events)) return Attempt.Lost("event out of order")
-                        if (!write(response, events.joinBytes())) throw CancellationException("the caller is gone")
+                        if (!write(response, events.joinBytes())) throw CancellationException(CALLER_GONE)
                     }
 
                     is BodyPart.End -> {
@@ -366,7 +380,7 @@
 
     private companion object {
         const val STATUS_OK = 200
-        val FINAL_OUTCOMES = setOf("answered", "refused", "failed")
+        val FINAL_OUTCOMES = setOf("answered", "refused", "failed", "cancelled")
 
         const val MAX_REJECTIONS = 3
         const val MAX_ANSWER_BYTES = 16 * 1024 * 1024
