--- a/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
@@ -2,7 +2,9 @@
 
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
+import org.agatestream.core.MonotonicTime
 import org.agatestream.http.BodyWriter
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.concurrent.thread
@@ -54,7 +56,7 @@
 /** A test backend server of the users' platform that responds with a stream of events. */
 internal class PlatformServerStandIn(
     val id: String,
-    private val events: Int = 5,
+    val events: Int = 5,
     private val interval: Duration = 5.milliseconds,
     /** The prompt part on which this server ends when it begins to answer; null for none. */
     private val deadlyPart: String? = null,
@@ -64,6 +66,12 @@
     /** The headers of every request that this server ran. */
     val requests: MutableList<List<Pair<String, String>>> = CopyOnWriteArrayList()
 
+    /** When each request, by its id, began to run. */
+    val started: MutableMap<String, MonotonicTime> = ConcurrentHashMap()
+
+    /** When the whole response to each request, by its id, was written. */
+    val finished: MutableMap<String, MonotonicTime> = ConcurrentHashMap()
+
     /** The fault of the next request that this server receives; null for none. */
     val nextFault: AtomicReference<PlatformServerFault?> = AtomicReference()
 
@@ -108,6 +116,7 @@
             else -> {}
         }
         requests += call.httpCall.headers()
+        started[requestId] = MonotonicTime.now()
         if (fault == PlatformServerFault.SILENCE) awaitCancellation()
         if (deadlyPart != null && deadlyPart in call.header("x-agatestream-prompt-prefix").orEmpty()) end()
         val first = (call.header("last-event-id")?.toIntOrNull() ?: -1) + 1
@@ -122,6 +131,7 @@
             delay(interval)
         }
         writer.finish()
+        finished[requestId] = MonotonicTime.now()
     }
 
     /** Ends the server with all its connections, as the end of its process does. */
--- a/standins/src/main/kotlin/org/agatestream/standin/StandInServer.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/StandInServer.kt
@@ -37,7 +37,7 @@
     }
 
     override fun close() {
-        server.closeNow()
+        if (::server.isInitialized) server.closeNow()
         scope.cancel()
         loops.close()
     }
