Give the callers of each scenario threads of their own

Cause: each call blocks a thread of Dispatchers.IO, which has 64 for the process; cold-engines beside it held them with 60 calls a second that waited at the VMs for slots (total_ms=6656). A round of calls longer than the bound is then judged by its first answers, which may come from before the key had reached the VM. Test: ScenarioCallerTest failed before with "Expected 200 but actual was null": 200 calls that wait held up another caller's call beyond 5 s. It passes now (3.3 s and 2.6 s), as each caller has a view of up to 512 threads of its own. Loads are now sent at the rate that their scenarios state, beyond 64 calls at a time. Run: cut-off-vm alone passes; a whole run of the 26 scenarios beside other work, load average 40, passes but for cut-off-vm, which failed in its set-up: calls and dials through the relays timed out for 20 s.

--- a/standins/src/main/kotlin/org/agatestream/standin/ScenarioCaller.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/ScenarioCaller.kt
@@ -53,6 +53,9 @@
             .connectTimeout(Duration.ofSeconds(CONNECT_TIMEOUT_SECONDS))
             .build()
 
+    // Calls block their threads; those of Dispatchers.IO are shared by the callers of all scenarios.
+    private val threads = Dispatchers.IO.limitedParallelism(MAX_CALLS)
+
     /** Makes a call; the stream is closed after [leaveAfter] events unless it is null. */
     suspend fun send(
         address: String,
@@ -62,7 +65,7 @@
         body: String = "",
         leaveAfter: Int? = null,
     ): CallResult =
-        withContext(Dispatchers.IO) {
+        withContext(threads) {
             val publisher = HttpRequest.BodyPublishers.ofString(body)
             val request = HttpRequest.newBuilder(URI("http://$address$target")).method(method, publisher)
             headers.forEach { (name, value) -> request.header(name, value) }
@@ -117,6 +120,7 @@
         }
 
     private companion object {
+        const val MAX_CALLS = 512
         const val CONNECT_TIMEOUT_SECONDS = 2L
         const val RESPONSE_TIMEOUT_SECONDS = 60L
     }
