Check that a VM is current before its settings are read

What callers saw, in the product's own interface: a VM that is not current, as after its start, answered calls of a service with 404 unknown_route, run=no, retry=never, where 503 not_current sends the caller to another VM; and a request that came just before the settings could be answered 401 unknown_key although the key was in force. Cause: OnlineRoutes read the settings and looked up the route first, and checked on another coroutine whether the VM is current. Settings that arrived in between made the check pass for a request decided by the old ones. Now the check comes first and the settings are read after it, so that they are at least as recent. The entry addresses are served without the check, as before. Looked at for the same: batch calls check first, a VM of the platform takes its manifest once.

--- a/core/src/main/kotlin/org/agatestream/core/OnlineRoute.kt
+++ b/core/src/main/kotlin/org/agatestream/core/OnlineRoute.kt
@@ -22,6 +22,12 @@
     ) : OnlineRoute
 }
 
+/** Returns whether [path], percent-decoded and without the query, is an online route's, whatever the settings. */
+public fun isOnlinePath(path: String): Boolean = path in FIXED_PATHS || path.startsWith(SERVICES_PREFIX)
+
+/** Returns whether [path] is that of the entry addresses, which are served without settings. */
+public fun isEntriesPath(path: String): Boolean = path == ENTRIES_PATH
+
 /**
  * Finds the online route of a request, or returns null if the path is no online route's.
  *
@@ -88,5 +94,6 @@
 private const val COMPLETIONS_PATH = "/v1/completions"
 private const val CHAT_COMPLETIONS_PATH = "/v1/chat/completions"
 private const val SERVICES_PREFIX = "/services/"
+private val FIXED_PATHS = setOf(ENTRIES_PATH, MODELS_PATH, COMPLETIONS_PATH, CHAT_COMPLETIONS_PATH)
 private const val AMBIGUOUS_CHARS = "%\\;"
 private val SAFE_METHODS = setOf("GET", "HEAD", "OPTIONS")
--- a/server/src/main/kotlin/org/agatestream/server/OnlineRoutes.kt
+++ b/server/src/main/kotlin/org/agatestream/server/OnlineRoutes.kt
@@ -24,6 +24,8 @@
 import org.agatestream.core.findEntryAddresses
 import org.agatestream.core.findOnlineRoute
 import org.agatestream.core.getOrElse
+import org.agatestream.core.isEntriesPath
+import org.agatestream.core.isOnlinePath
 import org.agatestream.core.listModels
 import org.agatestream.core.toFailed
 import org.agatestream.core.toOk
@@ -55,21 +57,19 @@
     private val services = ServiceCalls(forwarder, atMostOnceCalls)
 
     override suspend fun handle(call: HttpCall): Boolean {
-        val fleet = coordination.fleet
-        val match = fleet.findOnlineRoute(call.method, call.path) ?: return false
-        val failure = runUntilCompleted(call.callerDisconnected) { ServeResult(serve(call, fleet, match)) }?.failure
+        if (!isOnlinePath(call.path)) return false
+        val failure = runUntilCompleted(call.callerDisconnected) { ServeResult(serve(call)) }?.failure
         if (failure != null && !call.isResponseStarted) call.respondFailure(failure)
         return true
     }
 
-    private suspend fun serve(
-        call: HttpCall,
-        fleet: FleetView,
-        match: Outcome<OnlineRoute>,
-    ): Failure? {
-        val route = match.getOrElse { return it }
+    private suspend fun serve(call: HttpCall): Failure? {
+        // Checked before the settings are read, so that these are at least as recent as the check.
+        val isCurrent = coordination.isCurrent(clock())
+        val fleet = coordination.fleet
+        if (!isCurrent && !isEntriesPath(call.path)) return NOT_CURRENT_FAILURE
+        val route = checkNotNull(fleet.findOnlineRoute(call.method, call.path)).getOrElse { return it }
         if (route is OnlineRoute.Entries) return respondEntries(call, fleet)
-        if (!coordination.isCurrent(clock())) return NOT_CURRENT_FAILURE
         val open = route is OnlineRoute.Service && route.setting.open
         val caller = if (open) null else authenticate(call, fleet).getOrElse { return it }
         val timeout = call.findTimeout().getOrElse { return it }
--- a/server/src/test/kotlin/org/agatestream/server/OnlineFixture.kt
+++ b/server/src/test/kotlin/org/agatestream/server/OnlineFixture.kt
@@ -67,7 +67,14 @@
     @Volatile
     var current = true
 
-    override fun isCurrent(now: MonotonicTime): Boolean = current
+    /** Called at the start of each check whether the VM is current. */
+    @Volatile
+    var beforeCheck: () -> Unit = {}
+
+    override fun isCurrent(now: MonotonicTime): Boolean {
+        beforeCheck()
+        return current
+    }
 
     override fun onChange(listener: (Coordination) -> Unit) {
         listeners += listener
--- a/server/src/test/kotlin/org/agatestream/server/OnlineRoutesTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/OnlineRoutesTest.kt
@@ -14,6 +14,7 @@
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.FailureDomainId
 import org.agatestream.core.FailureDomainSetting
+import org.agatestream.core.FleetView
 import org.agatestream.core.ServiceState
 import org.agatestream.core.toFailed
 import org.agatestream.core.toOk
@@ -120,6 +121,33 @@
             }
         }
 
+        // A VM that knows no settings yet answered 404 unknown_route, after which callers don't try another VM.
+        test("a VM that is not current says so whether or not it knows the route and the key") {
+            OnlineFixture().use {
+                it.coordination.fleet = FleetView()
+                it.coordination.current = false
+                val targets = listOf("/services/wheels/length", "/services/public/length", "/v1/models")
+                targets.forEach { target ->
+                    val response = it.send("GET", target)
+                    response.text shouldContain "\"code\":\"not_current\""
+                    response.status shouldBe 503
+                    response.head.header("x-agatestream-run") shouldBe "no"
+                }
+            }
+        }
+
+        // Settings from before the check were used after it: a key that every VM knew was answered 401 unknown_key.
+        test("a request is decided with settings at least as recent as the check that the VM is current") {
+            OnlineFixture().use {
+                val full = it.coordination.fleet
+                it.coordination.fleet = FleetView()
+                it.coordination.beforeCheck = { it.coordination.fleet = full }
+                it.send("GET", "/v1/models").status shouldBe 200
+                it.coordination.fleet = FleetView()
+                it.send("GET", "/services/wheels/length").status shouldBe 200
+            }
+        }
+
         test("a refusal, a lost response and a response with a wrong id are retried on another server") {
             val truncated = Script.Truncate(0, resumable = false)
             val faults = listOf(Script.Refuse, Script.DropBeforeHead, Script.WrongRequestId, truncated)
