End no broken stream as whole on an empty answer

What callers saw: a stream that broke off after 4 of 6 events ended as whole, without events 5 and 6, when the next server answered the resumption with a signed 200 and an empty body, of length 0 or in chunks, or with a comment only. Results of items were listed as completed in the same way, with the text of the first four events; an item's first answer of length 0 was listed with an empty text.

Cause: the end of an empty body that says where it ends was taken for the end of the stream. A sound server that has nothing left to send answers so, but so can one that fails before its next event; nothing in the exchange tells them apart (no number of events, a declared length only if all of it came, and several faulty servers may answer alike).

Change: a run without events ends no stream that another run began. Online, the stream ends as broken, which a caller may resume; a caller that resumes by itself still gets a server's empty answer, as its own first run. An item can't be resumed by its caller and would be asked for nothing until it expires, so it is run from its start, once in the same run; that a run of an item without events is never its output follows from the same rule.

No existing test expected the former rule.

--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -192,7 +192,7 @@
                 report(ItemReport(request.number, request.item, ItemOutcome.WITHHELD))
             }
 
-            is ItemEnd.Interrupted -> {
+            is ItemEnd.NothingLeft, is ItemEnd.Interrupted -> {
                 report(ItemReport(request.number, request.item, ItemOutcome.INTERRUPTED, output?.toPartial()))
             }
         }
@@ -215,7 +215,6 @@
         request: RunItemRequest,
         onFirst: () -> Unit,
     ): ItemEnd {
-        val server = view.registry.usable(request.server)?.entry ?: return ItemEnd.Interrupted("server_not_usable")
         val item =
             when (val items = jobs.items(request.workspace, request.item.job)) {
                 is Outcome.Ok -> items.value[request.item.item] ?: return ItemEnd.Impossible("no such item")
@@ -226,14 +225,30 @@
                 is Outcome.Ok -> row.value.host
                 is Outcome.Failed -> return ItemEnd.Interrupted("job_unavailable")
             }
-        val shared = PromptHeader.sharedParts(item.headers)
+        val output = outputs.getOrPut(request.item) { Output() }
+        request.partial?.let { output.mergeFrom(it) }
+        val call = toBackendCall(item, host, request.workspace)
+        val end = exchange(request, call, output, onFirst)
+        if (end !is ItemEnd.NothingLeft) return end
+        // Only a run from the start shows where the output ends.
+        EventLog.info("item_restarted", "id" to request.item, "server" to request.server, "events" to output.lastEvent)
+        output.clear()
+        return exchange(request, call, output, onFirst)
+    }
+
+    /** Sends [call] once, to continue [output]. */
+    private suspend fun exchange(
+        request: RunItemRequest,
+        call: BackendCall,
+        output: Output,
+        onFirst: () -> Unit,
+    ): ItemEnd {
+        val server = view.registry.usable(request.server)?.entry ?: return ItemEnd.Interrupted("server_not_usable")
+        val shared = PromptHeader.sharedParts(call.headers)
         val sentAt = MonotonicTime.now()
         if (parts.judge(shared, sentAt) is PromptVerdict.Condemned) return ItemEnd.Withheld
         slots.onItemParts(request.number, shared)
-        val output = outputs.getOrPut(request.item) { Output() }
-        request.partial?.let { output.mergeFrom(it) }
         output.progress.startRun()
-        val call = toBackendCall(item, host, request.workspace)
         val spec = BackendProtocol.request(call, server.id, server.address, RUN_TIMEOUT, output.lastEvent)
         var answered: HttpClientResponse? = null
         val result =
@@ -337,8 +352,9 @@
                 }
 
                 is BodyPart.End -> {
-                    val fault = output.progress.faultAtEnd(response, splitter.remainder) ?: return ItemEnd.Complete
-                    return ItemEnd.Interrupted(fault, RunOutcome.LOST)
+                    val fault = output.progress.faultAtEnd(splitter.remainder) ?: return ItemEnd.Complete
+                    if (fault == StreamFault.NO_EVENT && output.lastEvent != null) return ItemEnd.NothingLeft
+                    return ItemEnd.Interrupted(fault.reason, RunOutcome.LOST)
                 }
 
                 is BodyPart.Broken -> {
@@ -382,6 +398,12 @@
             override val outcome: RunOutcome get() = RunOutcome.STOPPED
         }
 
+        /** A run that continues the output had no event: the output is whole, or the server failed before the next. */
+        data object NothingLeft : ItemEnd {
+            override val detail: String get() = "nothing left"
+            override val outcome: RunOutcome get() = RunOutcome.LOST
+        }
+
         data class Interrupted(
             override val detail: String,
             override val outcome: RunOutcome = RunOutcome.STOPPED,
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -88,7 +88,9 @@
         private var runs = 0
         private var rejections = 0
         private var writer: BodyWriter? = null
-        private val progress = StreamProgress(CallerProtocol.lastEvent(call))
+        private val callersLastEvent = CallerProtocol.lastEvent(call)
+        private val progress = StreamProgress(callersLastEvent)
+        private var isContinuation = false
         private var failure: Failure? = null
         private var isPromptRefused = false
         private var slotAfter: Duration? = null
@@ -165,7 +167,8 @@
             try {
                 val timeLeft = arrivedAt + callerTimeout - sentAt
                 progress.startRun()
-                val resumeFrom = progress.lastEvent.takeIf { writer != null }
+                isContinuation = writer != null
+                val resumeFrom = progress.lastEvent.takeIf { isContinuation }
                 val spec = BackendProtocol.request(request, slot.server.id, slot.server.address, timeLeft, resumeFrom)
                 val end =
                     withTimeoutOrNull(endAt - sentAt) {
@@ -279,12 +282,27 @@
             response: HttpClientResponse,
             remainder: ByteArray,
         ): Attempt {
-            progress.faultAtEnd(response, remainder)?.let { return Attempt.Lost(it) }
+            val fault = progress.faultAtEnd(remainder)
+            if (fault != null && !(fault == StreamFault.NO_EVENT && isEmptyAnswer(response))) {
+                return Attempt.Lost(fault.reason)
+            }
             write(response, remainder)
             writer?.finish()
             return Attempt.Answered(STATUS_OK)
         }
 
+        /**
+         * Returns whether [response], which had no event, is a server's whole answer to the caller's own request.
+         *
+         * After events of another run it is none: it may as well come from a server that failed before the next event.
+         */
+        private fun isEmptyAnswer(response: HttpClientResponse): Boolean {
+            if (isContinuation) return false
+            val length = response.header("content-length")
+            val isDelimited = length != null || response.header("transfer-encoding") != null
+            return length == "0" || (callersLastEvent != null && isDelimited)
+        }
+
         private suspend fun write(
             response: HttpClientResponse,
             bytes: ByteArray,
--- a/server/src/main/kotlin/org/agatestream/server/StreamProgress.kt
+++ b/server/src/main/kotlin/org/agatestream/server/StreamProgress.kt
@@ -1,6 +1,14 @@
 package org.agatestream.server
 
-import org.agatestream.http.HttpClientResponse
+/** Why the end of a run is not known to be the end of the stream. */
+internal enum class StreamFault(
+    val reason: String,
+) {
+    WITHIN_EVENT("the stream ended within an event"),
+
+    /** The run brought no event: none follows the last one, or the server failed before the next. */
+    NO_EVENT("the stream had no event"),
+}
 
 /** The position in a stream that one or more runs produce, and the check that each run continues it. */
 internal class StreamProgress(
@@ -29,23 +37,11 @@
         return true
     }
 
-    /**
-     * Returns why the end of [response] is not the end of the stream, or null if it is.
-     *
-     * A run without events may end a stream only if the response says where it ends: a server that fails may close the
-     * connection in order.
-     */
-    fun faultAtEnd(
-        response: HttpClientResponse,
-        remainder: ByteArray,
-    ): String? =
+    /** Returns why the end of the run, after the bytes [remainder] of no event, need not be the end of the stream. */
+    fun faultAtEnd(remainder: ByteArray): StreamFault? =
         when {
-            remainder.isNotEmpty() -> "the stream ended within an event"
-            isAdvanced || response.header("content-length") == "0" -> null
-            lastEvent != null && response.isDelimited() -> null
-            else -> "the stream had no event"
+            remainder.isNotEmpty() -> StreamFault.WITHIN_EVENT
+            isAdvanced -> null
+            else -> StreamFault.NO_EVENT
         }
-
-    private fun HttpClientResponse.isDelimited(): Boolean =
-        header("content-length") != null || header("transfer-encoding") != null
 }
--- a/standins/src/test/kotlin/org/agatestream/standin/PlatformFleet.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/PlatformFleet.kt
@@ -58,6 +58,9 @@
         for (vm in configs.indices) eventually(FLEET_TIMEOUT) { send(vm, "GET", "/ask/1").first shouldBe 200 }
     }
 
+    /** The address at which the VM with index [vm] serves callers. */
+    fun callerAddress(vm: Int): String = configs[vm].callerAddress
+
     /** Sends a request to the VM with index [vm] and returns status and body; the status is 0 without a response. */
     suspend fun send(
         vm: Int,
