Take no event with two numbers

What callers would see: an event of the stream that holds another event's text.

Cause: an event that breaks off at the end of a line and another one that goes on there are one event by their empty lines, and only the first number was read. The next event's number then fitted, or the stream ended, as whole.

Change: a second number is a foreign line, as is one that belongs to no event, so that the run is lost before any byte of the event is passed on. The protocol's events have one number each.

Ruled out: two data lines in an event are usual and can't tell; an event that breaks off within its text stays undetected if the next bytes are a whole field.

--- a/server/src/main/kotlin/org/agatestream/server/EventSplitter.kt
+++ b/server/src/main/kotlin/org/agatestream/server/EventSplitter.kt
@@ -9,7 +9,7 @@
     val bytes: ByteArray,
     /** The number in the `id` field; null if there is none. */
     val id: Long?,
-    /** True if the event has a line that belongs to no event, as where another response begins within a stream. */
+    /** True if the event has a line of another event, or of none, as where another response begins within a stream. */
     private val hasForeignLine: Boolean,
 ) {
     /** Returns whether this event may follow the event number [last]; without a number, only if it has no data. */
@@ -95,13 +95,14 @@
                 .lineSequence()
                 .filter { it.isNotEmpty() }
                 .toList()
+        val numbers = lines.filter { it.startsWith(ID) }
         val id =
-            lines
-                .firstOrNull { it.startsWith(ID) }
+            numbers
+                .firstOrNull()
                 ?.removePrefix(ID)
                 ?.trim()
                 ?.toLongOrNull()
-        return StreamEvent(bytes, id, hasForeignLine = lines.any { !EventFields.isField(it) })
+        return StreamEvent(bytes, id, hasForeignLine = numbers.size > 1 || lines.any { !EventFields.isField(it) })
     }
 
     private companion object {
--- a/server/src/test/kotlin/org/agatestream/server/EventSplitterTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/EventSplitterTest.kt
@@ -57,4 +57,11 @@
             event(": comment\nid: 4\nevent: token\nretry: 5\ndata\n\n").follows(3) shouldBe true
             event("x-agatestream-weight-versions: 3\nid: 4\ndata: a\n\n").follows(3) shouldBe true
         }
+
+        // Guards against text of another event, where one breaks off at the end of a line and another goes on there.
+        test("an event with two numbers follows none") {
+            for (text in listOf("id: 4\nid: 0\ndata: a\n\n", "id: 4\ndata: a\nid: 5\ndata: b\n\n")) {
+                event(text).follows(3) shouldBe false
+            }
+        }
     })
--- a/standins/src/test/kotlin/org/agatestream/standin/BrokenStreamTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/BrokenStreamTest.kt
@@ -130,6 +130,8 @@
         "no numbers" to { id -> head(id).chunked(events(id, SENT_EVENTS).replace(Regex("id: .\n"), "")) },
         "a gap" to { id -> head(id).chunked(event(id, SENT_EVENTS) + event(id, SENT_EVENTS + 2)) },
         "the stream from its start" to { id -> head(id).chunked(events(id)) },
+        "two events joined into one" to
+            { id -> head(id).chunked("id: 4\n" + "id: 0\ndata: of no request\n\n" + event(id, EVENTS - 1)) },
         "an event cut off in a body that is whole" to
             { id -> head(id).chunked(events(id, SENT_EVENTS).dropLast(1)) },
         "encoded bytes" to
@@ -176,6 +178,7 @@
         "an event again" to { events(it, SENT_EVENTS - 1) },
         "the stream from its start" to { events(it) },
         "half an event" to { "id: 4\ndata: of no re" },
+        "two events joined into one" to { "id: 4\ndata: $it-4\nid: 5\ndata: $it-5\n\n" },
     )
 
 /**
