--- a/standins/src/test/kotlin/org/agatestream/standin/BrokenStreamTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/BrokenStreamTest.kt
@@ -32,6 +32,8 @@
              "TimeoutMs":5000,"Resumable":true,"MaxAttempts":3},
             {"Name":"once","Hostname":"h.example","Prefix":"/once/","Type":"stream","Service":"raw","SloMs":300,
              "TimeoutMs":5000},
+            {"Name":"safe","Hostname":"h.example","Prefix":"/safe/","Type":"safe","Service":"raw","SloMs":300,
+             "TimeoutMs":5000},
             {"Name":"rawlot","Hostname":"h.example","Prefix":"/rawlot/","Type":"batch","Service":"raw",
              "CompletionTargetMs":9000,"KeepS":60,"MaxAttempts":3},""",
         ).replace("\"Services\":[", "\"Services\":[{\"Name\":\"raw\"},")
@@ -377,4 +379,15 @@
                     "\"${(0 until EVENTS).joinToString("\\n") { "$item-$it" }}\""
             }
         }
+
+        // Guards against a body in another form than its server's, as callers ask for none.
+        for (path in listOf("/raw/1", "/once/1", "/safe/1")) {
+            test("an answer with an encoded body is not passed on: $path") {
+                val (_, received) =
+                    callUntilRun(path, runs = 1) {
+                        head(it.id, more = "content-encoding: gzip\r\n").chunked(events(it.id))
+                    }
+                received.status shouldBe 502
+            }
+        }
     })
