--- /dev/null
+++ b/standins/src/test/kotlin/org/agatestream/standin/CutAnswerTest.kt
@@ -0,0 +1,271 @@
+package org.agatestream.standin
+
+import io.kotest.assertions.assertSoftly
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.maps.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import kotlinx.coroutines.delay
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private const val EVENTS = 5
+private const val SERVERS = 6
+private const val STATUS_LINE = "HTTP/1.1 200 OK\r\n"
+private const val INTERIM = "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"
+private const val CHUNKED = "Transfer-Encoding: chunked\r\n\r\n"
+
+private const val CUT_MANIFEST =
+    """{"Version":1,"Routes":[
+    {"Name":"ask","Hostname":"h.example","Prefix":"/ask/","Type":"stream","Service":"s","TimeoutMs":5000},
+    {"Name":"once","Hostname":"h.example","Prefix":"/once/","Type":"unsafe","Service":"c","TimeoutMs":5000},
+    {"Name":"safe","Hostname":"h.example","Prefix":"/safe/","Type":"safe","Service":"c","TimeoutMs":5000,
+     "MaxAttempts":3},
+    {"Name":"stream","Hostname":"h.example","Prefix":"/stream/","Type":"stream","Service":"c","TimeoutMs":5000},
+    {"Name":"resumed","Hostname":"h.example","Prefix":"/resumed/","Type":"stream","Service":"c","TimeoutMs":5000,
+     "Resumable":true,"MaxAttempts":3},
+    {"Name":"lot","Hostname":"h.example","Prefix":"/lot/","Type":"batch","Service":"c","CompletionTargetMs":9000,
+     "KeepS":60,"MaxAttempts":3}],
+    "Services":[{"Name":"s"},{"Name":"c"}],"Tenants":[{"Name":"team","ApiKeys":["secret-key"]}]}"""
+
+private fun headers(id: String): String =
+    "X-Agatestream-Attempt-Id: $id\r\nX-Agatestream-Response-Signature: signed\r\n" +
+        "Content-Type: text/event-stream\r\n"
+
+private fun event(
+    id: String,
+    number: Int,
+): String = "id: $number\ndata: $id-$number\n\n"
+
+private fun wholeStream(id: String): String = (0 until EVENTS).joinToString("") { event(id, it) }
+
+private fun chunk(text: String): String = "${text.length.toString(radix = 16)}\r\n$text\r\n"
+
+/** A place at which a server stops within the response to a request with the events from [CutRequest.firstEvent]. */
+private class Cut(
+    val what: String,
+    val end: ConnectionEnd,
+    /** Returns the bytes up to the cut, for an id and the body of the whole response. */
+    val bytes: (String, String) -> String,
+) {
+    /** True if events precede the cut. */
+    val holdsEvents: Boolean get() = "data:" in bytes("id", wholeStream("id"))
+}
+
+private val CUTS: List<Cut> =
+    listOf<Pair<String, (String, String) -> String>>(
+        "before the status line" to { _, _ -> "" },
+        "within the status line" to { _, _ -> STATUS_LINE.take(8) },
+        "within the status" to { _, _ -> STATUS_LINE.take(11) },
+        "before the end of the status line" to { _, _ -> STATUS_LINE.dropLast(2) },
+        "after the status line" to { _, _ -> STATUS_LINE },
+        "within the name of a header" to { id, _ -> STATUS_LINE + headers(id) + "Content-Len" },
+        "within the value of a header" to { id, _ -> STATUS_LINE + headers(id).dropLast(8) },
+        "before the length" to { id, _ -> "$STATUS_LINE${headers(id)}Content-Length: " },
+        "within the length" to { id, body -> "$STATUS_LINE${headers(id)}Content-Length: ${"${body.length}".take(1)}" },
+        "within a length that begins with zero" to { id, _ -> "$STATUS_LINE${headers(id)}Content-Length: 0" },
+        "after the length" to { id, body -> "$STATUS_LINE${headers(id)}Content-Length: ${body.length}\r\n" },
+        "within the blank line" to { id, body -> "$STATUS_LINE${headers(id)}Content-Length: ${body.length}\r\n\r" },
+        "before a body with a length" to { id, body -> withLength(id, body).removeSuffix(body) },
+        "within a body with a length" to { id, body -> withLength(id, body).dropLast(body.length / 2) },
+        "before the last byte of a body with a length" to { id, body -> withLength(id, body).dropLast(1) },
+        "before the first chunk" to { id, _ -> STATUS_LINE + headers(id) + CHUNKED },
+        "within a chunk" to { id, body -> STATUS_LINE + headers(id) + CHUNKED + chunk(body).take(body.length / 2) },
+        "after an event in a chunk" to { id, body ->
+            STATUS_LINE + headers(id) + CHUNKED + chunk(body.substringBefore("\n\n") + "\n\n")
+        },
+        "before the last chunk" to { id, body -> STATUS_LINE + headers(id) + CHUNKED + chunk(body) },
+        "within the last chunk" to { id, body -> STATUS_LINE + headers(id) + CHUNKED + chunk(body) + "0\r\n" },
+        "after an interim response" to { _, _ -> INTERIM },
+        "within the head after an interim response" to { id, body ->
+            "$INTERIM$STATUS_LINE${headers(id)}Content-Length: ${body.length}\r\n"
+        },
+    ).flatMap { (what, bytes) ->
+        listOf(ConnectionEnd.CLOSE, ConnectionEnd.RESET).map { Cut("$what, $it", it, bytes) }
+    }
+
+private fun withLength(
+    id: String,
+    body: String,
+): String = "$STATUS_LINE${headers(id)}Content-Length: ${body.length}\r\n\r\n$body"
+
+private fun cutOf(id: String): Cut = CUTS[id.substringAfterLast('c').toInt()]
+
+private val CutRequest.body: String get() = (firstEvent until EVENTS).joinToString("") { event(id, it) }
+
+private fun CutRequest.cutResponse(): CutResponse = cutOf(id).let { CutResponse(it.bytes(id, body), it.end) }
+
+private fun CutRequest.wholeResponse(): CutResponse = CutResponse(withLength(id, body), ConnectionEnd.KEEP)
+
+/** A response with the first two events that breaks off after them. */
+private fun CutRequest.brokenResponse(): CutResponse {
+    val events = chunk(event(id, 0)) + chunk(event(id, 1))
+    return CutResponse(STATUS_LINE + headers(id) + CHUNKED + events, ConnectionEnd.CLOSE)
+}
+
+/** Runs [block] with VMs and servers that answer as [script] says. */
+private suspend fun withCutServers(
+    script: (CutRequest) -> CutResponse,
+    block: suspend (PlatformFleet, CutRuns) -> Unit,
+) {
+    val runs = CutRuns()
+    val servers = List(SERVERS) { CutServer(runs, script) }
+    PlatformFleet(manifest = CUT_MANIFEST).use { fleet ->
+        fleet.start()
+        servers.forEachIndexed { number, server ->
+            val entry = """{"Service":"c","Address":"${server.address}","Zone":"d","Slots":8,"State":"ready"}"""
+            fleet.store.put("servers", "c-$number", entry)
+        }
+        eventually(FLEET_TIMEOUT) { fleet.send(1, "POST", "/once/1", id = "ready").first shouldBe 200 }
+        block(fleet, runs)
+        fleet.vms.forEach { it.stop() }
+    }
+    servers.forEach { it.close() }
+}
+
+/** Sends the request of each cut under [prefix], again while it is refused as not run, and checks the responses. */
+private suspend fun PlatformFleet.forEachCut(
+    prefix: String,
+    runs: CutRuns,
+    check: (String, Pair<Int, String>) -> Unit,
+) {
+    val responses =
+        CUTS.mapIndexed { number, cut ->
+            val id = "${prefix}c$number"
+            var response: Pair<Int, String>
+            do {
+                response = send(number % 2, "POST", "/$prefix/x", id = id, body = "hello")
+                val isRefused = response.first == 503
+                if (isRefused) delay(20.milliseconds)
+            } while (isRefused)
+            Triple(cut.what, id, response)
+        }
+    assertSoftly {
+        for ((what, id, response) in responses) {
+            withClue("cut $what, ${runs.of(id)} runs") { check(id, response) }
+        }
+    }
+}
+
+/** Answers requests to find whether the servers are known as a whole, others by [others]. */
+private fun scriptOf(others: (CutRequest) -> CutResponse): (CutRequest) -> CutResponse =
+    { request -> if (request.id == "ready") request.wholeResponse() else others(request) }
+
+class CutAnswerTest :
+    FunSpec({
+        timeout = 60_000
+
+        // Guards against a caller that gets the beginning of an answer as a whole one.
+        test("a request gets no success if its server stops within the answer") {
+            withCutServers(scriptOf { it.cutResponse() }) { fleet, runs ->
+                fleet.forEachCut("once", runs) { id, response ->
+                    response.first shouldBe 502
+                    runs.of(id) shouldBe 1
+                }
+            }
+        }
+
+        test("a request that may be repeated gets the whole answer of another server") {
+            val script = scriptOf { if (it.earlierRuns < 2) it.cutResponse() else it.wholeResponse() }
+            withCutServers(script) { fleet, runs ->
+                fleet.forEachCut("safe", runs) { id, response -> response shouldBe (200 to wholeStream(id)) }
+            }
+        }
+
+        // Guards against a stream without its last events that ends as a whole one.
+        test("a stream that may not be resumed is cut where its server stopped") {
+            withCutServers(scriptOf { it.cutResponse() }) { fleet, runs ->
+                fleet.forEachCut("stream", runs) { id, response ->
+                    response.first shouldNotBe 200
+                    runs.of(id) shouldBe 1
+                }
+            }
+        }
+
+        // Guards against a resumption that ends the stream by the beginning of its answer.
+        test("a stream is whole if the answer to its first resumption is cut and the second is whole") {
+            val script =
+                scriptOf {
+                    when (it.earlierRuns) {
+                        0 -> it.brokenResponse()
+                        1 -> it.cutResponse()
+                        else -> it.wholeResponse()
+                    }
+                }
+            withCutServers(script) { fleet, runs ->
+                fleet.forEachCut("resumed", runs) { id, response ->
+                    response shouldBe (200 to wholeStream(id))
+                    runs.of(id) shouldBe 3
+                }
+            }
+        }
+
+        test("a stream whose resumptions are all cut is broken unless they hold all its events") {
+            val script = scriptOf { if (it.earlierRuns == 0) it.brokenResponse() else it.cutResponse() }
+            withCutServers(script) { fleet, runs ->
+                fleet.forEachCut("resumed", runs) { id, response ->
+                    if (response.first == 200) response.second shouldBe wholeStream(id)
+                    if (!cutOf(id).holdsEvents) response.first shouldNotBe 200
+                }
+            }
+        }
+
+        // Guards against an item that is listed with the beginning of its output, or as one that can't be done.
+        for (isResumed in listOf(false, true)) {
+            test("an item whose answers are cut is listed with its whole output, resumed=$isResumed") {
+                val script =
+                    scriptOf {
+                        when {
+                            isResumed && it.earlierRuns == 0 -> it.brokenResponse()
+                            it.earlierRuns < 3 -> it.cutResponse()
+                            else -> it.wholeResponse()
+                        }
+                    }
+                withCutServers(script) { fleet, _ ->
+                    val ids = CUTS.indices.map { "itemc$it" }
+                    val items = ids.joinToString(",") { """{"Id":"$it","Path":"/lot/1","Body":"YQ==","Tokens":10}""" }
+                    val (status, _) = fleet.send(0, "POST", "/lot/j", id = "job", body = """{"Requests":[$items]}""")
+                    status shouldBe 202
+                    var results = emptyMap<String, String>()
+                    eventually(30.seconds) {
+                        results = fleet.results("job")
+                        results.size shouldBe ids.size
+                    }
+                    val whole =
+                        ids.associateWith { id ->
+                            "completed: ${(0 until EVENTS).joinToString("\n") { "$id-$it" }}"
+                        }
+                    results shouldContainExactly whole
+                }
+            }
+        }
+    })
+
+/** Reads state and output of each listed item of [job], in pages. */
+private suspend fun PlatformFleet.results(job: String): Map<String, String> {
+    val results = HashMap<String, String>()
+    while (true) {
+        val page = resultsOf(send(1, "GET", "/-/lots/$job?After=${results.size}").second)
+        if (page.isEmpty()) return results
+        results += page
+    }
+}
+
+/** Returns state and output of each item in a response with results. */
+private fun resultsOf(body: String): Map<String, String> =
+    Json
+        .parseToJsonElement(body)
+        .jsonObject
+        .getValue("Results")
+        .jsonArray
+        .map { it.jsonObject }
+        .associate { result ->
+            fun text(name: String) = result.getValue(name).jsonPrimitive.content
+            text("Id") to "${text("State")}: ${text("Output")}"
+        }
