Count an order to an engine as done only by a whole response

Found on the way from the report of answers cut in their head; no caller saw it.

The owner of an engine read the body of the response to an order and ignored whether it was whole. A 200 whose body broke off counted as done, so that the order was repeated only after 30 s; a 409 whose body broke off counted as refused as old, so that no order was sent until the fencing number rose.

Ruled out: a response cut in its head was always lost, as the decoder reports such a head as failed.

The order now fails unless its response is whole, and is sent again after the backoff; engines may get an order more than once anyway. EngineOrdersTest failed before at the first cut in a body, "expected:<2> but was:<1>" orders after 3 s, and passes now for seven cuts.

--- a/server/src/main/kotlin/org/agatestream/server/EngineOrders.kt
+++ b/server/src/main/kotlin/org/agatestream/server/EngineOrders.kt
@@ -23,7 +23,6 @@
 import org.agatestream.http.ExchangeResult
 import org.agatestream.http.HttpClient
 import org.agatestream.http.HttpRequestSpec
-import org.agatestream.http.readBody
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -101,8 +100,7 @@
         val result = client.exchange(HttpRequestSpec(address, "POST", "/orders", headers, body))
         if (result !is ExchangeResult.Answered) return EngineOrderResult.FAILED
         val response = result.response
-        response.readBody(MAX_RESPONSE_BYTES)
-        response.close()
+        response.readCompletely(MAX_RESPONSE_BYTES) ?: return EngineOrderResult.FAILED
         return when (response.status) {
             STATUS_OK -> EngineOrderResult.DONE
             STATUS_CONFLICT -> EngineOrderResult.REFUSED_AS_OLD
