Take a malformed response of the platform for none

It concerns the product's own interface.

The client of the platform's table service, object store and VM list parsed a response's JSON without a guard. A body that broke off where only the close of the connection ends it, or one with a short length, threw out of a read, a scan, the list of VMs and the conflict of a transaction, whose callers expect a result. What each caller made of the exception was not tried.

Ruled out: a body with a length or in chunks that is cut was already no response, as the HTTP client reports it as broken.

A malformed body now counts like a response that did not arrive: a read is unavailable, and a transaction has an unknown outcome. HttpPlatformTest cuts the rows of a response after each byte, in two framings; both tests failed before at the first cut with "Expected start of the array '[', but had 'EOF' instead".

--- a/server/src/main/kotlin/org/agatestream/server/HttpPlatform.kt
+++ b/server/src/main/kotlin/org/agatestream/server/HttpPlatform.kt
@@ -99,15 +99,18 @@
     private fun CallResult.Received.toCommitResult(): CommitResult =
         when (status) {
             STATUS_OK -> CommitResult.Committed
-            STATUS_CONFLICT -> CommitResult.Conflict(decode(ListSerializer(Row.serializer()), body))
+            STATUS_CONFLICT -> decode(ListSerializer(Row.serializer()), body).toConflict()
             STATUS_UNAVAILABLE -> CommitResult.Unavailable
             else -> CommitResult.Unknown
         }
 
-    private inline fun <T> CallResult.toRead(parse: (ByteArray) -> T): ReadResult<T> =
+    private fun List<Row>?.toConflict(): CommitResult = this?.let { CommitResult.Conflict(it) } ?: CommitResult.Unknown
+
+    /** Returns the value that [parse] returns, or that the read failed if it returns null. */
+    private inline fun <T : Any> CallResult.toRead(parse: (ByteArray) -> T?): ReadResult<T> =
         when {
             this !is CallResult.Received -> ReadResult.Unavailable
-            status == STATUS_OK -> ReadResult.Found(parse(body))
+            status == STATUS_OK -> parse(body)?.let { ReadResult.Found(it) } ?: ReadResult.Unavailable
             status == STATUS_NOT_FOUND -> ReadResult.Absent
             else -> ReadResult.Unavailable
         }
@@ -148,9 +151,15 @@
             value: T,
         ): ByteArray = Json.encodeToString(serializer, value).encodeToByteArray()
 
-        fun <T> decode(
+        /** Parses a body; returns null if it is malformed, as where it was cut. */
+        fun <T : Any> decode(
             serializer: KSerializer<T>,
             bytes: ByteArray,
-        ): T = Json.decodeFromString(serializer, bytes.decodeToString())
+        ): T? =
+            try {
+                Json.decodeFromString(serializer, bytes.decodeToString())
+            } catch (_: IllegalArgumentException) {
+                null
+            }
     }
 }
--- /dev/null
+++ b/server/src/test/kotlin/org/agatestream/server/HttpPlatformTest.kt
@@ -0,0 +1,52 @@
+package org.agatestream.server
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import org.agatestream.core.CommitResult
+import org.agatestream.core.ReadResult
+import org.agatestream.core.Transaction
+import org.agatestream.core.VmId
+import org.agatestream.http.EventLoops
+import org.agatestream.http.HttpClient
+
+private const val ROWS = """[{"key":"k","value":"1","version":1}]"""
+
+/** Framings of a body that ends after the given one. */
+private val FRAMINGS: Map<String, (String) -> String> =
+    mapOf(
+        "that ends with the connection" to { body -> "\r\n$body" },
+        "with a length" to { body -> "content-length: ${body.length}\r\n\r\n$body" },
+    )
+
+class HttpPlatformTest :
+    FunSpec({
+        timeout = 20_000
+        val loops = EventLoops(2)
+        afterSpec { loops.close() }
+
+        suspend fun <T> answering(
+            response: String,
+            call: suspend (HttpPlatform) -> T,
+        ): T =
+            ClosingServer(listOf("HTTP/1.1 $response")).use {
+                call(HttpPlatform(HttpClient(loops), it.address, VmId("v")))
+            }
+
+        for ((what, framing) in FRAMINGS) {
+            // Guards against a loop that ends by an exception because the platform's response broke off.
+            test("a response $what that breaks off says nothing about the platform") {
+                for (cut in ROWS.indices) {
+                    withClue("after $cut bytes") {
+                        val found = "200 OK\r\n${framing(ROWS.take(cut))}"
+                        answering(found) { it.scan("k") } shouldBe ReadResult.Unavailable
+                        answering(found) { it.read("k") } shouldBe ReadResult.Unavailable
+                        answering(found) { it.list() } shouldBe ReadResult.Unavailable
+                        val conflict = "409 Conflict\r\n${framing(ROWS.take(cut))}"
+                        val transaction = Transaction(emptyList(), emptyList())
+                        answering(conflict) { it.commit(transaction) } shouldBe CommitResult.Unknown
+                    }
+                }
+            }
+        }
+    })
