Pass on no empty success whose end its server did not state

Reported by operators of systems like ours: a server stopped in its answer's head and closed, and callers got a 200 with an empty body, framed as whole. Here a request that is no stream got that from a server that sent a signed head with neither a length nor chunks and closed in order: 200, `content-length: 0`. A request that may be repeated got it as well, though another server was left to ask.

Cause: such a body ends with its connection, and a server that fails closes in order too. Streams and items take a run without an event for whole only if the head says where it ends; other requests took any body, and passed it on with a length, so that callers could not tell either.

Ruled out: a head that is cut before its blank line, which the decoder reports as failed; a reset, which breaks the body.

A success without a byte now counts only if its head says where it ends, on routes and in the product's own interface; else the answer is lost: 502, or the next server for a request that may be repeated. Empty successes with a length or in chunks, 204, and failures are passed on as before. Only successes are held back, as a failure's status says enough. A body with at least one byte that ends with its connection stays whole: it can't be told from a cut one.

CutAnswerTest, with this cut added, failed before in 2 of 7 tests: "expected:<502> but was:<200>", and 200 with an empty body for a request that may be repeated.

--- a/server/src/main/kotlin/org/agatestream/server/BufferedResponse.kt
+++ b/server/src/main/kotlin/org/agatestream/server/BufferedResponse.kt
@@ -21,9 +21,17 @@
         null
     }
 
+/**
+ * Returns whether this is a success whose server may have stopped after the head, as its [body] was empty and ended only
+ * with the connection.
+ */
+internal fun HttpClientResponse.isCutAfterHead(body: ByteArray): Boolean =
+    status in SUCCESS_STATUSES && body.isEmpty() && !isBodyDelimited
+
 /** Reads the whole answer of a backend server; returns null if it is cut off or too large. */
 internal suspend fun BackendExchange.readBufferedResponse(): BufferedResponse? {
     val body = response.readCompletely(MAX_ANSWER_BYTES) ?: return null
+    if (response.isCutAfterHead(body)) return null
     val headers = PASSED_ANSWER_HEADERS.mapNotNull { name -> response.header(name)?.let { name to it } }.toMap()
     return BufferedResponse(response.status, response.header("content-type") ?: DEFAULT_CONTENT_TYPE, headers, body)
 }
@@ -49,6 +57,7 @@
 
 private val lenientJson = Json { ignoreUnknownKeys = true }
 
+private val SUCCESS_STATUSES = 200..299
 private const val MAX_ANSWER_BYTES = 8_388_608
 private const val DEFAULT_CONTENT_TYPE = "application/octet-stream"
 private val PASSED_ANSWER_HEADERS =
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -234,6 +234,7 @@
                     is Outcome.Ok -> read.value
                     is Outcome.Failed -> return Attempt.Lost(read.failure.message)
                 }
+            if (response.isCutAfterHead(body)) return Attempt.Lost("the body has neither a byte nor an end")
             call.respond(reply.status, response.header("content-type") ?: DEFAULT_TYPE, body, headers(response))
             return Attempt.Answered(reply.status)
         }
--- a/standins/src/test/kotlin/org/agatestream/standin/CutAnswerTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/CutAnswerTest.kt
@@ -75,6 +75,7 @@
         "before a body with a length" to { id, body -> withLength(id, body).removeSuffix(body) },
         "within a body with a length" to { id, body -> withLength(id, body).dropLast(body.length / 2) },
         "before the last byte of a body with a length" to { id, body -> withLength(id, body).dropLast(1) },
+        "before a body that ends with the connection" to { id, _ -> "$STATUS_LINE${headers(id)}\r\n" },
         "before the first chunk" to { id, _ -> STATUS_LINE + headers(id) + CHUNKED },
         "within a chunk" to { id, body -> STATUS_LINE + headers(id) + CHUNKED + chunk(body).take(body.length / 2) },
         "after an event in a chunk" to { id, body ->
