--- a/server/src/main/kotlin/org/agatestream/server/HttpPlatform.kt
+++ b/server/src/main/kotlin/org/agatestream/server/HttpPlatform.kt
@@ -64,7 +64,12 @@
         return result is CallResult.Received && result.status == STATUS_OK
     }
 
-    override suspend fun get(name: String): ReadResult<ByteArray> = call("GET", "/objects/$name").toRead { it }
+    override suspend fun get(name: String): ReadResult<ByteArray> {
+        val result = call("GET", "/objects/$name")
+        // Other bodies are JSON, which tells where it is cut.
+        val mayBeCut = result is CallResult.Received && !result.isDelimited
+        return if (mayBeCut) ReadResult.Unavailable else result.toRead { it }
+    }
 
     override suspend fun list(): ReadResult<List<ListedVm>> =
         call("GET", "/vms").toRead { decode(ListSerializer(ListedVm.serializer()), it) }
@@ -89,8 +94,17 @@
     private suspend fun readResponse(result: ExchangeResult.Answered): CallResult =
         try {
             when (val body = result.response.readBody(MAX_RESPONSE_BYTES)) {
-                is Outcome.Ok -> CallResult.Received(result.response.status, body.value)
-                is Outcome.Failed -> CallResult.Lost
+                is Outcome.Ok -> {
+                    CallResult.Received(
+                        result.response.status,
+                        body.value,
+                        result.response.isBodyDelimited,
+                    )
+                }
+
+                is Outcome.Failed -> {
+                    CallResult.Lost
+                }
             }
         } finally {
             result.response.close()
@@ -99,15 +113,18 @@
     private fun CallResult.Received.toCommitResult(): CommitResult =
         when (status) {
             STATUS_OK -> CommitResult.Committed
-            STATUS_CONFLICT -> CommitResult.Conflict(decode(ListSerializer(Row.serializer()), body))
+            STATUS_CONFLICT -> decode(ListSerializer(Row.serializer()), body).toConflict()
             STATUS_UNAVAILABLE -> CommitResult.Unavailable
             else -> CommitResult.Unknown
         }
 
-    private inline fun <T> CallResult.toRead(parse: (ByteArray) -> T): ReadResult<T> =
+    private fun List<Row>?.toConflict(): CommitResult = this?.let { CommitResult.Conflict(it) } ?: CommitResult.Unknown
+
+    /** Returns the value that [parse] returns, or that the read failed if it returns null. */
+    private inline fun <T : Any> CallResult.toRead(parse: (ByteArray) -> T?): ReadResult<T> =
         when {
             this !is CallResult.Received -> ReadResult.Unavailable
-            status == STATUS_OK -> ReadResult.Found(parse(body))
+            status == STATUS_OK -> parse(body)?.let { ReadResult.Found(it) } ?: ReadResult.Unavailable
             status == STATUS_NOT_FOUND -> ReadResult.Absent
             else -> ReadResult.Unavailable
         }
@@ -117,6 +134,7 @@
         class Received(
             val status: Int,
             val body: ByteArray,
+            val isDelimited: Boolean,
         ) : CallResult
 
         data object NotSent : CallResult
@@ -148,9 +166,15 @@
             value: T,
         ): ByteArray = Json.encodeToString(serializer, value).encodeToByteArray()
 
-        fun <T> decode(
+        /** Parses a body; returns null if it is malformed, as where it was cut. */
+        fun <T : Any> decode(
             serializer: KSerializer<T>,
             bytes: ByteArray,
-        ): T = Json.decodeFromString(serializer, bytes.decodeToString())
+        ): T? =
+            try {
+                Json.decodeFromString(serializer, bytes.decodeToString())
+            } catch (_: IllegalArgumentException) {
+                null
+            }
     }
 }
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -237,6 +237,7 @@
                     is Outcome.Ok -> read.value
                     is Outcome.Failed -> return Attempt.Lost(read.failure.message)
                 }
+            if (response.isCutAfterHead(body)) return Attempt.Lost("the body has neither a byte nor an end")
             call.respond(reply.status, response.header("content-type") ?: DEFAULT_TYPE, body, headers(response))
             return Attempt.Answered(reply.status)
         }
@@ -298,9 +299,7 @@
          */
         private fun isEmptyAnswer(response: HttpClientResponse): Boolean {
             if (isContinuation) return false
-            val length = response.header("content-length")
-            val isDelimited = length != null || response.header("transfer-encoding") != null
-            return length == "0" || (callersLastEvent != null && isDelimited)
+            return response.header("content-length") == "0" || (callersLastEvent != null && response.isBodyDelimited)
         }
 
         private suspend fun write(
