Announce the close of each connection as a VM's stop begins

What callers may see, in the product's own interface: a request sent on a kept connection as a VM in a planned stop closes it is lost without an answer. Cause of the possible loss: EntryVm kept its callers' connections through the stop and closed idle ones at its end. Only PlatformVm announced the close. Now EntryVm does too, before it tells the other VMs that it leaves.

--- a/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/EntryVm.kt
@@ -84,6 +84,7 @@
         coordination.start()
         limits.start(scope)
         worker.start(scope)
+        shutdown.onDrain { server.announceClose() }
         shutdown.onDrain { leavingVms.announce(network) }
         shutdown.onDrain { worker.drain() }
         EventLog.info("serving", "vm" to config.vm, "domain" to config.failureDomain, "port" to callerPort)
