--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -271,8 +271,8 @@
                     ItemEnd.Interrupted(reply.reason, RunOutcome.NOT_RUN)
                 }
 
-                is BackendReply.Unsigned -> {
-                    ItemEnd.Interrupted("unsigned status ${reply.status}", RunOutcome.LOST)
+                is BackendReply.Unproven -> {
+                    ItemEnd.Interrupted(reply.reason, RunOutcome.LOST)
                 }
 
                 is BackendReply.Ran -> {
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -207,8 +207,8 @@
                         Attempt.NotRun(reply.reason, RunOutcome.NOT_RUN)
                     }
 
-                    is BackendReply.Unsigned -> {
-                        Attempt.Lost("unsigned status ${reply.status}")
+                    is BackendReply.Unproven -> {
+                        Attempt.Lost(reply.reason)
                     }
 
                     is BackendReply.Ran -> {
