--- a/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
@@ -88,7 +88,7 @@
                 STATUS_MISDIRECTED,
                 "text/plain",
                 ByteArray(0),
-                mapOf("x-agatestream-instance-id" to id),
+                mapOf("x-agatestream-instance-id" to id, "x-agatestream-attempt-id" to requestId),
             )
         }
         val fault = nextFault.getAndSet(null)
--- a/standins/src/test/kotlin/org/agatestream/standin/RefusingServer.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/RefusingServer.kt
@@ -40,6 +40,9 @@
     /** A signed stream whose head says that the request did not run. */
     SIGNED_AS_NOT_RUN,
 
+    /** A refusal without the id, also where it is the connection's first response; it closes the connection. */
+    WITHOUT_ID,
+
     ;
 
     /** True if the fault needs an earlier refusal on the connection. */
@@ -117,8 +120,9 @@
             FaultyRefusal.SIGNED_STATUS -> send(head(own.request, own.status, SIGNATURE) + EMPTY_BODY)
             FaultyRefusal.UNSIGNED_STATUS -> send(head(own.request, own.status) + EMPTY_BODY)
             FaultyRefusal.SIGNED_AS_NOT_RUN -> send(stream.replaceFirst(SIGNATURE, "$SIGNATURE\r\n$MARK"))
+            FaultyRefusal.WITHOUT_ID -> send(own.text(hasId = false))
         }
-        return fault != FaultyRefusal.COPY_ONLY
+        return fault != FaultyRefusal.COPY_ONLY && fault != FaultyRefusal.WITHOUT_ID
     }
 
     private class Refusal(
