Handle signals before a VM begins to listen

A VM that got SIGHUP just after it had begun to listen ended with status 129, and one that got SIGTERM then ended with status 143 at once, without the planned stop: what its callers had sent there ended with the connection. The test shows the end of the process, not a request lost by it; a VM answers requests only once it knows a manifest.

Cause: the handlers were installed after the start had returned, while the addresses are open from its beginning. The class of fault is a promise to others (an open address) before the means to keep it. Ruled out: a crash in the start; the status is that of the signal's default.

StartSignalTest sends the signal once the first address accepts a connection.

The handlers are installed first; a SIGTERM that comes early takes effect once the start has returned, which waits for no other machine, so that the grace period holds. The product's own `serve` command had the same order and is changed likewise. Before `main` runs, in the start of the JVM, signals keep their default: no address is open then, but SIGHUP still ends the process.

--- a/cli/src/main/kotlin/org/agatestream/cli/FleetCommand.kt
+++ b/cli/src/main/kotlin/org/agatestream/cli/FleetCommand.kt
@@ -35,15 +35,14 @@
         file: String,
     ): ExitStatus {
         val secret = readFleetSecret(config.fleetSecretVariable) ?: return ExitStatus.BAD_USE
-        val vm =
-            try {
-                PlatformVm(config, secret).also { it.start() }
-            } catch (e: IOException) {
-                System.err.println("cannot listen on ${config.callerAddress} and ${config.peerAddress}: ${e.message}")
-                return ExitStatus.FAILED
-            }
         onHangUp { reload(file, config) }
-        awaitTermination { vm.stop() }
+        val vm = PlatformVm(config, secret)
+        try {
+            runUntilTerminated({ vm.start() }) { vm.stop() }
+        } catch (e: IOException) {
+            System.err.println("cannot listen on ${config.callerAddress} and ${config.peerAddress}: ${e.message}")
+            return ExitStatus.FAILED
+        }
         return ExitStatus.DONE
     }
 
--- a/cli/src/main/kotlin/org/agatestream/cli/ServeCommand.kt
+++ b/cli/src/main/kotlin/org/agatestream/cli/ServeCommand.kt
@@ -25,14 +25,13 @@
     private suspend fun run(config: VmConfig): ExitStatus {
         val secret = readFleetSecret(config.fleetSecretVariable) ?: return ExitStatus.BAD_USE
         val secrets = FleetSecrets(secret, System.getenv(BOOTSTRAP_VARIABLE))
-        val vm =
-            try {
-                EntryVm(config, secrets).also { it.start() }
-            } catch (e: IOException) {
-                System.err.println("cannot listen on ${config.callerAddress} and ${config.peerAddress}: ${e.message}")
-                return ExitStatus.FAILED
-            }
-        awaitTermination { vm.stop() }
+        lateinit var vm: EntryVm
+        try {
+            runUntilTerminated({ vm = EntryVm(config, secrets).also { it.start() } }) { vm.stop() }
+        } catch (e: IOException) {
+            System.err.println("cannot listen on ${config.callerAddress} and ${config.peerAddress}: ${e.message}")
+            return ExitStatus.FAILED
+        }
         return ExitStatus.DONE
     }
 
--- a/standins/src/main/kotlin/org/agatestream/standin/FleetProcess.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/FleetProcess.kt
@@ -30,6 +30,9 @@
 
     fun freeze() = signal("STOP")
 
+    /** Sends SIGHUP. */
+    fun hangUp() = signal("HUP")
+
     fun resume() = signal("CONT")
 
     /** Kills the process and waits until it has terminated. */
