--- a/server/src/main/kotlin/org/agatestream/server/GracefulShutdown.kt
+++ b/server/src/main/kotlin/org/agatestream/server/GracefulShutdown.kt
@@ -1,5 +1,6 @@
 package org.agatestream.server
 
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.ShutdownState
@@ -16,6 +17,10 @@
     private val clock: () -> MonotonicTime = MonotonicTime::now,
 ) {
     private val hooks = mutableListOf<suspend () -> Unit>()
+    private val end = Job()
+
+    /** Completes once the process may exit; what still runs then is to be ended and answered. */
+    public val closed: Job get() = end
 
     /** The phase of the shutdown. */
     @Volatile
@@ -71,6 +76,7 @@
 
             is ShutdownState.Closed -> {
                 log("shutdown_closed", runningCalls)
+                end.complete()
             }
         }
     }
--- a/server/src/test/kotlin/org/agatestream/server/OnlineFixture.kt
+++ b/server/src/test/kotlin/org/agatestream/server/OnlineFixture.kt
@@ -149,11 +149,12 @@
 class FakeVm(
     private val fixture: OnlineFixture,
     id: String,
+    grace: Duration,
 ) : PeerNetwork {
     override val self = VmId(id)
     val atMostOnceCalls = AtMostOnceCalls(fixture.table, this, fixture.coordination, fixture.scope)
     val leavingVms = LeavingVms(fixture.coordination)
-    val shutdown = GracefulShutdown(300.milliseconds, 5.seconds)
+    val shutdown = GracefulShutdown(300.milliseconds, grace)
     private val online =
         with(fixture) {
             OnlineRoutes(coordination, limits, slots, client, keyHasher, atMostOnceCalls, leavingVms, 10, scope)
@@ -202,8 +203,11 @@
     val vms = CopyOnWriteArrayList<FakeVm>()
     val vm = addVm("vm1")
 
-    fun addVm(id: String): FakeVm =
-        FakeVm(this, id).also {
+    fun addVm(
+        id: String,
+        grace: Duration = 5.seconds,
+    ): FakeVm =
+        FakeVm(this, id, grace).also {
             vms += it
             coordination.vms += ListedVm(it.self, FailureDomainId("rennes"), it.address, "")
         }
