Test that a response whose head is cut does not arrive

A refusal as not run, and the status of an item that failed, count by the head alone. CutResponseTest looked at bodies, and with a client that ignores the decoder's failure it passed still, as the end of the connection broke the body. The new test asks that the exchange is lost after each byte of the heads of ten responses, 204 and a refusal among them.

--- a/http/src/test/kotlin/org/agatestream/http/CutResponseTest.kt
+++ b/http/src/test/kotlin/org/agatestream/http/CutResponseTest.kt
@@ -4,6 +4,9 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeIn
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.withTimeout
+import kotlin.time.Duration.Companion.seconds
 
 private const val OWN_HEAD = "HTTP/1.1 200 OK\r\nx-id: own\r\n"
 private const val OWN_TEXT = "body of 20 characters"
@@ -24,6 +27,12 @@
 
 private const val CLOSE_DELIMITED = "$OWN_HEAD\r\n$OWN_TEXT"
 
+/** Returns the length of the heads of this response, an interim one included. */
+private fun String.headLength(): Int {
+    val start = if (startsWith(INTERIM)) INTERIM.length else 0
+    return indexOf("\r\n\r\n", start) + "\r\n\r\n".length
+}
+
 /** Responses that may follow one that breaks off. */
 private val FOLLOWING =
     mapOf(
@@ -95,6 +104,25 @@
             }
         }
 
+        // Guards against a refusal as not run, or any status, that is taken from a head that broke off.
+        test("a response whose head is cut does not arrive") {
+            val refusal = "HTTP/1.1 503 Busy\r\nx-id: own\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+            val bodyless = "HTTP/1.1 204 No Content\r\nx-id: own\r\n\r\n"
+            for (whole in DELIMITED.values + listOf(refusal, bodyless, CLOSE_DELIMITED)) {
+                for (cut in 0 until whole.headLength()) {
+                    for (end in End.entries) {
+                        cutServer(whole.take(cut), end, isKept = false).use { server ->
+                            val spec = HttpRequestSpec(server.address, "GET", "/", echoedHeader = "x-id" to "own")
+                            val result = withTimeout(3.seconds) { HttpClient(loops).exchange(spec) }
+                            withClue("$end after $cut bytes of $whole") {
+                                result.shouldBeInstanceOf<ExchangeResult.Lost>()
+                            }
+                        }
+                    }
+                }
+            }
+        }
+
         // The head must be whole; a body that ends with its connection can't be told from a shorter one.
         test("a response delimited by the close counts only with its whole head, and not if the connection is reset") {
             val headLength = CLOSE_DELIMITED.length - OWN_TEXT.length
