Strain planned stops, and complete the postmortem of the cut streams

Nothing is fixed here.

RollingStopTest can now run beside strains, chosen by a system property: large events with slow readers, timeouts longer than the grace period, slow bodies, manifests each second, further signals, second stops, coordinators in turn, jobs, busy threads, pauses, twelve VMs.

Changes of existing checks: a caller whose connection breaks while it sends now reads what has come, so that a refusal counts as the answer it is; the test also fails on jobs with items that are never listed.

--- a/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
@@ -60,6 +60,8 @@
     private val interval: Duration = 5.milliseconds,
     /** The prompt part on which this server ends when it begins to answer; null for none. */
     private val deadlyPart: String? = null,
+    /** The length in bytes to which the text of each event is filled up. */
+    private val eventBytes: Int = 0,
 ) : AutoCloseable {
     private val server = StandInServer(::handle)
 
@@ -127,7 +129,8 @@
             if (number == first + 1) writer.writeFault(fault)
             val isCommented = fault == PlatformServerFault.COMMENT_AFTER_EVENT && number == first + 1
             val comment = if (isCommented) ": still here\n\n" else ""
-            if (!writer.write("id: $number\ndata: $requestId-$number\n\n$comment".encodeToByteArray())) return
+            val text = "$requestId-$number".padEnd(eventBytes, '.')
+            if (!writer.write("id: $number\ndata: $text\n\n$comment".encodeToByteArray())) return
             delay(interval)
         }
         writer.finish()
--- a/standins/src/test/kotlin/org/agatestream/standin/PlannedStopTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/PlannedStopTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.booleans.shouldBeFalse
 import io.kotest.matchers.booleans.shouldBeTrue
 import io.kotest.matchers.collections.shouldBeIn
 import io.kotest.matchers.ints.shouldBeGreaterThan
@@ -15,6 +16,9 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 private const val EVENTS = 50
+private const val RELAYED_JOBS = 60
+private val RELAYED_JOB_INTERVAL = 50.milliseconds
+private val NOT_RUN_STATUSES = setOf(429, 503)
 
 /** The fleet's VMs close 2 s after SIGTERM; a stream of this fleet takes 2.5 s of its 5 s. */
 private fun slowFleet() =
@@ -95,6 +99,37 @@
                 fleet.vms[0].stop()
             }
         }
+
+        test("a job that is submitted through the store relay of a VM that stops is listed, or refused and never run") {
+            PlatformFleet(listOf("a", "b", "c"), restricted = setOf("c")).use { fleet ->
+                fleet.start()
+                val answers =
+                    coroutineScope {
+                        val stop = launch { fleet.vms[1].stop() }
+                        val jobs =
+                            List(RELAYED_JOBS) { number ->
+                                delay(RELAYED_JOB_INTERVAL)
+                                val item = """{"Id":"r$number","Path":"/lot/1","Body":"YQ==","Tokens":1}"""
+                                val body = """{"Requests":[$item]}"""
+                                async { fleet.send(2, "POST", "/lot/j", id = "relayed$number", body = body).first }
+                            }
+                        stop.join()
+                        jobs.awaitAll()
+                    }
+                println("answers to relayed jobs: ${answers.groupingBy { it }.eachCount()}")
+                val accepted = answers.indices.filter { answers[it] == 202 }
+                accepted.size shouldBeGreaterThan 0
+                eventually(FLEET_TIMEOUT) {
+                    for (job in accepted) {
+                        fleet.send(0, "GET", "/-/lots/relayed$job?After=0").second shouldContain "r$job-4"
+                    }
+                }
+                for (job in answers.indices) if (answers[job] in NOT_RUN_STATUSES) fleet.ran("r$job").shouldBeFalse()
+                for (answer in answers) answer shouldBeGreaterThan 0
+                fleet.vms[0].stop()
+                fleet.vms[2].stop()
+            }
+        }
     })
 
 private fun PlatformServerStandIn.ran(id: String): Boolean =
--- a/standins/src/test/kotlin/org/agatestream/standin/StopReport.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/StopReport.kt
@@ -1,6 +1,7 @@
 package org.agatestream.standin
 
 import org.agatestream.core.MonotonicTime
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -11,6 +12,9 @@
     private val stops: List<PlannedStop>,
     /** The VMs that outlived their grace period. */
     val killed: List<String>,
+    private val requestTimeout: Duration = RollingStop.REQUEST_TIMEOUT,
+    /** The jobs that were accepted and have items that were never listed. */
+    val unlistedJobs: List<String> = emptyList(),
 ) {
     /** The number of requests with a whole stream. */
     val served: Int = requests.count { it.isWhole && it.status == STATUS_OK }
@@ -21,13 +25,20 @@
     /** Requests whose stream ended as whole without its last event. */
     val partial: List<SentStream> = requests.filter { it.isWhole && it.status == STATUS_OK && !hasLastEvent(it) }
 
+    /** Requests that were answered whole though the connection broke before their end was sent. */
+    private val refusedWhileSending = requests.filter { it.isWriteBroken && it.isWhole }
+
+    /** Requests whose connection broke before their end was sent, without a whole answer. */
+    private val brokenWhileSending = requests.filter { it.isWriteBroken && !it.isWhole }
+
     /** The figures in one line. */
     val summary: String
         get() {
             val statuses = requests.groupingBy { if (it.isWhole) it.status else 0 }.eachCount().toSortedMap()
             val cut = requests.count { isCut(it) }
             return "requests=${requests.size} served=$served by_status=$statuses cut=$cut lost=${lost.size} " +
-                "partial=${partial.size} killed=$killed"
+                "partial=${partial.size} killed=$killed refused_while_sending=${refusedWhileSending.size}" +
+                " broken_while_sending=${brokenWhileSending.size} timeouts=${requests.count { it.isTimeout }}"
         }
 
     /** Describes a request by its times relative to the stop of its VM. */
@@ -42,7 +53,7 @@
 
     private fun isCut(sent: SentStream): Boolean {
         val endedAt = sent.endedAt ?: return false
-        if (sent.isWhole || sent.isTimeout || endedAt - sent.sentAt >= RollingStop.REQUEST_TIMEOUT) return false
+        if (sent.isWhole || sent.isTimeout || endedAt - sent.sentAt >= requestTimeout) return false
         val isHeld = sent.writtenAt?.let { endedAt - it > CROSSING } ?: false
         return serverOf(sent) != null || isHeld
     }
--- a/standins/src/test/kotlin/org/agatestream/standin/StreamCaller.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/StreamCaller.kt
@@ -31,6 +31,9 @@
     var status: Int = 0
     var isWhole: Boolean = false
     var isTimeout: Boolean = false
+
+    /** True if the connection broke before the whole request was sent; an answer may have come all the same. */
+    var isWriteBroken: Boolean = false
     var body: String = ""
 }
 
@@ -45,12 +48,18 @@
     private val entries: List<String>,
     private val timeout: Duration,
     seed: Long,
+    strains: Set<StopStrain> = emptySet(),
 ) {
     private val random = Random(seed + number)
     private val isChunked = number % 2 == 0
     private val isSlowSender = number % 4 == 0
     private val keepsConnection = number % 3 != 0
     private val isSlowReader = number % 5 == 0
+    private val senderPause = if (StopStrain.SLOW_BODIES in strains) SLOWEST_SENDER_MILLIS else SLOW_SENDER_MILLIS
+    private val readerPause = if (StopStrain.LARGE_EVENTS in strains) SLOWEST_READER_MILLIS else SLOW_READER_MILLIS
+    private val isPassing = StopStrain.MANIFESTS in strains && number % 7 == 1
+    private val path = if (isPassing) "/passing/1" else "/ask/1"
+    private val key = if (isPassing) "passing-key" else "secret-key"
     private var addresses = emptyList<String>()
     private var refreshAt = MonotonicTime.ZERO
     private var kept: Pair<String, Socket>? = null
@@ -107,8 +116,12 @@
         val socket = kept?.second ?: connect(sent.address) ?: return false
         kept = null
         try {
-            write(socket, sent)
-            sent.writtenAt = MonotonicTime.now()
+            try {
+                write(socket, sent)
+                sent.writtenAt = MonotonicTime.now()
+            } catch (_: IOException) {
+                sent.isWriteBroken = true
+            }
             read(socket, sent, deadline)
         } catch (_: SocketTimeoutException) {
             sent.isTimeout = true
@@ -143,13 +156,13 @@
     ) {
         val framing = if (isChunked) "transfer-encoding: chunked" else "content-length: $BODY_BYTES"
         val head =
-            "POST /ask/1 HTTP/1.1\r\nhost: h.example\r\nx-agatestream-attempt-id: ${sent.id}\r\n" +
-                "x-agatestream-deadline-ms: ${timeout.inWholeMilliseconds}\r\napi-key: secret-key\r\n$framing\r\n\r\n"
+            "POST $path HTTP/1.1\r\nhost: h.example\r\nx-agatestream-attempt-id: ${sent.id}\r\n" +
+                "x-agatestream-deadline-ms: ${timeout.inWholeMilliseconds}\r\napi-key: $key\r\n$framing\r\n\r\n"
         val output = socket.getOutputStream()
         output.write(head.encodeToByteArray())
         val piece = "x".repeat(BODY_BYTES / BODY_PIECES)
         repeat(BODY_PIECES) {
-            if (isSlowSender) Thread.sleep(SLOW_SENDER_MILLIS)
+            if (isSlowSender) Thread.sleep(senderPause)
             val framed = if (isChunked) "${piece.length.toString(HEX)}\r\n$piece\r\n" else piece
             output.write(framed.encodeToByteArray())
         }
@@ -193,7 +206,7 @@
     ) {
         while (true) {
             val size = (input.readLine() ?: throw EOFException()).toInt(HEX)
-            if (isSlowReader) Thread.sleep(SLOW_READER_MILLIS)
+            if (isSlowReader) Thread.sleep(readerPause)
             body.write(input.readExactly(size))
             input.readLine() ?: throw EOFException()
             if (size == 0) return
@@ -233,6 +246,8 @@
         private const val SLOW_READER_BUFFER = 1_024
         private const val SLOW_READER_MILLIS = 25L
         private const val SLOW_SENDER_MILLIS = 300L
+        private const val SLOWEST_SENDER_MILLIS = 800L
+        private const val SLOWEST_READER_MILLIS = 90L
         private const val IDLE_MILLIS = 100L
         private const val MAX_PAUSE_MILLIS = 200L
         private const val CONNECT_TIMEOUT_MILLIS = 1_000
@@ -246,17 +261,23 @@
             target: String,
         ): String? =
             try {
-                Socket().use { socket ->
-                    socket.connect(addressOf(address), CONNECT_TIMEOUT_MILLIS)
-                    socket.soTimeout = PROBE_TIMEOUT_MILLIS
-                    val request = "GET $target HTTP/1.1\r\nhost: h.example\r\nconnection: close\r\n\r\n"
-                    socket.getOutputStream().write(request.encodeToByteArray())
-                    socket.getInputStream().readAllBytes().decodeToString()
-                }
+                exchange(address, "GET $target HTTP/1.1\r\nhost: h.example\r\nconnection: close\r\n\r\n")
             } catch (_: IOException) {
                 null
             }
 
+        /** Sends [request] on a new connection and returns all bytes that come back; fails if the connection breaks. */
+        fun exchange(
+            address: String,
+            request: String,
+        ): String =
+            Socket().use { socket ->
+                socket.connect(addressOf(address), CONNECT_TIMEOUT_MILLIS)
+                socket.soTimeout = PROBE_TIMEOUT_MILLIS
+                socket.getOutputStream().write(request.encodeToByteArray())
+                socket.getInputStream().readAllBytes().decodeToString()
+            }
+
         private fun addressOf(address: String) =
             InetSocketAddress(address.substringBefore(':'), address.substringAfter(':').toInt())
 
