Judge the time left in a planned stop again before a request is passed on

A request whose head came before SIGTERM was accepted whatever it may take; if its body ended late, or its slot was granted late, it was passed on to a server in the last seconds of the grace period and cut at its end, like the requests that refuses. With the users' timeouts of 5 s it can't happen, as such a request ends before the VM closes; with a timeout longer than the 7 s for which a VM goes on, it can.

Cause: the time left was judged at the request's head only. Found by a review of the code, not in a run of processes.

Now it is judged again with each slot, as long as no server has run the request; it is refused as not run, and its slot given back.

--- a/server/src/main/kotlin/org/agatestream/server/CallerRoutes.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CallerRoutes.kt
@@ -101,10 +101,12 @@
         const val JSON = "application/json"
         const val TEXT = "text/plain"
         val NOT_READY = Failure(ErrorKind.NOT_CURRENT, "this VM knows no manifest yet", 500.milliseconds)
-        val SHUTTING_DOWN = Failure(ErrorKind.SHUTTING_DOWN, "this VM is about to stop", 10.milliseconds)
     }
 }
 
+/** Refuses a request that can't end before this VM stops, so that its caller goes to another one at once. */
+internal val SHUTTING_DOWN: Failure = Failure(ErrorKind.SHUTTING_DOWN, "this VM is about to stop", 10.milliseconds)
+
 /** Responds with the status of [failure], unless a response has begun. */
 internal suspend fun HttpCall.respondNotServed(failure: Failure) {
     if (isResponseStarted) return
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -85,7 +85,7 @@
             config = config,
             view = view,
             membership = membership,
-            forwarder = RouteForwarder(slots, client, parts, metrics, buffers),
+            forwarder = RouteForwarder(slots, client, parts, metrics, buffers, shutdown),
             jobs = JobCalls(self, jobStore),
             shutdown = shutdown,
             entryTtl = entryTtl,
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -40,6 +40,7 @@
     private val parts: PromptPartWatch,
     private val metrics: VmMetrics,
     private val buffers: BufferBudget,
+    private val shutdown: GracefulShutdown,
 ) {
     /** Returns how long [call] may take until it is answered or has failed. */
     fun timeoutOf(
@@ -116,7 +117,12 @@
                     }
                 meteredWorkspace = null
                 currentSlot = slot
-                slotAfter = MonotonicTime.now() - arrivedAt
+                val now = MonotonicTime.now()
+                slotAfter = now - arrivedAt
+                if (runs == 0 && !shutdown.admits(now, endAt - now)) {
+                    slots.release(slot, RunOutcome.STOPPED, null)
+                    return refuse(SHUTTING_DOWN)
+                }
                 when (val end = attempt(slot)) {
                     is Attempt.Answered -> {
                         return log("answered", slot, end.status)
--- a/standins/src/test/kotlin/org/agatestream/standin/PlannedStopTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/PlannedStopTest.kt
@@ -8,15 +8,20 @@
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import java.net.Socket
 import kotlin.time.Duration.Companion.milliseconds
 
 private const val EVENTS = 50
 private const val RELAYED_JOBS = 60
+private val HEAD_LEAD = 200.milliseconds
+private val BODY_DELAY = 300.milliseconds
 private val RELAYED_JOB_INTERVAL = 50.milliseconds
 private val NOT_RUN_STATUSES = setOf(429, 503)
 
@@ -54,6 +59,32 @@
             }
         }
 
+        // Guards against a request whose head comes before a stop and whose body leaves too little time to serve it.
+        test("a request whose body ends late in a planned stop is refused as not run") {
+            slowFleet().use { fleet ->
+                fleet.start()
+                val (host, port) = fleet.callerAddress(1).split(':')
+                Socket(host, port.toInt()).use { socket ->
+                    socket.soTimeout = FLEET_TIMEOUT.inWholeMilliseconds.toInt()
+                    val head =
+                        "POST /ask/1 HTTP/1.1\r\nhost: h.example\r\nx-agatestream-attempt-id: slow\r\n" +
+                            "api-key: secret-key\r\ncontent-length: 1\r\n\r\n"
+                    socket.getOutputStream().write(head.encodeToByteArray())
+                    delay(HEAD_LEAD)
+                    coroutineScope {
+                        val stop = launch(Dispatchers.Default) { fleet.vms[1].stop() }
+                        delay(BODY_DELAY)
+                        socket.getOutputStream().write("x".encodeToByteArray())
+                        val status = withContext(Dispatchers.IO) { socket.getInputStream().bufferedReader().readLine() }
+                        status shouldContain " 503 "
+                        stop.join()
+                    }
+                }
+                fleet.ran("slow").shouldBeFalse()
+                fleet.vms[0].stop()
+            }
+        }
+
         test("a request with a short deadline is served in a planned stop") {
             PlatformFleet().use { fleet ->
                 fleet.start()
