Keep what an item's run from the start has brought

An item that ran from its start again, since its resumption brought nothing, and broke off there lost what that run had brought: the coordinator and the VMs kept the older output, as it had more events, so that the next run asked for nothing again and a third began from the start. Beside servers that break off the item would be listed only once one run got through.

Cause: outputs of an item were compared by their last event alone. They now say how often the item has been restarted, and a later restart replaces an earlier one.

--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -216,7 +216,7 @@
             partialOutputs -= report.item
         }
         report.partial?.let {
-            if (it.lastEvent > (partialOutputs[report.item]?.lastEvent ?: -1)) partialOutputs[report.item] = it
+            if (it.replaces(partialOutputs[report.item])) partialOutputs[report.item] = it
         }
         execute(dispatcher.onItem(report.item, CallId(from, report.number), report.outcome, now))
     }
--- a/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
@@ -104,7 +104,13 @@
 internal class PartialOutput(
     val lastEvent: Long,
     val data: List<String>,
-)
+    /** How often the item has run from its start again, as none of its earlier events told where the output ends. */
+    val restarts: Int = 0,
+) {
+    /** Returns whether this output replaces [other]: it is from a later restart, or has more events. */
+    fun replaces(other: PartialOutput?): Boolean =
+        other == null || compareValuesBy(this, other, { it.restarts }, { it.lastEvent }) > 0
+}
 
 /** Tells a VM to cancel the run of an item. */
 @Serializable
--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -49,6 +49,7 @@
         val progress = StreamProgress()
         val lastEvent: Long? get() = progress.lastEvent
         private var chars = 0
+        private var restarts = 0
 
         /** True once the output is longer than any item's; it must be discarded. */
         val isTooLong: Boolean get() = chars > MAX_OUTPUT_CHARS
@@ -67,17 +68,24 @@
             progress.startRun(after = null)
         }
 
+        /** Discards all events of this and earlier runs, so that they don't replace those of the next run. */
+        fun restart() {
+            clear()
+            restarts++
+        }
+
         private fun add(text: String) {
             data += text
             chars += text.length
         }
 
-        fun toPartial(): PartialOutput? = lastEvent?.let { PartialOutput(it, data.toList()) }
+        fun toPartial(): PartialOutput? = lastEvent?.let { PartialOutput(it, data.toList(), restarts) }
 
-        /** Replaces this output by another VM's partial output if that has more events. */
+        /** Replaces this output by another VM's partial output if that is from a later restart or has more events. */
         fun mergeFrom(partial: PartialOutput) {
-            if (partial.lastEvent <= (lastEvent ?: -1)) return
+            if (partial.restarts < restarts || !partial.replaces(toPartial())) return
             clear()
+            restarts = partial.restarts
             partial.data.forEach { add(it) }
             progress.startRun(partial.lastEvent)
         }
@@ -232,7 +240,7 @@
         if (end !is ItemEnd.NothingLeft) return end
         // Only a run from the start shows where the output ends.
         EventLog.info("item_restarted", "id" to request.item, "server" to request.server, "events" to output.lastEvent)
-        output.clear()
+        output.restart()
         return exchange(request, call, output, onFirst)
     }
 
--- a/standins/src/test/kotlin/org/agatestream/standin/BrokenStreamTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/BrokenStreamTest.kt
@@ -369,6 +369,27 @@
             }
         }
 
+        // Guards against a run from the start whose events are thrown away for the older ones that it replaced.
+        test("an item that is run from its start and breaks off again goes on from there") {
+            val item = nextId()
+            scripts.set(item) {
+                when (it.number) {
+                    0 -> cut(it, sent = EVENTS)
+                    1 -> head(it.id).chunked("")
+                    2 -> cut(it)
+                    else -> sound(it)
+                }
+            }
+            val job = "job-$item"
+            val body = """{"Requests":[{"Id":"$item","Path":"/rawlot/1","Body":"YQ==","Tokens":10}]}"""
+            fleet.send(0, "POST", "/rawlot/j", id = job, body = body).first shouldBe 202
+            eventually(FLEET_TIMEOUT) {
+                fleet.send(0, "GET", "/-/lots/$job?After=0").second shouldContain
+                    "\"${(0 until EVENTS).joinToString("\\n") { "$item-$it" }}\""
+            }
+            scripts.runsOf(item).map { it.lastEvent } shouldBe listOf(null, EVENTS - 1, null, SENT_EVENTS - 1)
+        }
+
         test("an item's result is not an answer without events: length 0") {
             val item = nextId()
             scripts.set(item) { if (it.number == 0) head(it.id).sized("") else sound(it) }
--- a/standins/src/test/kotlin/org/agatestream/standin/CutAnswerTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/CutAnswerTest.kt
@@ -194,7 +194,9 @@
         }
 
         // Guards against a resumption that ends the stream by the beginning of its answer.
-        test("a stream whose first resumption is cut is whole after the second, or broken if no event was left for it") {
+        test(
+            "a stream whose first resumption is cut is whole after the second, or broken if no event was left for it",
+        ) {
             val script =
                 scriptOf {
                     when (it.earlierRuns) {
