End a start that fails with an error as well

A process whose start fails with an Error, such as no memory for its threads, would wait for its shutdown hook until it is killed, as only exceptions withdrew the hook. By reading; no test starts a VM without memory.

--- a/cli/src/main/kotlin/org/agatestream/cli/ProcessSignals.kt
+++ b/cli/src/main/kotlin/org/agatestream/cli/ProcessSignals.kt
@@ -28,7 +28,7 @@
     Runtime.getRuntime().addShutdownHook(hook)
     try {
         start()
-    } catch (e: Exception) {
+    } catch (e: Throwable) {
         withdraw(hook)
         stopped.countDown()
         throw e
