Write the failure of a cut request and the settings of a test VM once

PlatformVm and Router each had the failure of a request that outlasts the shutdown, and the two fleets of the tests each the settings of a VM. Values and behaviour are as before.

--- a/server/src/main/kotlin/org/agatestream/server/GracefulShutdown.kt
+++ b/server/src/main/kotlin/org/agatestream/server/GracefulShutdown.kt
@@ -2,6 +2,8 @@
 
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
+import org.agatestream.core.ErrorKind
+import org.agatestream.core.Failure
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.ShutdownState
 import org.agatestream.core.admits
@@ -10,6 +12,10 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
+/** The failure of a request that outlasts the shutdown; it may have run. */
+internal val CUT_BY_SHUTDOWN: Failure =
+    Failure(ErrorKind.DEADLINE_EXCEEDED, "the VM stopped before the request ended")
+
 /** Takes a VM out of service without interrupting requests in flight. */
 public class GracefulShutdown(
     private val entryTtl: Duration,
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -13,8 +13,6 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.agatestream.core.ClockReading
 import org.agatestream.core.CoordinatorTerm
-import org.agatestream.core.ErrorKind
-import org.agatestream.core.Failure
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.ShutdownState
 import org.agatestream.core.VmId
@@ -383,7 +381,6 @@
         val LAST_MESSAGES_TIMEOUT = 500.milliseconds
         val LAST_MESSAGES_POLL_INTERVAL = 5.milliseconds
         const val VM_STOPPED = "the VM stopped"
-        val CUT_BY_SHUTDOWN = Failure(ErrorKind.DEADLINE_EXCEEDED, "the VM stopped before the request ended")
         const val TEXT_PLAIN = "text/plain"
 
         // An eighth of a VM's heap of 128 MB; a growing buffer exists twice for a moment.
--- a/server/src/main/kotlin/org/agatestream/server/Router.kt
+++ b/server/src/main/kotlin/org/agatestream/server/Router.kt
@@ -28,8 +28,4 @@
         if (routes.any { it.handle(call) }) return
         call.respondFailure(Failure(ErrorKind.UNKNOWN_ROUTE, "there is no such route"))
     }
-
-    private companion object {
-        val CUT_BY_SHUTDOWN = Failure(ErrorKind.DEADLINE_EXCEEDED, "the VM stopped before the request ended")
-    }
 }
--- a/standins/src/test/kotlin/org/agatestream/standin/FleetProcesses.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/FleetProcesses.kt
@@ -4,7 +4,6 @@
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import kotlinx.serialization.json.Json
-import org.agatestream.core.FailureDomainId
 import org.agatestream.server.PlatformVmConfig
 import java.io.File
 import kotlin.time.Duration.Companion.seconds
@@ -68,19 +67,7 @@
     }
 
     private fun configOf(name: String): PlatformVmConfig =
-        PlatformVmConfig(
-            name = name,
-            failureDomain = FailureDomainId("d"),
-            callerAddress = FreePorts.nextAddress(),
-            entryAddress = FreePorts.nextAddress(),
-            readyAddress = FreePorts.nextAddress(),
-            peerAddress = FreePorts.nextAddress(),
-            storeAddress = storeAddress,
-            rowBytes = 65_536,
-            shutdownGraceSeconds = GRACE.inWholeSeconds.toDouble(),
-            entryTtlMaxSeconds = 5.0,
-            resultsKeptSeconds = 120.0,
-        )
+        vmConfigOf(name, storeAddress, graceSeconds = GRACE.inWholeSeconds.toDouble(), ttlSeconds = 5.0)
 
     companion object {
         /** The time from SIGTERM until the platform kills a process. */
--- a/standins/src/test/kotlin/org/agatestream/standin/PlatformFleet.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/PlatformFleet.kt
@@ -94,21 +94,41 @@
     }
 
     private fun configOf(name: String): PlatformVmConfig =
-        PlatformVmConfig(
-            name = name,
-            failureDomain = FailureDomainId("d"),
-            callerAddress = FreePorts.nextAddress(),
-            entryAddress = FreePorts.nextAddress(),
-            readyAddress = FreePorts.nextAddress(),
-            peerAddress = FreePorts.nextAddress(),
-            storeAddress = if (name in restricted) restrictedAddress else storeAddress,
-            rowBytes = 65_536,
-            shutdownGraceSeconds = 3.0,
-            entryTtlMaxSeconds = 0.1,
-            resultsKeptSeconds = 120.0,
+        vmConfigOf(
+            name,
+            if (name in
+                restricted
+            ) {
+                restrictedAddress
+            } else {
+                storeAddress
+            },
+            graceSeconds = 3.0,
+            ttlSeconds = 0.1,
         )
 }
 
+/** Returns the settings of a VM on free loopback ports. */
+internal fun vmConfigOf(
+    name: String,
+    storeAddress: String,
+    graceSeconds: Double,
+    ttlSeconds: Double,
+): PlatformVmConfig =
+    PlatformVmConfig(
+        name = name,
+        failureDomain = FailureDomainId("d"),
+        callerAddress = FreePorts.nextAddress(),
+        entryAddress = FreePorts.nextAddress(),
+        readyAddress = FreePorts.nextAddress(),
+        peerAddress = FreePorts.nextAddress(),
+        storeAddress = storeAddress,
+        rowBytes = 65_536,
+        shutdownGraceSeconds = graceSeconds,
+        entryTtlMaxSeconds = ttlSeconds,
+        resultsKeptSeconds = 120.0,
+    )
+
 internal suspend fun withFleet(block: suspend (PlatformFleet) -> Unit) {
     PlatformFleet().use {
         it.start()
