Carry workspace, failure domain, prompt size and observations of runs

A request for a slot says who asks, from which failure domain, and how large its prompt and answer are; a release says what the VM saw of the server: its own failures, pauses, reported load, whether it leaves. A server's entry has its software version. Placement, fair shares and roll-outs decide from these; nothing uses them yet, so nothing changes.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatch.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatch.kt
@@ -1,6 +1,7 @@
 package org.agatestream.core
 
 import kotlinx.serialization.Serializable
+import org.agatestream.core.placement.PromptShape
 import kotlin.time.Duration
 
 /** Identifies one run at a backend server: the VM that carries it out and a number that is unique on that VM. */
@@ -37,6 +38,11 @@
     val excluded: Set<BackendServerId>,
     /** The prompt parts that other requests may share, in order. */
     val parts: List<PromptPart> = emptyList(),
+    /** The workspace that asks, also if its rate was charged already; null if the request has none. */
+    val workspace: WorkspaceId? = meteredWorkspace,
+    /** The failure domain of the VM that asks; null if it is not known. */
+    val origin: FailureDomainId? = null,
+    val prompt: PromptShape = PromptShape.UNKNOWN,
 )
 
 /** The outcome of a run, as evidence of the health of its server. */
--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -122,6 +122,7 @@
         outcome: RunOutcome,
         firstEvent: Duration?,
         now: MonotonicTime,
+        detail: RunDetail = RunDetail.NONE,
     ): List<DispatchAction> {
         if (queuedRequests.removeAll { it.call == call }) return schedule(now)
         jobs.onReleased(call, now)
@@ -134,7 +135,7 @@
         val load = servers.find(held.server) ?: return schedule(now)
         val wasSilent = load.isSilent(call)
         load.remove(call)
-        load.record(outcome, firstEvent, now, wasSilent)
+        load.record(outcome, firstEvent, now, wasSilent, detail)
         if (outcome == RunOutcome.ANSWERED && jobs.itemOf(call) == null) {
             recordRunTime(load.server.entry.service, now - held.since)
         }
--- a/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
@@ -1,5 +1,6 @@
 package org.agatestream.core
 
+import org.agatestream.core.placement.ReportedLoad
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -31,6 +32,10 @@
     var firstEventMillis: Double = 0.0
         private set
 
+    /** The last load that the server reported; null if it reported none. */
+    var reportedLoad: ReportedLoad? = null
+        private set
+
     val running: Int get() = onlineRuns.size + itemRuns.size
 
     /** The number of slots occupied by runs of unresponsive VMs. */
@@ -125,7 +130,9 @@
         firstEvent: Duration?,
         now: MonotonicTime,
         wasSilent: Boolean,
+        detail: RunDetail = RunDetail.NONE,
     ) {
+        detail.load?.let { reportedLoad = it }
         when (outcome) {
             RunOutcome.ANSWERED -> {
                 lastEventAt = now
--- a/core/src/main/kotlin/org/agatestream/core/ServerRegistry.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerRegistry.kt
@@ -17,6 +17,8 @@
     val coldTimeLeft: Duration,
     /** The start time in Unix milliseconds; no state survives a restart. */
     val startedAtMillis: Long,
+    /** The version of its software; null if the entry does not say. */
+    val version: String? = null,
 )
 
 /** A backend server that may be given work. */
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -188,6 +188,9 @@
                 queueDeadline = now + request.giveUpMillis.milliseconds,
                 excluded = request.excluded,
                 parts = request.parts,
+                workspace = request.workspace ?: request.meteredWorkspace,
+                origin = request.origin,
+                prompt = request.prompt,
             )
         execute(dispatcher.place(placeRequest, now))
         pendingPlacements.remove(call)
@@ -202,7 +205,8 @@
         noticePause(now)
         parts.merge(request.facts, now)
         val call = CallId(from, request.number)
-        execute(dispatcher.release(call, request.outcome, request.firstEventMillis?.milliseconds, now))
+        val firstEvent = request.firstEventMillis?.milliseconds
+        execute(dispatcher.release(call, request.outcome, firstEvent, now, request.detail))
     }
 
     fun onItemReport(
--- a/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
@@ -12,11 +12,13 @@
 import org.agatestream.core.ItemRef
 import org.agatestream.core.PartFacts
 import org.agatestream.core.PromptPart
+import org.agatestream.core.RunDetail
 import org.agatestream.core.RunOutcome
 import org.agatestream.core.RunningCall
 import org.agatestream.core.ServiceId
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
+import org.agatestream.core.placement.PromptShape
 
 /** Requests a slot from the coordinator; durations count from the receipt of the message. */
 @Serializable
@@ -36,6 +38,11 @@
     val parts: List<PromptPart> = emptyList(),
     /** What the sender knows about servers that ended on these parts. */
     val facts: List<PartFacts> = emptyList(),
+    /** The workspace that asks, also if its rate was charged already. */
+    val workspace: WorkspaceId? = null,
+    /** The failure domain of the VM that asks. */
+    val origin: FailureDomainId? = null,
+    val prompt: PromptShape = PromptShape.UNKNOWN,
 ) : PeerRequest
 
 /** The coordinator's decision on a [PlaceSlotRequest]; sent later as a [DecisionNotice] if the request was queued. */
@@ -83,6 +90,7 @@
     val firstEventMillis: Long?,
     /** What the sender knows about servers that ended on the parts of the run. */
     val facts: List<PartFacts> = emptyList(),
+    val detail: RunDetail = RunDetail.NONE,
 ) : PeerRequest
 
 /** Tells a VM to run an item. */
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -74,7 +74,7 @@
             onLocalStatus = { role?.onStatusReport(self, it, MonotonicTime.now()) },
         )
     private val slots: SlotAllocator =
-        SlotAllocator(self, network, view, scope, membership, parts, { role })
+        SlotAllocator(self, config.failureDomain, network, view, scope, membership, parts, { role })
     private val itemExecutor = ItemExecutor(slots, view, jobStore, client, parts, scope, ::sendItemReport, buffers)
     private val entryTtl = minOf(DEFAULT_ENTRY_TTL, config.entryTtlMaxSeconds.seconds)
     private val shutdown = gracefulShutdown()
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -84,6 +84,7 @@
         private val isStream = route.kind == RouteKind.STREAM
         private val service = route.chooseService(request.id.hashCode())
         private val promptParts = PromptHeader.sharedParts(request.headers)
+        private val promptShape = PromptHeader.shape(request.headers)
         private val excludedServers = HashSet<BackendServerId>()
         private var meteredWorkspace = admission.workspace?.id
         private var runs = 0
@@ -159,6 +160,8 @@
                 latestStart = arrivedAt + route.latencyTarget - FIRST_EVENT_RESERVE,
                 queueDeadline = maxOf(queueDeadline, now + 1.milliseconds),
                 parts = promptParts,
+                workspace = admission.workspace?.id,
+                prompt = promptShape,
             )
         }
 
--- a/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
+++ b/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
@@ -10,15 +10,18 @@
 import org.agatestream.core.Dispatcher
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.Failure
+import org.agatestream.core.FailureDomainId
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.PlaceRequest
 import org.agatestream.core.PromptPart
+import org.agatestream.core.RunDetail
 import org.agatestream.core.RunOutcome
 import org.agatestream.core.RunningCall
 import org.agatestream.core.ServerEntry
 import org.agatestream.core.ServiceId
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
+import org.agatestream.core.placement.PromptShape
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -35,6 +38,9 @@
     val queueDeadline: MonotonicTime,
     /** The prompt parts that other requests may share, in order. */
     val parts: List<PromptPart>,
+    /** The workspace that asks, also once its rate was charged. */
+    val workspace: WorkspaceId? = meteredWorkspace,
+    val prompt: PromptShape = PromptShape.UNKNOWN,
 )
 
 /** Permission to run one request at [server]; the holder must release it. */
@@ -69,6 +75,7 @@
 /** Acquires slots from the coordinator or, while none is reachable, from this VM's share of each rate. */
 internal class SlotAllocator(
     private val self: VmId,
+    private val domain: FailureDomainId,
     private val network: PeerTransport,
     private val view: PlatformView,
     private val scope: CoroutineScope,
@@ -193,9 +200,10 @@
         slot: Slot,
         outcome: RunOutcome,
         firstEvent: Duration?,
+        detail: RunDetail = RunDetail.NONE,
     ) {
-        localDispatcher.release(CallId(self, slot.number), outcome, firstEvent, MonotonicTime.now())
-        sendRelease(slot.coordinator, slot.number, outcome, firstEvent, removeRun(slot.number, outcome))
+        localDispatcher.release(CallId(self, slot.number), outcome, firstEvent, MonotonicTime.now(), detail)
+        sendRelease(slot.coordinator, slot.number, outcome, firstEvent, removeRun(slot.number, outcome), detail)
     }
 
     /** Releases the slot of an item's run. */
@@ -203,8 +211,10 @@
         number: Long,
         outcome: RunOutcome,
         firstEvent: Duration?,
+        detail: RunDetail = RunDetail.NONE,
     ) {
-        sendRelease(membership.reachableCoordinator(), number, outcome, firstEvent, removeRun(number, outcome))
+        val shared = removeRun(number, outcome)
+        sendRelease(membership.reachableCoordinator(), number, outcome, firstEvent, shared, detail)
     }
 
     /** Removes a run that ended and returns its prompt parts. */
@@ -241,6 +251,9 @@
                     excluded = excludedServers,
                     parts = requirements.parts,
                     facts = parts.factsOn(requirements.parts, now),
+                    workspace = requirements.workspace,
+                    origin = domain,
+                    prompt = requirements.prompt,
                 )
             val immediate = requestSlot(coordinator, request, now)
             val decision =
@@ -303,6 +316,9 @@
                 queueDeadline = now + LOCAL_QUEUE_TIME,
                 excluded = excludedServers,
                 parts = requirements.parts,
+                workspace = requirements.workspace,
+                origin = domain,
+                prompt = requirements.prompt,
             )
         val actions = localDispatcher.place(request, now) + localDispatcher.tick(now + LOCAL_QUEUE_TIME)
         for (action in actions) {
@@ -320,10 +336,11 @@
         outcome: RunOutcome,
         firstEvent: Duration?,
         shared: List<PromptPart>,
+        detail: RunDetail = RunDetail.NONE,
     ) {
         if (to == null) return
         val facts = parts.factsOn(shared, MonotonicTime.now())
-        val request = ReleaseSlotRequest(number, outcome, firstEvent?.inWholeMilliseconds, facts)
+        val request = ReleaseSlotRequest(number, outcome, firstEvent?.inWholeMilliseconds, facts, detail)
         val own = role()
         if (to == self) {
             own?.release(self, request, MonotonicTime.now())
