Observe each run for the release of its slot

A VM tells the coordinator with each release whether the server answered with a failure of its own, the longest pause between events, the load that the server reported and whether it announced that it is leaving. An unproven response says nothing about the server.

--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -27,9 +27,9 @@
 import org.agatestream.platform.BackendProtocol
 import org.agatestream.platform.BackendReply
 import org.agatestream.platform.PromptHeader
+import org.agatestream.platform.ServerReport
 import org.agatestream.platform.SubmittedItem
 import kotlin.coroutines.coroutineContext
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /** Runs items at backend servers for the coordinator and stores their results. */
@@ -143,21 +143,19 @@
         earlierRuns: List<ActiveRun>,
     ) {
         var outcome = RunOutcome.STOPPED
-        var firstEvent: Duration? = null
+        var observer = RunObserver(MonotonicTime.now())
         var end: ItemEnd = ItemEnd.Interrupted("stopped")
         try {
             earlierRuns.forEach { it.job.cancelAndJoin() }
             val startedAt = MonotonicTime.now()
+            observer = RunObserver(startedAt)
             slots.onSent(request.number, startedAt)
-            end =
-                exchange(request) {
-                    firstEvent = MonotonicTime.now() - startedAt
-                    slots.onFirstEvent(request.number, MonotonicTime.now())
-                }
+            end = exchange(request, observer) { slots.onFirstEvent(request.number, it) }
             outcome = end.outcome
         } finally {
             withContext(NonCancellable) {
-                slots.releaseItem(request.number, outcome, firstEvent)
+                val detail = observer.detail(MonotonicTime.now())
+                slots.releaseItem(request.number, outcome, observer.firstEvent, detail)
                 finish(request, end)
             }
         }
@@ -221,7 +219,8 @@
 
     private suspend fun exchange(
         request: RunItemRequest,
-        onFirst: () -> Unit,
+        observer: RunObserver,
+        onFirst: (MonotonicTime) -> Unit,
     ): ItemEnd {
         val item =
             when (val items = jobs.items(request.workspace, request.item.job)) {
@@ -236,12 +235,12 @@
         val output = outputs.getOrPut(request.item) { Output() }
         request.partial?.let { output.mergeFrom(it) }
         val call = toBackendCall(item, host, request.workspace)
-        val end = exchange(request, call, output, onFirst)
+        val end = exchange(request, call, output, observer, onFirst)
         if (end !is ItemEnd.NothingLeft) return end
         // Only a run from the start shows where the output ends.
         EventLog.info("item_restarted", "id" to request.item, "server" to request.server, "events" to output.lastEvent)
         output.restart()
-        return exchange(request, call, output, onFirst)
+        return exchange(request, call, output, observer, onFirst)
     }
 
     /** Sends [call] once, to continue [output]. */
@@ -249,7 +248,8 @@
         request: RunItemRequest,
         call: BackendCall,
         output: Output,
-        onFirst: () -> Unit,
+        observer: RunObserver,
+        onFirst: (MonotonicTime) -> Unit,
     ): ItemEnd {
         val server = view.registry.usable(request.server)?.entry ?: return ItemEnd.Interrupted("server_not_usable")
         val shared = PromptHeader.sharedParts(call.headers)
@@ -270,7 +270,7 @@
                 null -> ItemEnd.Interrupted("silent", RunOutcome.LOST)
                 is ExchangeResult.NotSent -> ItemEnd.Interrupted(result.reason, RunOutcome.UNREACHABLE)
                 is ExchangeResult.Lost -> ItemEnd.Interrupted(result.reason, RunOutcome.LOST)
-                is ExchangeResult.Answered -> readResponse(result.response, output, onFirst)
+                is ExchangeResult.Answered -> readResponse(result.response, output, observer, onFirst)
             }
         if (end.outcome == RunOutcome.LOST) slots.onLost(request.number, server, sentAt)
         return end
@@ -285,10 +285,13 @@
     private suspend fun readResponse(
         response: HttpClientResponse,
         output: Output,
-        onFirst: () -> Unit,
+        observer: RunObserver,
+        onFirst: (MonotonicTime) -> Unit,
     ): ItemEnd {
         try {
-            return when (val reply = BackendProtocol.read(response)) {
+            val reply = BackendProtocol.read(response)
+            observer.onHead(reply, ServerReport.of(response), MonotonicTime.now())
+            return when (reply) {
                 is BackendReply.NotRun -> {
                     response.discardBody()
                     ItemEnd.Interrupted(reply.reason, RunOutcome.NOT_RUN)
@@ -301,7 +304,7 @@
                 is BackendReply.Ran -> {
                     when (reply.status) {
                         STATUS_OK -> {
-                            readEvents(response, output, onFirst)
+                            readEvents(response, output, observer, onFirst)
                         }
 
                         STATUS_UNPROCESSABLE -> {
@@ -328,14 +331,16 @@
     private suspend fun readEvents(
         response: HttpClientResponse,
         output: Output,
-        onFirst: () -> Unit,
-    ): ItemEnd = EventSplitter(buffers).use { collectEvents(response, it, output, onFirst) }
+        observer: RunObserver,
+        onFirst: (MonotonicTime) -> Unit,
+    ): ItemEnd = EventSplitter(buffers).use { collectEvents(response, it, output, observer, onFirst) }
 
     private suspend fun collectEvents(
         response: HttpClientResponse,
         splitter: EventSplitter,
         output: Output,
-        onFirst: () -> Unit,
+        observer: RunObserver,
+        onFirst: (MonotonicTime) -> Unit,
     ): ItemEnd {
         var isFirst = true
         // A server that sends comments, or an event byte by byte, makes no progress.
@@ -349,8 +354,10 @@
 
                 is BodyPart.Chunk -> {
                     val events = splitter.feed(part.bytes)
-                    if (events.isNotEmpty() && isFirst) {
-                        onFirst()
+                    if (events.isNotEmpty()) {
+                        val now = MonotonicTime.now()
+                        observer.onEvents(now)
+                        if (isFirst) onFirst(now)
                         isFirst = false
                     }
                     if (splitter.isEventTooLong) return ItemEnd.Interrupted("event too long", RunOutcome.LOST)
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -26,6 +26,7 @@
 import org.agatestream.platform.BackendReply
 import org.agatestream.platform.CallerProtocol
 import org.agatestream.platform.PromptHeader
+import org.agatestream.platform.ServerReport
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -171,7 +172,7 @@
         private suspend fun attempt(slot: Slot): Attempt {
             val sentAt = MonotonicTime.now()
             var outcome = RunOutcome.STOPPED
-            var firstEvent: Duration? = null
+            val observer = RunObserver(sentAt)
             if (isStream) slots.onSent(slot.number, sentAt)
             try {
                 val timeLeft = arrivedAt + callerTimeout - sentAt
@@ -181,9 +182,7 @@
                 val spec = BackendProtocol.request(request, slot.server.id, slot.server.address, timeLeft, resumeFrom)
                 val end =
                     withTimeoutOrNull(endAt - sentAt) {
-                        exchange(spec) {
-                            val now = MonotonicTime.now()
-                            firstEvent = now - sentAt
+                        exchange(spec, observer) { now ->
                             if (firstEventAfter == null) firstEventAfter = now - arrivedAt
                             slots.onFirstEvent(slot.number, now)
                         }
@@ -193,27 +192,31 @@
                 if (end is Attempt.Lost) slots.onLost(slot.number, slot.server, sentAt)
                 return end ?: Attempt.Lost("timeout")
             } finally {
-                slots.release(slot, outcome, firstEvent)
+                slots.release(slot, outcome, observer.firstEvent, observer.detail(MonotonicTime.now()))
                 metrics.onRun(outcome)
             }
         }
 
         private suspend fun exchange(
             spec: HttpRequestSpec,
-            onFirst: () -> Unit,
+            observer: RunObserver,
+            onFirst: (MonotonicTime) -> Unit,
         ): Attempt =
             when (val result = client.exchange(spec)) {
                 is ExchangeResult.NotSent -> Attempt.NotRun(result.reason, RunOutcome.UNREACHABLE)
                 is ExchangeResult.Lost -> Attempt.Lost(result.reason)
-                is ExchangeResult.Answered -> readResponse(result.response, onFirst)
+                is ExchangeResult.Answered -> readResponse(result.response, observer, onFirst)
             }
 
         private suspend fun readResponse(
             response: HttpClientResponse,
-            onFirst: () -> Unit,
+            observer: RunObserver,
+            onFirst: (MonotonicTime) -> Unit,
         ): Attempt {
             try {
-                return when (val reply = BackendProtocol.read(response)) {
+                val reply = BackendProtocol.read(response)
+                observer.onHead(reply, ServerReport.of(response), MonotonicTime.now())
+                return when (reply) {
                     is BackendReply.NotRun -> {
                         response.discardBody()
                         Attempt.NotRun(reply.reason, RunOutcome.NOT_RUN)
@@ -225,7 +228,7 @@
 
                     is BackendReply.Ran -> {
                         if (isStream && reply.status == STATUS_OK) {
-                            relayStream(response, onFirst)
+                            relayStream(response, observer, onFirst)
                         } else {
                             relayBody(response, reply)
                         }
@@ -253,13 +256,15 @@
 
         private suspend fun relayStream(
             response: HttpClientResponse,
-            onFirst: () -> Unit,
-        ): Attempt = EventSplitter(buffers).use { relayEvents(response, it, onFirst) }
+            observer: RunObserver,
+            onFirst: (MonotonicTime) -> Unit,
+        ): Attempt = EventSplitter(buffers).use { relayEvents(response, it, observer, onFirst) }
 
         private suspend fun relayEvents(
             response: HttpClientResponse,
             splitter: EventSplitter,
-            onFirst: () -> Unit,
+            observer: RunObserver,
+            onFirst: (MonotonicTime) -> Unit,
         ): Attempt {
             var isFirst = true
             while (true) {
@@ -268,9 +273,11 @@
                         val events = splitter.feed(part.bytes)
                         if (splitter.isEventTooLong) return Attempt.Lost("event too long")
                         if (events.isEmpty()) continue
+                        val now = MonotonicTime.now()
+                        observer.onEvents(now)
                         if (isFirst) {
-                            onFirst()
-                            metrics.onFirstEvent(MonotonicTime.now() - arrivedAt)
+                            onFirst(now)
+                            metrics.onFirstEvent(now - arrivedAt)
                         }
                         isFirst = false
                         if (!progress.accept(events)) return Attempt.Lost("event out of order")
