Take backend servers out of use when they announce that they leave

Cause: the header Server-Leaving was decoded but had no effect, so a server whose row stayed ready got new work for as long as it said so.

Change: one draining state (core.drain), fed by the row and by proven responses of the server's incarnation, filters the servers that a VM may use, from the arrival of the head on. Queued requests without a server left are refused at once, and runs at a leaving server count neither as failed nor as crashes of prompt parts.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -72,7 +72,14 @@
         now: MonotonicTime,
     ): List<DispatchAction> {
         servers.onUsable(usable)
-        return schedule(now)
+        return refuseUnservable() + schedule(now)
+    }
+
+    /** Refuses the queued requests for which no server is left, as [place] does with new ones. */
+    private fun refuseUnservable(): List<DispatchAction> {
+        val unservable = queuedRequests.filter { servers.slots(it.service, it.excluded) == 0 }
+        queuedRequests.removeAll(unservable.toSet())
+        return unservable.map { refuse(it, ErrorKind.NO_CAPACITY, NO_SERVER_RETRY_AFTER) }
     }
 
     /**
@@ -135,7 +142,8 @@
         val load = servers.find(held.server) ?: return schedule(now)
         val wasSilent = load.isSilent(call)
         load.remove(call)
-        load.record(outcome, firstEvent, now, wasSilent, detail)
+        // A server that is leaving may end runs or refuse them on purpose.
+        if (!detail.isServerLeaving) load.record(outcome, firstEvent, now, wasSilent, detail)
         if (outcome == RunOutcome.ANSWERED && jobs.itemOf(call) == null) {
             recordRunTime(load.server.entry.service, now - held.since)
         }
--- a/core/src/main/kotlin/org/agatestream/core/ServerRegistry.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerRegistry.kt
@@ -1,5 +1,9 @@
 package org.agatestream.core
 
+import org.agatestream.core.drain.DrainSource
+import org.agatestream.core.drain.DrainingServer
+import org.agatestream.core.drain.LeavingFact
+import org.agatestream.core.drain.LeavingServers
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -21,6 +25,9 @@
     val version: String? = null,
 )
 
+/** The incarnation that the entry describes. */
+public val ServerEntry.incarnation: ServerIncarnation get() = ServerIncarnation(id, startedAtMillis)
+
 /** A backend server that may be given work. */
 public data class UsableServer(
     val entry: ServerEntry,
@@ -35,13 +42,19 @@
  *
  * An entry that disappears within [REREGISTRATION_GRACE] of an outage of the store may have expired only because its
  * server could not renew it, so the server stays usable until the end of that period.
+ *
+ * A server drains if its row or a response of its incarnation says so.
  */
 public data class ServerRegistry(
     private val entries: Map<BackendServerId, UsableServer> = emptyMap(),
     private val expiring: Map<BackendServerId, MonotonicTime> = emptyMap(),
     val outOfService: Set<FailureDomainId> = emptySet(),
     private val storeRecoveredAt: MonotonicTime? = null,
+    private val leaving: LeavingServers = LeavingServers(),
 ) {
+    /** Identifies the servers in [leavingFacts], independently of the VM; 0 if there are none. */
+    val leavingFingerprint: Int get() = leaving.fingerprint
+
     /** Applies a new or changed entry. */
     public fun onEntry(
         entry: ServerEntry,
@@ -50,6 +63,7 @@
         copy(
             entries = entries + (entry.id to UsableServer(entry, now + entry.coldTimeLeft)),
             expiring = expiring - entry.id,
+            leaving = leaving.onRow(entry.id, entry.startedAtMillis, now),
         )
 
     /** Applies the removal of an entry. */
@@ -58,8 +72,8 @@
         now: MonotonicTime,
     ): ServerRegistry {
         val graceEnd = storeRecoveredAt?.plus(REREGISTRATION_GRACE)
-        if (graceEnd == null || now >= graceEnd || entries[id]?.entry?.isDraining != false) {
-            return copy(entries = entries - id, expiring = expiring - id)
+        if (graceEnd == null || now >= graceEnd || entries[id]?.let { isDraining(it) } != false) {
+            return copy(entries = entries - id, expiring = expiring - id, leaving = leaving.onRow(id, null, now))
         }
         return copy(expiring = expiring + (id to graceEnd))
     }
@@ -85,9 +99,45 @@
     /** Removes the servers whose expired entries did not return in time. */
     public fun expire(now: MonotonicTime): ServerRegistry {
         val expired = expiring.filterValues { now >= it }.keys
-        return if (expired.isEmpty()) this else copy(entries = entries - expired, expiring = expiring - expired)
+        val announced = expired.fold(leaving) { all, id -> all.onRow(id, null, now) }.expire(now)
+        if (expired.isEmpty() && announced === leaving) return this
+        return copy(entries = entries - expired, expiring = expiring - expired, leaving = announced)
     }
 
+    /** Records that [server] told this VM that it is leaving. */
+    public fun onLeaving(
+        server: ServerIncarnation,
+        now: MonotonicTime,
+    ): ServerRegistry = withLeaving(leaving.onAnnounced(server, rowStart(server.server), DrainSource.HEADER, now, now))
+
+    /** Adds what another VM knows about leaving servers. */
+    public fun mergeLeaving(
+        facts: List<LeavingFact>,
+        now: MonotonicTime,
+    ): ServerRegistry = withLeaving(leaving.merge(facts, ::rowStart, now))
+
+    /** Returns what other VMs must know about leaving servers beyond their rows. */
+    public fun leavingFacts(now: MonotonicTime): List<LeavingFact> = leaving.facts(now)
+
+    /** Returns whether [server] is or was leaving, also for a while after its row has gone. */
+    public fun isLeaving(server: ServerIncarnation): Boolean =
+        leaving.find(server) != null ||
+            entries[server.server]?.entry?.let { it.incarnation == server && it.isDraining } == true
+
+    /** Returns the servers that have a row and get no new work as they are leaving. */
+    public fun draining(now: MonotonicTime): List<DrainingServer> =
+        entries.values.filter { isDraining(it) }.map { server ->
+            val announcement = leaving.find(server.entry.incarnation)
+            DrainingServer(
+                server = server.entry.incarnation,
+                source = announcement?.source ?: DrainSource.ROW,
+                age = announcement?.let { now - it.announcedAt } ?: Duration.ZERO,
+            )
+        }
+
+    /** Returns the server with [id] whether or not it may get new work. */
+    public fun find(id: BackendServerId): ServerEntry? = entries[id]?.entry
+
     /** Returns the servers that may get new work. */
     public fun usable(): Collection<UsableServer> = entries.values.filter { isUsable(it) }
 
@@ -95,7 +145,14 @@
     public fun usable(id: BackendServerId): UsableServer? = entries[id]?.takeIf { isUsable(it) }
 
     private fun isUsable(server: UsableServer): Boolean =
-        !server.entry.isDraining && server.entry.failureDomain !in outOfService
+        !isDraining(server) && server.entry.failureDomain !in outOfService
+
+    private fun isDraining(server: UsableServer): Boolean =
+        server.entry.isDraining || leaving.find(server.entry.incarnation) != null
+
+    private fun rowStart(id: BackendServerId): Long? = entries[id]?.entry?.startedAtMillis
+
+    private fun withLeaving(next: LeavingServers): ServerRegistry = if (next === leaving) this else copy(leaving = next)
 
     private fun onSnapshotEntry(
         entry: ServerEntry,
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -50,6 +50,7 @@
     private val isLeaving: () -> Boolean,
     /** Starts a check that this VM still coordinates and knows every job; if so, [onConfirmed] gets the same number. */
     private val confirm: (Int) -> Unit,
+    private val leaving: LeavingServerWatch = LeavingServerWatch(view),
 ) {
     private class Follower(
         var vm: LiveVm,
@@ -255,7 +256,14 @@
         val snapshot =
             if (report.isStoreReachable) null else view.snapshotSince(report.operatorVersion, report.serverVersion)
         val list = liveVms.takeIf { report.liveVersion != liveVersion }
-        return StatusResponse(list, liveVersion, isResigning, snapshot, parts.answer(report.parts, now))
+        return StatusResponse(
+            live = list,
+            liveVersion = liveVersion,
+            isResigning = isResigning,
+            snapshot = snapshot,
+            parts = parts.answer(report.parts, now),
+            leaving = leaving.answer(report.leaving, now),
+        )
     }
 
     /** Catches up with a VM that has newer rows: the feed of this VM may be silent. */
--- a/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
@@ -42,6 +42,7 @@
     private val onCoordinatorChanged: (VmId?) -> Unit,
     /** Handles this VM's own status report while it is the coordinator. */
     private val onLocalStatus: (StatusReport) -> StatusResponse?,
+    private val leaving: LeavingServerWatch = LeavingServerWatch(view),
 ) {
     private var record: CoordinatorRecord? = null
     private var recordVersion = 0L
@@ -164,6 +165,11 @@
         }
     }
 
+    /** Sends the next report to the coordinator without waiting for its time. */
+    fun reportNow() {
+        reportTrigger.trySend(Unit)
+    }
+
     /** Reports to the coordinator that this VM is leaving, and removes its entry from the store. */
     suspend fun leave() {
         isLeaving = true
@@ -182,6 +188,7 @@
                     snapshot = view.snapshotSince(request.operatorVersion, request.serverVersion),
                     live = servingVms,
                     coordinator = coordinatorNewerThan(request),
+                    leaving = leaving.answer(request.leaving, MonotonicTime.now()),
                 )
             }
 
@@ -234,6 +241,7 @@
             isResigning = answer.isResigning
             answer.live?.let { updateLiveVms(it, answer.liveVersion) }
             parts.onAnswered(report.parts, answer.parts, MonotonicTime.now())
+            leaving.onAnswered(answer.leaving, MonotonicTime.now())
             answer.snapshot?.let { view.applySnapshot(it, MonotonicTime.now()) }
         } else {
             markCoordinatorSilent(coordinator, if (answer == null) "report_unanswered" else "not_coordinator", now)
@@ -372,10 +380,16 @@
     }
 
     private fun snapshotRequest(): SnapshotRequest =
-        SnapshotRequest(view.operatorVersion, view.serverVersion, recordVersion)
+        SnapshotRequest(
+            operatorVersion = view.operatorVersion,
+            serverVersion = view.serverVersion,
+            coordinatorVersion = recordVersion,
+            leaving = leaving.reportToAny(MonotonicTime.now()),
+        )
 
     private fun applySnapshot(answer: SnapshotResponse) {
         answer.snapshot?.let { view.applySnapshot(it, MonotonicTime.now()) }
+        leaving.merge(answer.leaving, MonotonicTime.now())
         if (liveVms.isEmpty()) liveVms = answer.live
         answer.coordinator?.let { if (it.version > recordVersion) setCoordinator(it.record, it.version) }
         updatePeerAddresses()
@@ -416,6 +430,7 @@
         isResigning = false
         liveVersion = 0
         parts.onCoordinatorChanged()
+        leaving.onCoordinatorChanged()
         EventLog.info("coordinator_named", "coordinator" to next?.vm, "version" to version)
         updatePeerAddresses()
         onCoordinatorChanged(next?.vm)
--- a/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
@@ -175,6 +175,7 @@
     /** The version of the list of live VMs that this VM has from this coordinator; 0 if it has none. */
     val liveVersion: Long,
     val parts: PartReport = PartReport.NONE,
+    val leaving: LeavingReport = LeavingReport.NONE,
 ) : PeerRequest
 
 /** The coordinator's response to a [StatusReport]. */
@@ -190,6 +191,7 @@
     @SerialName("news")
     val snapshot: PlatformSnapshot?,
     val parts: PartReport = PartReport.NONE,
+    val leaving: LeavingReport = LeavingReport.NONE,
 ) : PeerResponse
 
 /** A VM that serves callers. */
@@ -242,6 +244,7 @@
     val operatorVersion: Long,
     val serverVersion: Long,
     val coordinatorVersion: Long,
+    val leaving: LeavingReport = LeavingReport.NONE,
 ) : PeerRequest
 
 @Serializable
@@ -254,6 +257,7 @@
     val live: List<LiveVm>,
     /** The coordinator, if its row is newer than the requested version. */
     val coordinator: NamedCoordinator?,
+    val leaving: LeavingReport = LeavingReport.NONE,
 ) : PeerResponse
 
 /** A coordinator record and the version of its row in the store. */
--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
@@ -17,6 +18,7 @@
 import org.agatestream.core.PromptVerdict
 import org.agatestream.core.RunOutcome
 import org.agatestream.core.RunningCall
+import org.agatestream.core.ServerEntry
 import org.agatestream.core.WorkspaceId
 import org.agatestream.http.BodyPart
 import org.agatestream.http.BufferBudget
@@ -27,9 +29,9 @@
 import org.agatestream.platform.BackendProtocol
 import org.agatestream.platform.BackendReply
 import org.agatestream.platform.PromptHeader
-import org.agatestream.platform.ServerReport
 import org.agatestream.platform.SubmittedItem
 import kotlin.coroutines.coroutineContext
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Runs items at backend servers for the coordinator and stores their results. */
@@ -42,6 +44,7 @@
     private val scope: CoroutineScope,
     private val report: (ItemReport) -> Unit,
     private val buffers: BufferBudget,
+    private val leaving: LeavingServerWatch,
 ) {
     /** The output of an item, collected over all its runs at this VM. */
     private class Output {
@@ -251,7 +254,11 @@
         observer: RunObserver,
         onFirst: (MonotonicTime) -> Unit,
     ): ItemEnd {
-        val server = view.registry.usable(request.server)?.entry ?: return ItemEnd.Interrupted("server_not_usable")
+        val server = view.registry.usable(request.server)?.entry
+        if (server == null) {
+            delay(UNUSABLE_DELAY)
+            return ItemEnd.Interrupted("server_not_usable")
+        }
         val shared = PromptHeader.sharedParts(call.headers)
         val sentAt = MonotonicTime.now()
         if (parts.judge(shared, sentAt) is PromptVerdict.Condemned) return ItemEnd.Withheld
@@ -270,7 +277,7 @@
                 null -> ItemEnd.Interrupted("silent", RunOutcome.LOST)
                 is ExchangeResult.NotSent -> ItemEnd.Interrupted(result.reason, RunOutcome.UNREACHABLE)
                 is ExchangeResult.Lost -> ItemEnd.Interrupted(result.reason, RunOutcome.LOST)
-                is ExchangeResult.Answered -> readResponse(result.response, output, observer, onFirst)
+                is ExchangeResult.Answered -> readResponse(server, result.response, output, observer, onFirst)
             }
         if (end.outcome == RunOutcome.LOST) slots.onLost(request.number, server, sentAt)
         return end
@@ -283,6 +290,7 @@
     ): BackendCall = BackendCall(item.id.value, "POST", item.path, host, item.headers, item.body, workspace)
 
     private suspend fun readResponse(
+        server: ServerEntry,
         response: HttpClientResponse,
         output: Output,
         observer: RunObserver,
@@ -290,7 +298,8 @@
     ): ItemEnd {
         try {
             val reply = BackendProtocol.read(response)
-            observer.onHead(reply, ServerReport.of(response), MonotonicTime.now())
+            val now = MonotonicTime.now()
+            observer.onHead(reply, leaving.onHead(server, response, reply, now), now)
             return when (reply) {
                 is BackendReply.NotRun -> {
                     response.discardBody()
@@ -436,6 +445,9 @@
         // The job's completion target bounds items, not the route's timeout; a run takes about 5 s.
         val RUN_TIMEOUT = 60.seconds
 
+        // A coordinator that does not know that the server is leaving would assign it again at once, without an end.
+        val UNUSABLE_DELAY = 50.milliseconds
+
         // Five times the longest pause between events that the users' specification allows.
         val IDLE_TIMEOUT = 2.seconds
     }
--- a/server/src/main/kotlin/org/agatestream/server/PlatformView.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformView.kt
@@ -10,8 +10,10 @@
 import org.agatestream.core.Outcome
 import org.agatestream.core.RowStore
 import org.agatestream.core.ServerEntry
+import org.agatestream.core.ServerIncarnation
 import org.agatestream.core.ServerRegistry
 import org.agatestream.core.StoredRow
+import org.agatestream.core.drain.LeavingFact
 import org.agatestream.platform.OperatorRow
 import org.agatestream.platform.PlatformNames
 import org.agatestream.platform.parseManifest
@@ -22,7 +24,7 @@
 /** The manifest and backend servers as this VM knows them, from the store or, while it is unreachable, from peers. */
 internal class PlatformView(
     private val store: RowStore,
-    private val onChange: (MonotonicTime) -> Unit,
+    private val onViewChanged: (MonotonicTime) -> Unit,
 ) {
     var manifest: Manifest? = null
         private set
@@ -35,6 +37,7 @@
 
     private val operatorRows = HashMap<String, ByteArray>()
     private val serverRows = HashMap<String, ByteArray>()
+    private var draining: Set<ServerIncarnation> = emptySet()
     private var lastContactAt: MonotonicTime? = null
     private var isInContact = false
 
@@ -122,6 +125,44 @@
         onChange(now)
     }
 
+    /** Records that [server] told this VM that it is leaving; returns false if that is no news. */
+    fun onLeaving(
+        server: ServerIncarnation,
+        now: MonotonicTime,
+    ): Boolean = updateRegistry(registry.onLeaving(server, now), now)
+
+    /** Adds what another VM knows about leaving servers. */
+    fun mergeLeaving(
+        facts: List<LeavingFact>,
+        now: MonotonicTime,
+    ) {
+        updateRegistry(registry.mergeLeaving(facts, now), now)
+    }
+
+    private fun updateRegistry(
+        next: ServerRegistry,
+        now: MonotonicTime,
+    ): Boolean {
+        if (next === registry) return false
+        registry = next
+        onChange(now)
+        return true
+    }
+
+    private fun onChange(now: MonotonicTime) {
+        logDraining(now)
+        onViewChanged(now)
+    }
+
+    private fun logDraining(now: MonotonicTime) {
+        val servers = registry.draining(now)
+        for (server in servers) {
+            if (server.server in draining) continue
+            EventLog.info("server_leaving", "server" to server.server, "source" to server.source, "age" to server.age)
+        }
+        draining = servers.mapTo(HashSet()) { it.server }
+    }
+
     private fun replaceOperatorRows(
         rows: List<StoredRow>,
         version: Long,
@@ -240,10 +281,7 @@
         }
 
     private fun expire(now: MonotonicTime) {
-        val left = registry.expire(now)
-        if (left === registry) return
-        registry = left
-        onChange(now)
+        updateRegistry(registry.expire(now), now)
     }
 
     private companion object {
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -16,6 +16,7 @@
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.ShutdownState
 import org.agatestream.core.VmId
+import org.agatestream.core.drain.DrainSource
 import org.agatestream.http.BufferBudget
 import org.agatestream.http.EventLoops
 import org.agatestream.http.HttpCall
@@ -58,6 +59,7 @@
         )
     private val jobStore = JobStore(relay, config.rowBytes)
     private val parts = PromptPartWatch(view, client::isRefused)
+    private val leaving = LeavingServerWatch(view) { membership.reportNow() }
     private val roster = VmRoster(config, self, store)
     private val membership: FleetMembership =
         FleetMembership(
@@ -72,10 +74,12 @@
             scope = scope,
             onCoordinatorChanged = ::onCoordinatorChanged,
             onLocalStatus = { role?.onStatusReport(self, it, MonotonicTime.now()) },
+            leaving = leaving,
         )
     private val slots: SlotAllocator =
-        SlotAllocator(self, config.failureDomain, network, view, scope, membership, parts, { role })
-    private val itemExecutor = ItemExecutor(slots, view, jobStore, client, parts, scope, ::sendItemReport, buffers)
+        SlotAllocator(self, config.failureDomain, network, view, scope, membership, parts, { role }, leaving)
+    private val itemExecutor =
+        ItemExecutor(slots, view, jobStore, client, parts, scope, ::sendItemReport, buffers, leaving)
     private val entryTtl = minOf(DEFAULT_ENTRY_TTL, config.entryTtlMaxSeconds.seconds)
     private val shutdown = gracefulShutdown()
     private val routes =
@@ -83,7 +87,7 @@
             config = config,
             view = view,
             membership = membership,
-            forwarder = RouteForwarder(slots, client, parts, metrics, buffers, shutdown),
+            forwarder = RouteForwarder(slots, client, parts, metrics, buffers, shutdown, leaving),
             jobs = JobCalls(self, jobStore),
             shutdown = shutdown,
             entryTtl = entryTtl,
@@ -148,6 +152,11 @@
         metrics.gauge("agatestream.prompt.parts.condemned") { parts.suspects.condemned.size }
         metrics.gauge("agatestream.prompt.parts.suspected") { parts.suspects.suspectedCount }
         metrics.gauge("agatestream.manifest.version") { view.manifest?.version ?: 0 }
+        for (source in DrainSource.entries) {
+            metrics.gauge("agatestream.servers.draining", "source" to source.name.lowercase()) {
+                view.registry.draining(MonotonicTime.now()).count { it.source == source }
+            }
+        }
         val address = config.metricsAddress ?: return
         try {
             httpServers += HttpServer.start(eventLoops, parseAddress(address), CALLER_LIMITS, scope, ::answerMetrics)
@@ -265,6 +274,7 @@
             serverVersion = view.serverVersion,
             liveVersion = membership.liveVersion,
             parts = parts.report(MonotonicTime.now()),
+            leaving = leaving.report(MonotonicTime.now()),
         )
 
     private fun sendItemReport(report: ItemReport) {
@@ -318,6 +328,7 @@
                 listedVms = { membership.listedCount },
                 isLeaving = { shutdown.hasBegun },
                 confirm = ::confirmRole,
+                leaving = leaving,
             )
         role = started
         started.start(MonotonicTime.now())
--- a/server/src/main/kotlin/org/agatestream/server/PromptPartWatch.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PromptPartWatch.kt
@@ -13,6 +13,7 @@
 import org.agatestream.core.RunningCall
 import org.agatestream.core.ServerEntry
 import org.agatestream.core.ServerIncarnation
+import org.agatestream.core.incarnation
 import kotlin.time.Duration.Companion.seconds
 
 /** The part of a status report, or of its response, on prompt parts that end servers. */
@@ -80,10 +81,12 @@
         sentAt: MonotonicTime,
     ) {
         if (run.parts.isEmpty() || run.hasBegun) return
+        // It ends on purpose, whatever it runs.
+        if (view.registry.isLeaving(server.incarnation)) return
         val lostAt = MonotonicTime.now()
         val current = view.registry.usable(server.id)?.entry
         if (current?.startedAtMillis == server.startedAtMillis && !isRefused(server.address)) return
-        suspects.onCrash(run.parts, ServerIncarnation(server.id, server.startedAtMillis), sentAt, lostAt)
+        suspects.onCrash(run.parts, server.incarnation, sentAt, lostAt)
         EventLog.info("server_ended_on_request", "server" to server.id, "parts" to run.parts.joinToString(","))
         logVerdicts()
     }
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -11,6 +11,7 @@
 import org.agatestream.core.PromptVerdict
 import org.agatestream.core.RouteKind
 import org.agatestream.core.RunOutcome
+import org.agatestream.core.ServerEntry
 import org.agatestream.core.VmId
 import org.agatestream.http.BodyPart
 import org.agatestream.http.BodyWriter
@@ -26,7 +27,6 @@
 import org.agatestream.platform.BackendReply
 import org.agatestream.platform.CallerProtocol
 import org.agatestream.platform.PromptHeader
-import org.agatestream.platform.ServerReport
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -42,6 +42,7 @@
     private val metrics: VmMetrics,
     private val buffers: BufferBudget,
     private val shutdown: GracefulShutdown,
+    private val leaving: LeavingServerWatch,
 ) {
     /** Returns how long [call] may take until it is answered or has failed. */
     fun timeoutOf(
@@ -182,7 +183,7 @@
                 val spec = BackendProtocol.request(request, slot.server.id, slot.server.address, timeLeft, resumeFrom)
                 val end =
                     withTimeoutOrNull(endAt - sentAt) {
-                        exchange(spec, observer) { now ->
+                        exchange(slot.server, spec, observer) { now ->
                             if (firstEventAfter == null) firstEventAfter = now - arrivedAt
                             slots.onFirstEvent(slot.number, now)
                         }
@@ -198,6 +199,7 @@
         }
 
         private suspend fun exchange(
+            server: ServerEntry,
             spec: HttpRequestSpec,
             observer: RunObserver,
             onFirst: (MonotonicTime) -> Unit,
@@ -205,17 +207,19 @@
             when (val result = client.exchange(spec)) {
                 is ExchangeResult.NotSent -> Attempt.NotRun(result.reason, RunOutcome.UNREACHABLE)
                 is ExchangeResult.Lost -> Attempt.Lost(result.reason)
-                is ExchangeResult.Answered -> readResponse(result.response, observer, onFirst)
+                is ExchangeResult.Answered -> readResponse(server, result.response, observer, onFirst)
             }
 
         private suspend fun readResponse(
+            server: ServerEntry,
             response: HttpClientResponse,
             observer: RunObserver,
             onFirst: (MonotonicTime) -> Unit,
         ): Attempt {
             try {
                 val reply = BackendProtocol.read(response)
-                observer.onHead(reply, ServerReport.of(response), MonotonicTime.now())
+                val now = MonotonicTime.now()
+                observer.onHead(reply, leaving.onHead(server, response, reply, now), now)
                 return when (reply) {
                     is BackendReply.NotRun -> {
                         response.discardBody()
--- a/server/src/main/kotlin/org/agatestream/server/RunObserver.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RunObserver.kt
@@ -20,13 +20,13 @@
     var firstEvent: Duration? = null
         private set
 
-    /** Records the head of the response; an unproven one may come from another server and says nothing about it. */
+    /** Records the head of the response; [report] is null if it is not proven to be the addressed server's own. */
     fun onHead(
         reply: BackendReply,
-        report: ServerReport,
+        report: ServerReport?,
         now: MonotonicTime,
     ) {
-        if (reply is BackendReply.Unproven) return
+        if (report == null) return
         this.report = report
         reportedAt = now
         if (reply is BackendReply.Ran && reply.status >= FIRST_SERVER_ERROR) isServerError = true
--- a/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
+++ b/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
@@ -82,6 +82,7 @@
     private val membership: FleetMembership,
     private val parts: PromptPartWatch,
     private val role: () -> CoordinatorRole?,
+    private val leaving: LeavingServerWatch = LeavingServerWatch(view),
 ) {
     private val pendingDecisions = HashMap<Long, CompletableDeferred<PlaceDecision>>()
     private val runs = LinkedHashMap<Long, RunningCall>()
@@ -163,6 +164,7 @@
     ): Placement {
         var meteredWorkspace = requirements.meteredWorkspace
         val excludedServers = HashSet(excluded)
+        excludedServers += leaving.unknownToCoordinator(MonotonicTime.now())
         repeat(MAX_DECISIONS) {
             val number = nextNumber++
             val coordinator = membership.reachableCoordinator()
--- a/server/src/main/kotlin/org/agatestream/server/VmMetrics.kt
+++ b/server/src/main/kotlin/org/agatestream/server/VmMetrics.kt
@@ -50,12 +50,15 @@
         storeCallDuration.record(took.toJavaDuration())
     }
 
-    /** Registers a gauge [name] that shows the value of [read]. */
+    /** Registers a gauge [name], with the label [tag] if there is one, that shows the value of [read]. */
     fun gauge(
         name: String,
+        tag: Pair<String, String>? = null,
         read: () -> Number,
     ) {
-        Gauge.builder(name) { read() }.register(registry)
+        val gauge = Gauge.builder(name) { read() }
+        tag?.let { (key, value) -> gauge.tag(key, value) }
+        gauge.register(registry)
     }
 
     private fun histogram(
--- a/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
@@ -22,6 +22,24 @@
     /** The request is refused as not run, and the body of the refusal goes on until the caller closes. */
     ENDLESS_REFUSAL,
 
+    /** The request is refused as not run. */
+    REFUSAL,
+
+    /** The request is refused as sent to the wrong server, by the addressed server itself. */
+    MISDIRECTED,
+
+    /** The request is refused as sent to the wrong server; the refusal names another server. */
+    MISDIRECTED_ELSEWHERE,
+
+    /** The request is refused as not run, with the id of another request. */
+    FOREIGN_REFUSAL,
+
+    /** The signed response says that the request can never succeed. */
+    IMPOSSIBLE,
+
+    /** The signed response says that the server failed. */
+    FAILURE,
+
     /** The response is an empty success without the server's signature. */
     UNSIGNED_EMPTY,
 
@@ -77,6 +95,10 @@
     /** The fault of the next request that this server receives; null for none. */
     val nextFault: AtomicReference<PlatformServerFault?> = AtomicReference()
 
+    /** True to say in the head of every response that this server is leaving. */
+    @Volatile
+    var isLeaving: Boolean = false
+
     /** Listens on loopback and returns the port; 0 selects a free one. */
     fun listen(port: Int): Int = server.listen(port)
 
@@ -90,7 +112,7 @@
                 STATUS_MISDIRECTED,
                 "text/plain",
                 ByteArray(0),
-                mapOf("x-agatestream-instance-id" to id, "x-agatestream-attempt-id" to requestId),
+                headersOf("x-agatestream-instance-id" to id, "x-agatestream-attempt-id" to requestId),
             )
         }
         val fault = nextFault.getAndSet(null)
@@ -115,6 +137,30 @@
                 call.dropConnection()
             }
 
+            PlatformServerFault.REFUSAL -> {
+                return refuse(call, STATUS_UNAVAILABLE, requestId)
+            }
+
+            PlatformServerFault.FOREIGN_REFUSAL -> {
+                return refuse(call, STATUS_UNAVAILABLE, "of another request")
+            }
+
+            PlatformServerFault.MISDIRECTED -> {
+                return refuse(call, STATUS_MISDIRECTED, requestId, named = id)
+            }
+
+            PlatformServerFault.MISDIRECTED_ELSEWHERE -> {
+                return refuse(call, STATUS_MISDIRECTED, requestId, named = "another")
+            }
+
+            PlatformServerFault.IMPOSSIBLE -> {
+                return respondSigned(call, STATUS_UNPROCESSABLE)
+            }
+
+            PlatformServerFault.FAILURE -> {
+                return respondSigned(call, STATUS_FAILED)
+            }
+
             else -> {}
         }
         requests += call.httpCall.headers()
@@ -122,7 +168,7 @@
         if (fault == PlatformServerFault.SILENCE) awaitCancellation()
         if (deadlyPart != null && deadlyPart in call.header("x-agatestream-prompt-prefix").orEmpty()) end()
         val first = (call.header("last-event-id")?.toIntOrNull() ?: -1) + 1
-        val headers = mapOf("x-agatestream-attempt-id" to requestId, "x-agatestream-response-signature" to "signed")
+        val headers = headersOf("x-agatestream-attempt-id" to requestId, "x-agatestream-response-signature" to "signed")
         val writer = call.httpCall.startStream(STATUS_OK, "text/event-stream", headers)
         if (fault == PlatformServerFault.NO_EVENT) return writer.finish()
         for (number in first until events) {
@@ -147,7 +193,7 @@
 
     private suspend fun refuseWithoutEnd(call: StandInCall) {
         val requestId = call.header("x-agatestream-attempt-id").orEmpty()
-        val headers = mapOf("x-agatestream-attempt-id" to requestId, "x-agatestream-not-executed" to "1")
+        val headers = headersOf("x-agatestream-attempt-id" to requestId, "x-agatestream-not-executed" to "1")
         call.httpCall.startStream(STATUS_UNAVAILABLE, "text/plain", headers).writeCommentsWithoutEnd()
     }
 
@@ -156,10 +202,33 @@
         status: Int,
         body: String,
     ) {
-        val headers = mapOf("x-agatestream-attempt-id" to call.header("x-agatestream-attempt-id").orEmpty())
+        val headers = headersOf("x-agatestream-attempt-id" to call.header("x-agatestream-attempt-id").orEmpty())
         call.httpCall.respond(status, "text/event-stream", body.encodeToByteArray(), headers)
     }
 
+    private suspend fun respondSigned(
+        call: StandInCall,
+        status: Int,
+    ) {
+        val requestId = call.header("x-agatestream-attempt-id").orEmpty()
+        val headers = headersOf("x-agatestream-attempt-id" to requestId, "x-agatestream-response-signature" to "signed")
+        call.httpCall.respond(status, "text/plain", ByteArray(0), headers)
+    }
+
+    private suspend fun refuse(
+        call: StandInCall,
+        status: Int,
+        requestId: String,
+        named: String? = null,
+    ) {
+        val headers = headersOf("x-agatestream-attempt-id" to requestId, "x-agatestream-not-executed" to "1")
+        val name = named?.let { mapOf("x-agatestream-instance-id" to it) }.orEmpty()
+        call.httpCall.respond(status, "text/plain", ByteArray(0), headers + name)
+    }
+
+    private fun headersOf(vararg headers: Pair<String, String>): Map<String, String> =
+        headers.toMap() + if (isLeaving) mapOf("server-leaving" to "1") else emptyMap()
+
     private suspend fun BodyWriter.writeFault(fault: PlatformServerFault?) {
         when (fault) {
             PlatformServerFault.STALL_WITH_COMMENTS -> {
@@ -199,6 +268,7 @@
         const val STATUS_OK = 200
         const val STATUS_MISDIRECTED = 421
         const val STATUS_UNPROCESSABLE = 422
+        const val STATUS_FAILED = 500
         const val STATUS_UNAVAILABLE = 503
         const val STRAY_RESPONSE = "HTTP/1.1 200 OK\r\nX-Other: of no request\r\n\r\n"
         const val STRAY_EVENT = "id: 0\ndata: of no request\n\n"
