Test leaving servers with VMs, servers and a store

Cause: nothing showed that each kind of answer with Server-Leaving takes its server out of use at every VM.

--- a/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
@@ -6,6 +6,7 @@
 import org.agatestream.http.BodyWriter
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.concurrent.thread
 import kotlin.time.Duration
@@ -86,6 +87,11 @@
     /** The headers of every request that this server ran. */
     val requests: MutableList<List<Pair<String, String>>> = CopyOnWriteArrayList()
 
+    private val receivedRequests = AtomicInteger()
+
+    /** The number of requests that reached this server, whether or not it ran them. */
+    val received: Int get() = receivedRequests.get()
+
     /** When each request, by its id, began to run. */
     val started: MutableMap<String, MonotonicTime> = ConcurrentHashMap()
 
@@ -105,6 +111,7 @@
     override fun close(): Unit = server.close()
 
     private suspend fun handle(call: StandInCall) {
+        receivedRequests.incrementAndGet()
         val expected = call.header("x-agatestream-expect-instance")
         val requestId = call.header("x-agatestream-attempt-id").orEmpty()
         if (expected != null && expected != id) {
--- a/standins/src/test/kotlin/org/agatestream/standin/PlatformFleet.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/PlatformFleet.kt
@@ -42,20 +42,38 @@
     private val configs = names.map { configOf(it) }
     val vms = configs.map { PlatformVm(it, "secret".encodeToByteArray()) }
 
-    suspend fun start() {
+    private val addresses = HashMap<String, String>()
+
+    /** The address at which [server] listens. */
+    fun addressOf(server: PlatformServerStandIn): String = addresses.getValue(server.id)
+
+    /** Starts everything except the last [lateVms] VMs. */
+    suspend fun start(lateVms: Int = 0) {
         store.put("op", "config", manifest)
         for (server in servers) {
             val address = "127.0.0.1:${server.listen(0)}"
+            addresses[server.id] = address
             store.put(
                 "servers",
                 server.id,
-                """{"Service":"s","Address":"$address","Zone":"d","Slots":4,"State":"ready"}""",
+                """{"Service":"s","Address":"$address","Zone":"d","Slots":4,"State":"ready","born":1}""",
             )
         }
         vms.first().start()
         eventually(FLEET_TIMEOUT) { store.valueOf("fleet", "coordinator").shouldNotBeNull() }
-        vms.drop(1).forEach { it.start() }
-        for (vm in configs.indices) eventually(FLEET_TIMEOUT) { send(vm, "GET", "/ask/1").first shouldBe 200 }
+        vms.drop(1).dropLast(lateVms).forEach { it.start() }
+        for (vm in configs.indices.toList().dropLast(lateVms)) {
+            eventually(FLEET_TIMEOUT) {
+                send(vm, "GET", "/ask/1").first shouldBe
+                    200
+            }
+        }
+    }
+
+    /** Starts the VM with index [vm], which [start] left out. */
+    suspend fun startLate(vm: Int) {
+        vms[vm].start()
+        eventually(FLEET_TIMEOUT) { send(vm, "GET", "/ask/1").first shouldBe 200 }
     }
 
     /** The address at which the VM with index [vm] serves callers. */
