Share slots by workspace under overload and index the dispatcher's queue

Cause: an event of the dispatcher filtered and sorted all waiting requests and all pending items, so its cost grew with servers x waiting requests. Under overload, requests were served by arrival, so one large workspace left the small ones with their part of the arrivals.

Change: waiting requests are kept per service in lanes by workspace, rank (on time before late, then priority) and arrival, with lookup by call, latest start and deadline. A scheduling pass ends at the first request for which no server is available. Runs are indexed by VM and pending items by job. Workspaces share the slots by start-time fair queueing; while the demand exceeds the capacity, those above the max-min fair level use no more slots than their share and their excess is refused first. The expected wait counts slots that may be used and the work of the requests that wait.

--- a/core/src/main/kotlin/org/agatestream/core/CrashSuspects.kt
+++ b/core/src/main/kotlin/org/agatestream/core/CrashSuspects.kt
@@ -51,6 +51,9 @@
     /** The number of parts that are suspected but not condemned. */
     public val suspectedCount: Int get() = suspectedParts.size
 
+    /** True if no part is suspected or condemned. */
+    internal val isClear: Boolean get() = suspectedParts.isEmpty() && condemnedGroups.isEmpty()
+
     /** Records that [server] ended while a run of a request with [blamed] parts, sent at [sentAt], had not begun. */
     public fun onCrash(
         blamed: Collection<PromptPart>,
@@ -82,7 +85,7 @@
         requested: Collection<PromptPart>,
         now: MonotonicTime,
     ): PromptVerdict {
-        if (suspectedParts.isEmpty() && condemnedGroups.isEmpty()) return PromptVerdict.Clear
+        if (isClear) return PromptVerdict.Clear
         val marked = requested.filterTo(LinkedHashSet()) { it in suspectedParts || isCondemned(it) }
         if (marked.isEmpty()) return PromptVerdict.Clear
         marked.forEach { refresh(it, now) }
--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -1,11 +1,18 @@
 package org.agatestream.core
 
+import org.agatestream.core.fairness.Capacity
+import org.agatestream.core.fairness.FairQueue
+import org.agatestream.core.fairness.ObservedCapacity
+import org.agatestream.core.fairness.RunPace
+import org.agatestream.core.fairness.RunWork
+import org.agatestream.core.fairness.WaitingQueues
+import org.agatestream.core.fairness.WaitingRequest
+import org.agatestream.core.placement.PromptShape
 import kotlin.math.ceil
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.DurationUnit
 
 /**
  * Scheduler of a coordinator: assigns requests and items to backend servers, or refuses them.
@@ -24,12 +31,18 @@
 ) {
     private val isolation = SuspectIsolation(suspects)
     private val servers = ServerPool(random)
-    private val queuedRequests = ArrayList<PlaceRequest>()
+    private val slotCounts = SlotCounts(servers)
+    private val queues = WaitingQueues()
     private val rates = WorkspaceRates()
-    private val heldSlots = HashMap<CallId, HeldSlot>()
+    private val heldSlots = HeldSlots()
     private val earlyReleases = LinkedHashMap<CallId, MonotonicTime>()
     private val jobs = JobTracker()
-    private val meanRunMillis = HashMap<ServiceId, Double>()
+    private val paces = HashMap<ServiceId, RunPace>()
+    private val observed = HashMap<ServiceId, ObservedCapacity>()
+    private var judgedVersion = 0L
+
+    // False at a dispatcher that most VMs don't follow, such as that of a VM without a coordinator.
+    private var knowsMostRuns = true
     private var manifest: Manifest? = null
     private var followers: List<VmId> = emptyList()
     private var expectedFollowers = 0
@@ -37,14 +50,8 @@
     private val unanswering = HashSet<VmId>()
     private var itemsAllowedAt: MonotonicTime? = null
 
-    /** A slot occupied by a run. */
-    private class HeldSlot(
-        val server: BackendServerId,
-        val since: MonotonicTime,
-    )
-
     /** The number of queued requests. */
-    public val waitingRequests: Int get() = queuedRequests.size
+    public val waitingRequests: Int get() = queues.size
 
     /** The number of runs in flight. */
     public val runningCalls: Int get() = heldSlots.size
@@ -55,6 +62,16 @@
     /** The number of jobs with unfinished items. */
     public val openJobs: Int get() = jobs.openJobs
 
+    /** The number of requests refused as their workspace exceeded its share while others asked too. */
+    public var refusedOverShare: Long = 0
+        private set
+
+    /** The number of workspaces that demand more than their share at [now], summed over the services. */
+    public fun workspacesOverShare(now: MonotonicTime): Int =
+        queues.services.entries.sumOf { (service, queue) ->
+            queue.overShare(capacityOf(service, now), now)
+        }
+
     /** The servers whose work is restricted, with the reason. */
     public val suspectedServers: Map<BackendServerId, ServerSuspicion>
         get() = servers.all.mapNotNull { load -> load.suspicion?.let { load.id to it } }.toMap()
@@ -72,6 +89,7 @@
         now: MonotonicTime,
     ): List<DispatchAction> {
         servers.onUsable(usable)
+        slotCounts.onServers()
         return schedule(now)
     }
 
@@ -90,6 +108,7 @@
         this.followers = followers
         expectedFollowers = expected
         val share = if (expected <= 0) 1.0 else minOf(1.0, followers.size.toDouble() / expected)
+        knowsMostRuns = share >= MOST_RUNS
         rates.onShare(share, extraBurst)
         servers.onShare(share)
     }
@@ -109,10 +128,11 @@
         request: PlaceRequest,
         now: MonotonicTime,
     ): List<DispatchAction> {
-        if (earlyReleases.remove(request.call) != null) return emptyList()
+        if (earlyReleases.remove(request.call) != null || request.call in queues) return emptyList()
         findRefusal(request, now)?.let { return listOf(it) }
         request.meteredWorkspace?.let { rates.take(it) }
-        queuedRequests += request
+        val waiting = queues.add(request, now)
+        if (isolation.mustWait(request.parts, now)) queues[request.service]?.hold(waiting, isHeld = true)
         return schedule(now)
     }
 
@@ -124,10 +144,10 @@
         now: MonotonicTime,
         detail: RunDetail = RunDetail.NONE,
     ): List<DispatchAction> {
-        if (queuedRequests.removeAll { it.call == call }) return schedule(now)
+        if (queues.remove(call) != null) return schedule(now)
         jobs.onReleased(call, now)
         isolation.onReleased(call, hasBegun = firstEvent != null || outcome == RunOutcome.ANSWERED, now)
-        val held = heldSlots.remove(call)
+        val held = removeHeld(call)
         if (held == null) {
             earlyReleases[call] = now
             return emptyList()
@@ -136,12 +156,23 @@
         val wasSilent = load.isSilent(call)
         load.remove(call)
         load.record(outcome, firstEvent, now, wasSilent, detail)
+        recordCapacity(held, outcome, now)
         if (outcome == RunOutcome.ANSWERED && jobs.itemOf(call) == null) {
-            recordRunTime(load.server.entry.service, now - held.since)
+            paceOf(held.service).record(now - held.since, held.work)
         }
         return schedule(now)
     }
 
+    private fun recordCapacity(
+        held: HeldSlot,
+        outcome: RunOutcome,
+        now: MonotonicTime,
+    ) {
+        if (knowsMostRuns) return
+        if (outcome == RunOutcome.ANSWERED) observedOf(held.service, now).onAnswered(held.work, now)
+        if (outcome == RunOutcome.NOT_RUN) observedOf(held.service, now).onTurnedAway(now)
+    }
+
     /** Applies the outcome of an item's run; its slot is freed by a separate [release]. */
     public fun onItem(
         ref: ItemRef,
@@ -195,10 +226,10 @@
         servers.all.forEach { it.dropOrphans(vm) }
         val numbers = running.mapTo(HashSet()) { it.number }
         val missing =
-            heldSlots
-                .filter { (call, held) ->
-                    call.vm == vm && call.number !in numbers && now - held.since > MAX_REPORT_DELAY
-                }.keys
+            heldSlots.of(vm).filter { call ->
+                val held = heldSlots[call]
+                held != null && call.number !in numbers && now - held.since > MAX_REPORT_DELAY
+            }
         for (call in missing) {
             jobs.itemOf(call)?.let { jobs.onOutcome(it, call, ItemOutcome.INTERRUPTED, now) }
             releaseSlot(call)
@@ -210,7 +241,7 @@
         val endsItemWait = itemsAllowedAt?.let { it > now } == true && hasAllReported()
         if (endsItemWait) itemsAllowedAt = now
         val hasRequeued =
-            jobs.requeueUnreported(vm, numbers, unstoredResults.toSet(), heldSlots.keys, now - MAX_REPORT_DELAY, now)
+            jobs.requeueUnreported(vm, numbers, unstoredResults.toSet(), heldSlots.calls, now - MAX_REPORT_DELAY, now)
         return if (missing.isEmpty() && !hasRequeued && !endsItemWait) emptyList() else schedule(now)
     }
 
@@ -226,14 +257,14 @@
         hasEnded: Boolean,
         now: MonotonicTime,
     ): List<DispatchAction> {
-        val lost = heldSlots.keys.filter { it.vm == vm }
+        val lost = heldSlots.of(vm)
         if (hasEnded) {
             lost.forEach { releaseSlot(it) }
             servers.all.forEach { it.dropOrphans(vm) }
         } else {
             lost.forEach { orphanRun(it, now) }
         }
-        queuedRequests.removeAll { it.call.vm == vm }
+        queues.removeAll(vm)
         jobs.onVmLost(vm, hasEnded, now)
         reported -= vm
         unanswering -= vm
@@ -242,9 +273,9 @@
 
     /** Refuses requests whose wait has expired and schedules queued work. */
     public fun tick(now: MonotonicTime): List<DispatchAction> {
-        val expired = queuedRequests.filter { now >= it.queueDeadline }
-        queuedRequests.removeAll(expired.toSet())
-        val refusals = expired.map { refuse(it, ErrorKind.NO_CAPACITY, expectedWait(it.service, now)) }
+        val expired = queues.removeExpired(now).map { it.request } + removeExcess(now)
+        val refusals = expired.map { refuse(it, ErrorKind.NO_CAPACITY, retryAfter(it, now), now) }
+        queues.services.values.forEach { it.forgetIdle(now) }
         val expiredItems = jobs.expiredItems(now).map { DispatchAction.GiveUpItem(it, "kept_too_long") }
         earlyReleases.values.removeAll { now - it > EARLY_RELEASE_RETENTION }
         servers.all.forEach { it.expireOrphans(now) }
@@ -260,81 +291,166 @@
         request.meteredWorkspace?.let { rates.timeToToken(it, now) }?.let { wait ->
             return DispatchAction.Refuse(request.call, ErrorKind.RATE_EXCEEDED, wait)
         }
+        queues.queueOf(request, now).onAsked(request, now)
         if (suspects.judge(request.parts, now) is PromptVerdict.Condemned) {
             return DispatchAction.Refuse(request.call, ErrorKind.PROMPT_REFUSED, Duration.ZERO)
         }
-        if (servers.slots(request.service, request.excluded) == 0) {
+        if (slotCounts.total(request.service, request.excluded) == 0) {
             return DispatchAction.Refuse(request.call, ErrorKind.NO_CAPACITY, NO_SERVER_RETRY_AFTER)
         }
-        val wait = expectedWait(request.service, now)
-        if (now + wait >= request.queueDeadline) return DispatchAction.Refuse(request.call, ErrorKind.NO_CAPACITY, wait)
-        return null
+        val wait = expectedWait(request, now)
+        if (now + wait < request.queueDeadline) return null
+        countOverShare(request, now)
+        return DispatchAction.Refuse(request.call, ErrorKind.NO_CAPACITY, wait)
     }
 
     private fun refuse(
         request: PlaceRequest,
         kind: ErrorKind,
         retryAfter: Duration,
+        now: MonotonicTime,
     ): DispatchAction {
         request.meteredWorkspace?.let { rates.refund(it) }
+        if (kind == ErrorKind.NO_CAPACITY) countOverShare(request, now)
         return DispatchAction.Refuse(request.call, kind, retryAfter)
     }
 
+    private fun countOverShare(
+        request: PlaceRequest,
+        now: MonotonicTime,
+    ) {
+        val queue = queues[request.service] ?: return
+        if (queue.isOverShare(request.workspace, capacityOf(request.service, now), now)) refusedOverShare++
+    }
+
+    /** Removes and returns the requests that their workspaces, which exceed their shares, can't get started in time. */
+    private fun removeExcess(now: MonotonicTime): List<PlaceRequest> {
+        val excess =
+            queues.services.filterValues { it.size > 0 }.flatMap { (service, queue) ->
+                queue.excess(capacityOf(service, now), now)
+            }
+        excess.forEach { queues.remove(it.request.call) }
+        return excess.map { it.request }
+    }
+
+    /** Returns when a slot is expected for a request that is refused although it was queued. */
+    private fun retryAfter(
+        request: PlaceRequest,
+        now: MonotonicTime,
+    ): Duration {
+        if (slotCounts.total(request.service, emptySet()) == 0) return NO_SERVER_RETRY_AFTER
+        val queue = queues.queueOf(request, now)
+        return queue.expectedWait(request.workspace, capacityOf(request.service, now), now, RunWork.of(request.prompt))
+    }
+
     /** Estimates how long a new request would wait for a slot. */
     private fun expectedWait(
-        service: ServiceId,
+        request: PlaceRequest,
         now: MonotonicTime,
     ): Duration {
-        val slots = servers.slots(service)
-        if (slots == 0) return NO_SERVER_RETRY_AFTER
-        val ahead = queuedRequests.count { it.service == service && !isolation.mustWait(it.parts, now) }
-        if (ahead == 0) return Duration.ZERO
-        val runs = meanRunMillis[service] ?: DEFAULT_RUN_TIME.toDouble(DurationUnit.MILLISECONDS)
-        return (ahead * runs / slots).milliseconds
+        val queue = queues[request.service]?.takeIf { it.startable > 0 } ?: return Duration.ZERO
+        return queue.expectedWait(request.workspace, capacityOf(request.service, now), now)
     }
 
+    private fun capacityOf(
+        service: ServiceId,
+        now: MonotonicTime,
+    ): Capacity {
+        val slots = maxOf(1, slotCounts.usable(service, now)).toDouble()
+        val known = Capacity(slots, slots * paceOf(service).workPerSecond)
+        return if (knowsMostRuns) known else observedOf(service, now).limit(known, now)
+    }
+
+    private fun observedOf(
+        service: ServiceId,
+        now: MonotonicTime,
+    ): ObservedCapacity = observed.getOrPut(service) { ObservedCapacity(now) }
+
+    private fun paceOf(service: ServiceId): RunPace = paces.getOrPut(service) { RunPace() }
+
     private fun schedule(now: MonotonicTime): List<DispatchAction> {
         val actions = ArrayList<DispatchAction>()
-        val services = queuedRequests.mapTo(LinkedHashSet()) { it.service }
-        for (service in services) placeOnline(service, now, actions)
+        refuseCondemned(now, actions)
+        for ((service, queue) in queues.services) if (queue.size > 0) placeOnline(service, queue, now, actions)
         startItems(now, actions)
         return actions
     }
 
+    /** Refuses the waiting requests whose prompt parts were condemned since the last call. */
+    private fun refuseCondemned(
+        now: MonotonicTime,
+        actions: MutableList<DispatchAction>,
+    ) {
+        if (judgedVersion == suspects.version) return
+        judgedVersion = suspects.version
+        if (suspects.isClear) return
+        for (waiting in queues.all) {
+            if (suspects.judge(waiting.request.parts, now) !is PromptVerdict.Condemned) continue
+            queues.remove(waiting.request.call)
+            actions += refuse(waiting.request, ErrorKind.PROMPT_REFUSED, Duration.ZERO, now)
+        }
+    }
+
     private fun placeOnline(
         service: ServiceId,
+        queue: FairQueue,
         now: MonotonicTime,
         actions: MutableList<DispatchAction>,
     ) {
-        // Requests that can still meet their latency target go first, then by priority and arrival.
-        val order =
-            queuedRequests
-                .filter { it.service == service }
-                .sortedWith(compareBy({ now > it.latestStart }, { it.priority }))
-        for (request in order) {
-            val load =
-                when (suspects.judge(request.parts, now)) {
-                    is PromptVerdict.Clear -> {
-                        servers.choose(service, request.excluded, now, isolation.servers(now))
-                            ?: preemptItem(request, now, actions)
-                    }
-
-                    is PromptVerdict.Suspected -> {
-                        if (isolation.mustWait(request.parts, now)) continue
-                        servers.chooseIdlest(service, request.excluded + isolation.servers(now), now)
-                    }
-
-                    is PromptVerdict.Condemned -> {
-                        queuedRequests.remove(request)
-                        actions += refuse(request, ErrorKind.PROMPT_REFUSED, Duration.ZERO)
-                        null
-                    }
-                } ?: continue
-            queuedRequests.remove(request)
-            isolation.onStarted(request.call, load.id, request.parts)
-            occupySlot(request.call, load, isItem = false, now)
-            actions += DispatchAction.Place(request.call, load.id)
+        val passedOver = ArrayList<WaitingRequest>()
+        val capacity = capacityOf(service, now)
+        queue.beginPass(capacity, now)
+        while (true) {
+            val next = queue.next(capacity, now) ?: break
+            val stopped = actions.size
+            val load = findServer(next.request, now, actions)
+            if (load != null) {
+                start(next, load, now, actions)
+                continue
+            }
+            // An item that was stopped leaves room for a later request only.
+            if (actions.size == stopped && !mayServeOthers(next.request, service, now)) break
+            queue.detach(next)
+            passedOver += next
+        }
+        passedOver.forEach { queue.putBack(it, isolation.mustWait(it.request.parts, now)) }
+    }
+
+    private fun findServer(
+        request: PlaceRequest,
+        now: MonotonicTime,
+        actions: MutableList<DispatchAction>,
+    ): ServerLoad? {
+        if (suspects.judge(request.parts, now) is PromptVerdict.Clear) {
+            return servers.choose(request.service, request.excluded, now, isolation.servers(now))
+                ?: preemptItem(request, now, actions)
         }
+        if (isolation.mustWait(request.parts, now)) return null
+        return servers.chooseIdlest(request.service, request.excluded + isolation.servers(now), now)
+    }
+
+    /** Returns whether a server may be available to other requests although there is none for [request]. */
+    private fun mayServeOthers(
+        request: PlaceRequest,
+        service: ServiceId,
+        now: MonotonicTime,
+    ): Boolean {
+        val isRestricted = request.excluded.isNotEmpty() || suspects.judge(request.parts, now) !is PromptVerdict.Clear
+        if (!isRestricted) return false
+        return servers.choose(service, emptySet(), now) != null || heldSlots.itemsOf(service).isNotEmpty()
+    }
+
+    private fun start(
+        waiting: WaitingRequest,
+        load: ServerLoad,
+        now: MonotonicTime,
+        actions: MutableList<DispatchAction>,
+    ) {
+        val request = waiting.request
+        queues.start(waiting)
+        isolation.onStarted(request.call, load.id, request.parts)
+        occupySlot(request.call, load, isItem = false, now, request)
+        actions += DispatchAction.Place(request.call, load.id)
     }
 
     /**
@@ -348,11 +464,14 @@
         now: MonotonicTime,
         actions: MutableList<DispatchAction>,
     ): ServerLoad? {
+        val items = heldSlots.itemsOf(request.service)
+        if (items.isEmpty()) return null
         val candidates =
-            servers
-                .forService(request.service)
-                .filter { it.id !in request.excluded && servers.acceptsWork(it, now) }
-                .flatMap { load -> load.stoppableItems().map { load to it } }
+            items
+                .mapNotNull { call -> heldSlots[call]?.let { servers.find(it.server) }?.let { it to call } }
+                .filter { (load, call) ->
+                    load.isStoppable(call) && load.id !in request.excluded && servers.acceptsWork(load, now)
+                }
         val order =
             compareBy<Pair<ServerLoad, CallId>>(
                 { (load, _) -> load.free >= 0 },
@@ -374,20 +493,28 @@
         if (now < from) return
         val vms = followers - unanswering
         if (vms.isEmpty()) return
+        if (!jobs.hasReadyItems(now)) return
         val spareSlots = HashMap<ServiceId, Int>()
         for (load in servers.all) spareSlots.merge(load.server.entry.service, maxOf(0, load.free), Int::plus)
         for (service in spareSlots.keys.toList()) spareSlots.computeIfPresent(service) { _, n -> n - headroom(service) }
-        queuedRequests.filter { !isolation.mustWait(it.parts, now) }.forEach { spareSlots[it.service] = 0 }
-        if (spareSlots.values.all { it <= 0 }) return
-        val ready = jobs.pendingItems(now).filter { (_, plan) -> isCurrentFor(plan) }
-        for ((ref, plan) in ready.take(MAX_ITEMS_PER_PASS)) {
+        queues.services
+            .filterValues { it.startable > 0 }
+            .keys
+            .forEach { spareSlots[it] = 0 }
+        val pending = jobs.pendingItems(now, ::isCurrentFor).take(MAX_ITEMS_PER_PASS).iterator()
+        while (spareSlots.values.any { it > 0 } && pending.hasNext()) {
+            val (ref, plan) = pending.next()
             val service = route(ref, plan)?.chooseService(ref.item.hashCode())
             if (service == null) {
                 actions += DispatchAction.GiveUpItem(ref, "route_dropped")
                 continue
             }
             if ((spareSlots[service] ?: 0) <= 0) continue
-            val load = servers.choose(service, emptySet(), now, isolation.servers(now)) ?: continue
+            val load = servers.choose(service, emptySet(), now, isolation.servers(now))
+            if (load == null) {
+                spareSlots[service] = 0
+                continue
+            }
             val call = CallId(chooseVm(ref, vms), nextNumber++)
             spareSlots.merge(service, -1, Int::plus)
             occupySlot(call, load, isItem = true, now)
@@ -397,7 +524,8 @@
     }
 
     /** Returns the number of slots kept free of items, so that the next online requests need no preemption. */
-    private fun headroom(service: ServiceId): Int = ceil(servers.slots(service) * HEADROOM_FRACTION).toInt()
+    private fun headroom(service: ServiceId): Int =
+        ceil(slotCounts.total(service, emptySet()) * HEADROOM_FRACTION).toInt()
 
     /**
      * Returns the VM among [vms] that runs an item, one of [VMS_PER_JOB] for each job.
@@ -435,8 +563,10 @@
         load: ServerLoad,
         isItem: Boolean,
         now: MonotonicTime,
+        request: PlaceRequest? = null,
     ) {
-        heldSlots[call] = HeldSlot(load.id, now)
+        val work = RunWork.of(request?.prompt ?: PromptShape.UNKNOWN)
+        heldSlots.add(call, HeldSlot(load.id, load.server.entry.service, now, isItem, work, request))
         load.onStarted(call, isItem, now)
     }
 
@@ -474,40 +604,36 @@
         now: MonotonicTime,
     ) {
         isolation.onAbandoned(call)
-        val held = heldSlots.remove(call) ?: return
+        val held = removeHeld(call) ?: return
         val load = servers.find(held.server) ?: return
         val isItem = jobs.itemOf(call) != null
         val end = if (isItem) now + jobs.remainingTime(call, now) else held.since + typicalRunTime(load)
         if (end > now) load.orphan(call, end) else load.remove(call)
     }
 
-    private fun typicalRunTime(load: ServerLoad): Duration =
-        meanRunMillis[load.server.entry.service]?.milliseconds ?: DEFAULT_RUN_TIME
+    private fun typicalRunTime(load: ServerLoad): Duration = paceOf(load.server.entry.service).runTime
 
-    private fun releaseSlot(call: CallId) {
-        isolation.onAbandoned(call)
-        heldSlots.remove(call)?.let { servers.find(it.server) }?.remove(call)
+    private fun removeHeld(call: CallId): HeldSlot? {
+        val held = heldSlots.remove(call) ?: return null
+        held.request?.let { queues[it.service]?.onEnded(it.workspace) }
+        return held
     }
 
-    private fun recordRunTime(
-        service: ServiceId,
-        runTime: Duration,
-    ) {
-        val millis = runTime.toDouble(DurationUnit.MILLISECONDS)
-        meanRunMillis.merge(service, millis) { old, new -> old + RUN_SMOOTHING * (new - old) }
+    private fun releaseSlot(call: CallId) {
+        isolation.onAbandoned(call)
+        removeHeld(call)?.let { servers.find(it.server) }?.remove(call)
     }
 
     private companion object {
         const val DEFAULT_ITEM_ATTEMPTS = 3
+
+        // The share of VMs that follow a dispatcher from which its view of the servers' slots is taken to be complete.
+        const val MOST_RUNS = 0.5
         const val MAX_ITEMS_PER_PASS = 256
         const val HEADROOM_FRACTION = 0.04
 
         // Each VM of a job reads its bodies of about 200 kB; the loss of one of 11 VMs must not interrupt whole jobs.
         const val VMS_PER_JOB = 3
-        const val RUN_SMOOTHING = 0.1
-
-        /** The assumed duration of a run before the first one completes. */
-        val DEFAULT_RUN_TIME = 700.milliseconds
         val NO_SERVER_RETRY_AFTER = 1.seconds
 
         /** The age from which a run missing from its VM's report counts as ended. */
--- a/core/src/main/kotlin/org/agatestream/core/JobTracker.kt
+++ b/core/src/main/kotlin/org/agatestream/core/JobTracker.kt
@@ -1,5 +1,8 @@
 package org.agatestream.core
 
+import org.agatestream.core.fairness.ItemShares
+import java.util.PriorityQueue
+import java.util.TreeSet
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -51,21 +54,47 @@
     }
 
     private class Item(
+        val job: Job,
         val plan: PlannedItem,
-        var progress: Progress,
-        var failures: Int = 0,
+        /** The position in the job. */
+        val position: Int,
+        isDone: Boolean,
+    ) {
+        val ref = ItemRef(job.plan.id, plan.id)
+        var progress: Progress = if (isDone) Progress.Done else Progress.Waiting(MonotonicTime.ZERO)
+        var failures: Int = 0
+
         /** The total time of earlier runs whose events were kept. */
-        var accumulatedRunTime: Duration = Duration.ZERO,
-    )
+        var accumulatedRunTime: Duration = Duration.ZERO
+    }
 
     private class Job(
         val plan: JobPlan,
-        val items: Map<ItemId, Item>,
         var bodyHolder: VmId?,
+        done: Set<ItemId>,
+    ) {
+        val items: Map<ItemId, Item> =
+            plan.items.withIndex().associate { (index, it) -> it.id to Item(this, it, index, it.id in done) }
+        var unfinished: Int = items.values.count { it.progress != Progress.Done }
+
+        /** The items that may start, the one with the least remaining time first. */
+        val ready = TreeSet(compareByDescending<Item> { it.accumulatedRunTime }.thenBy { it.position })
+    }
+
+    /** A waiting item that may start at the time that [progress] states, unless its progress has changed since. */
+    private class DelayedItem(
+        val item: Item,
+        val progress: Progress.Waiting,
     )
 
-    private val jobs = HashMap<JobId, Job>()
+    private val jobs = LinkedHashMap<JobId, Job>()
     private val itemsByCall = HashMap<CallId, ItemRef>()
+    private val delayed = PriorityQueue(compareBy<DelayedItem> { it.progress.notBefore })
+
+    // The items that only the VM works on, or may do so while it is silent.
+    private val itemsByVm = HashMap<VmId, MutableSet<Item>>()
+    private val jobsWithReadyItems = LinkedHashSet<Job>()
+    private val shares = ItemShares()
     private var meanRunTime: Duration = DEFAULT_ITEM_RUN_TIME
 
     val openJobs: Int get() = jobs.size
@@ -77,43 +106,104 @@
         now: MonotonicTime,
     ) {
         if (plan.id in jobs) return
-        val items =
-            plan.items.associate {
-                it.id to Item(it, if (it.id in done) Progress.Done else Progress.Waiting(now))
-            }
-        val job = Job(plan, items, plan.acceptedBy)
-        if (!job.isDone()) jobs[plan.id] = job
+        val job = Job(plan, plan.acceptedBy, done)
+        if (job.unfinished == 0) return
+        jobs[plan.id] = job
+        job.items.values
+            .filter { it.progress != Progress.Done }
+            .forEach { setProgress(it, Progress.Waiting(now)) }
     }
 
     /** Removes a job that its caller ended and returns the runs to stop. */
     fun remove(id: JobId): List<CallId> {
-        val job = jobs.remove(id) ?: return emptyList()
+        val job = jobs[id] ?: return emptyList()
         val running = job.items.values.mapNotNull { (it.progress as? Progress.Running)?.call }
         running.forEach { itemsByCall -= it }
+        forget(job)
         return running
     }
 
+    private fun forget(job: Job) {
+        jobs -= job.plan.id
+        jobsWithReadyItems -= job
+        job.items.values.forEach { unlink(it) }
+    }
+
+    /** Changes the progress of an item and the indexes that depend on it. */
+    private fun setProgress(
+        item: Item,
+        progress: Progress,
+    ) {
+        unlink(item)
+        if (progress == Progress.Done && item.progress != Progress.Done) item.job.unfinished--
+        item.progress = progress
+        vmOf(progress)?.let { itemsByVm.getOrPut(it) { LinkedHashSet() } += item }
+        if (progress is Progress.Waiting) delayed += DelayedItem(item, progress)
+    }
+
+    private fun setAccumulatedRunTime(
+        item: Item,
+        time: Duration,
+    ) {
+        val wasReady = item.job.ready.remove(item)
+        item.accumulatedRunTime = time
+        if (wasReady) item.job.ready += item
+    }
+
+    private fun unlink(item: Item) {
+        val ready = item.job.ready
+        if (ready.remove(item) && ready.isEmpty()) jobsWithReadyItems -= item.job
+        val vm = vmOf(item.progress) ?: return
+        itemsByVm[vm]?.let {
+            it -= item
+            if (it.isEmpty()) itemsByVm -= vm
+        }
+    }
+
+    private fun markReady(now: MonotonicTime) {
+        while (delayed.isNotEmpty() && delayed.peek().progress.notBefore <= now) {
+            val entry = delayed.remove()
+            val item = entry.item
+            if (item.progress !== entry.progress || jobs[item.job.plan.id] !== item.job) continue
+            item.job.ready += item
+            jobsWithReadyItems += item.job
+        }
+    }
+
+    /** Returns whether any item may start at [now]. */
+    fun hasReadyItems(now: MonotonicTime): Boolean {
+        markReady(now)
+        return jobsWithReadyItems.isNotEmpty()
+    }
+
     /**
-     * Returns the waiting items in scheduling order: first those that can still meet their deadline.
+     * Returns the items that may start at [now] of the jobs that [isEligible] admits, in scheduling order.
      *
-     * Items with the least remaining time go first: when work exceeds the slots, finishing an item completes more
-     * items on time than starting another one. Ties are broken by the earliest deadline.
+     * Items that can still meet their deadline go first. Among those, workspaces take turns in proportion to their
+     * weights. Within a workspace, items with the least remaining time go first: when work exceeds the slots, finishing
+     * an item completes more items on time than starting another one. Ties are broken by the earliest deadline. The
+     * order takes into account the items that are started while the sequence is read.
      */
-    fun pendingItems(now: MonotonicTime): List<Pair<ItemRef, JobPlan>> {
-        val pending =
-            jobs.values.flatMap { job ->
-                job.items.values
-                    .filter { item -> (item.progress as? Progress.Waiting)?.let { it.notBefore <= now } == true }
-                    .map { job to it }
-            }
-        return pending
-            .sortedWith(
-                compareBy(
-                    { (job, item) -> !canMeetDeadline(job, item, now) },
-                    { (_, item) -> remainingSteps(item, now) },
-                    { (job, _) -> job.plan.lifetime.deadline },
-                ),
-            ).map { (job, item) -> ItemRef(job.plan.id, item.plan.id) to job.plan }
+    fun pendingItems(
+        now: MonotonicTime,
+        isEligible: (JobPlan) -> Boolean,
+    ): Sequence<Pair<ItemRef, JobPlan>> {
+        markReady(now)
+        val heads = jobsWithReadyItems.filter { isEligible(it.plan) }.mapTo(ArrayList()) { it.ready.first() }
+        val order =
+            compareBy<Item>(
+                { !canMeetDeadline(it, now) },
+                { shares.pass(it.job.plan.workspace) },
+                { remainingSteps(it, now) },
+                { it.job.plan.lifetime.deadline },
+            )
+        return generateSequence {
+            val item = heads.minWithOrNull(order) ?: return@generateSequence null
+            val index = heads.indexOf(item)
+            val following = item.job.ready.higher(item)
+            if (following == null) heads.removeAt(index) else heads[index] = following
+            item.ref to item.job.plan
+        }
     }
 
     /** Returns whether the item of the run [call] can still meet its deadline; false if the run is not known. */
@@ -121,16 +211,14 @@
         call: CallId,
         now: MonotonicTime,
     ): Boolean {
-        val ref = itemsByCall[call] ?: return false
-        val job = jobs[ref.job] ?: return false
-        return canMeetDeadline(job, job.items.getValue(ref.item), now)
+        val item = itemsByCall[call]?.let { item(it) } ?: return false
+        return canMeetDeadline(item, now)
     }
 
     private fun canMeetDeadline(
-        job: Job,
         item: Item,
         now: MonotonicTime,
-    ): Boolean = now + remainingTime(item, now) <= job.plan.lifetime.deadline
+    ): Boolean = now + remainingTime(item, now) <= item.job.plan.lifetime.deadline
 
     /** Estimates the remaining run time of the item from the mean run time of items. */
     private fun remainingTime(
@@ -159,12 +247,7 @@
     ): Duration = itemsByCall[call]?.let { item(it) }?.let { remainingTime(it, now) } ?: Duration.ZERO
 
     /** Returns the position of an item in its job, or 0 if it is not known. */
-    fun position(ref: ItemRef): Int =
-        jobs[ref.job]
-            ?.items
-            ?.keys
-            ?.indexOf(ref.item)
-            ?.coerceAtLeast(0) ?: 0
+    fun position(ref: ItemRef): Int = item(ref)?.position ?: 0
 
     fun path(ref: ItemRef): String? = item(ref)?.plan?.path
 
@@ -185,8 +268,17 @@
     ) {
         val item = item(ref) ?: return
         if (item.progress == Progress.Done) return
-        item.progress = Progress.Running(call, now)
-        itemsByCall[call] = ref
+        shares.onStarted(item.job.plan.workspace, remainingTime(item, now) / maxOf(meanRunTime, MIN_REMAINING_TIME))
+        track(item, call, now)
+    }
+
+    private fun track(
+        item: Item,
+        call: CallId,
+        now: MonotonicTime,
+    ) {
+        setProgress(item, Progress.Running(call, now))
+        itemsByCall[call] = item.ref
     }
 
     /** Applies a VM's report that the run [call] of an item is in flight. */
@@ -195,7 +287,7 @@
         call: CallId,
         now: MonotonicTime,
     ) {
-        if (item(ref)?.progress is Progress.Waiting) onStarted(ref, call, now)
+        item(ref)?.takeIf { it.progress is Progress.Waiting }?.let { track(it, call, now) }
     }
 
     /** Applies the end of an item's run; returns the number of its failed attempts. */
@@ -210,7 +302,9 @@
         if (item.progress == Progress.Done) return item.failures
         val running = item.progress as? Progress.Running
         val isSuperseded = running != null && running.call != call
-        if (running != null && !isSuperseded) item.accumulatedRunTime += now - running.since
+        if (running != null && !isSuperseded) {
+            setAccumulatedRunTime(item, item.accumulatedRunTime + (now - running.since))
+        }
         when (outcome) {
             ItemOutcome.LISTED -> {
                 markDone(ref)
@@ -218,21 +312,21 @@
 
             ItemOutcome.FINISHED -> {
                 meanRunTime += (item.accumulatedRunTime - meanRunTime) * RUN_TIME_SMOOTHING
-                item.progress = Progress.Unlisted(call.vm, now)
+                setProgress(item, Progress.Unlisted(call.vm, now))
             }
 
             ItemOutcome.FAILED -> {
                 item.failures++
-                item.accumulatedRunTime = Duration.ZERO
-                if (!isSuperseded) item.progress = Progress.Waiting(now + RETRY_DELAY)
+                setAccumulatedRunTime(item, Duration.ZERO)
+                if (!isSuperseded) setProgress(item, Progress.Waiting(now + RETRY_DELAY))
             }
 
             ItemOutcome.INTERRUPTED -> {
-                if (!isSuperseded) item.progress = Progress.Waiting(now)
+                if (!isSuperseded) setProgress(item, Progress.Waiting(now))
             }
 
             ItemOutcome.WITHHELD -> {
-                if (!isSuperseded) item.progress = Progress.Waiting(now + WITHHELD_DELAY)
+                if (!isSuperseded) setProgress(item, Progress.Waiting(now + WITHHELD_DELAY))
             }
         }
         return item.failures
@@ -245,7 +339,7 @@
         now: MonotonicTime,
     ) {
         val item = item(ref) ?: return
-        if (item.progress is Progress.Waiting) item.progress = Progress.Unlisted(vm, now)
+        if (item.progress is Progress.Waiting) setProgress(item, Progress.Unlisted(vm, now))
     }
 
     /** Records that the slot of the run [call] was freed; the outcome of the item arrives separately. */
@@ -255,7 +349,7 @@
     ) {
         val item = itemsByCall[call]?.let { item(it) } ?: return
         val running = item.progress as? Progress.Running ?: return
-        if (running.call == call) item.progress = running.copy(releasedAt = now)
+        if (running.call == call) setProgress(item, running.copy(releasedAt = now))
     }
 
     /**
@@ -274,21 +368,18 @@
         now: MonotonicTime,
     ): Boolean {
         var hasRequeued = false
-        for (job in jobs.values) {
-            for ((id, item) in job.items) {
-                if (!item.progress.dependsOn(vm)) continue
-                val isAbandoned =
-                    when (val progress = item.progress) {
-                        is Progress.Running -> progress.isMissing(running, held, before)
-                        is Progress.Unlisted -> progress.since < before
-                        is Progress.Waiting -> true
-                        is Progress.Done -> false
-                    }
-                if (!isAbandoned || ItemRef(job.plan.id, id) in unstoredResults) continue
-                (item.progress as? Progress.Running)?.let { itemsByCall -= it.call }
-                item.progress = Progress.Waiting(now)
-                hasRequeued = true
-            }
+        for (item in itemsByVm[vm].orEmpty().toList()) {
+            val isAbandoned =
+                when (val progress = item.progress) {
+                    is Progress.Running -> progress.isMissing(running, held, before)
+                    is Progress.Unlisted -> progress.since < before
+                    is Progress.Waiting -> true
+                    is Progress.Done -> false
+                }
+            if (!isAbandoned || item.ref in unstoredResults) continue
+            (item.progress as? Progress.Running)?.let { itemsByCall -= it.call }
+            setProgress(item, Progress.Waiting(now))
+            hasRequeued = true
         }
         return hasRequeued
     }
@@ -300,9 +391,9 @@
     ): Boolean = (releasedAt ?: since) < before && call !in held && call.number !in reported
 
     fun markDone(ref: ItemRef) {
-        val job = jobs[ref.job] ?: return
-        job.items[ref.item]?.progress = Progress.Done
-        if (job.isDone()) jobs -= ref.job
+        val item = item(ref) ?: return
+        setProgress(item, Progress.Done)
+        if (item.job.unfinished == 0) forget(item.job)
     }
 
     /**
@@ -316,34 +407,30 @@
         hasEnded: Boolean,
         now: MonotonicTime,
     ) {
-        for (job in jobs.values) {
-            if (job.bodyHolder == vm) job.bodyHolder = null
-            for (item in job.items.values) {
-                if (!item.progress.dependsOn(vm)) continue
-                val wait = if (hasEnded) Duration.ZERO else silenceTolerated(job, item, now)
-                item.progress = Progress.Waiting(now + wait, vm.takeUnless { hasEnded })
-                item.accumulatedRunTime = Duration.ZERO
-            }
+        jobs.values.filter { it.bodyHolder == vm }.forEach { it.bodyHolder = null }
+        for (item in itemsByVm[vm].orEmpty().toList()) {
+            val wait = if (hasEnded) Duration.ZERO else silenceTolerated(item, now)
+            setProgress(item, Progress.Waiting(now + wait, vm.takeUnless { hasEnded }))
+            setAccumulatedRunTime(item, Duration.ZERO)
         }
         itemsByCall.keys.removeAll { it.vm == vm }
     }
 
-    /** Returns whether only [vm] works on the item, or may do so while it is silent. */
-    private fun Progress.dependsOn(vm: VmId): Boolean =
-        when (this) {
-            is Progress.Waiting -> silentVm == vm
-            is Progress.Running -> call.vm == vm
-            is Progress.Unlisted -> this.vm == vm
-            is Progress.Done -> false
+    /** Returns the VM that alone works on the item, or may do so while it is silent. */
+    private fun vmOf(progress: Progress): VmId? =
+        when (progress) {
+            is Progress.Waiting -> progress.silentVm
+            is Progress.Running -> progress.call.vm
+            is Progress.Unlisted -> progress.vm
+            is Progress.Done -> null
         }
 
     /** Returns how long the item may wait for its silent VM: for the rest of its run, but not beyond its slack. */
     private fun silenceTolerated(
-        job: Job,
         item: Item,
         now: MonotonicTime,
     ): Duration {
-        val slack = job.plan.lifetime.deadline - now - meanRunTime - RETRY_MARGIN
+        val slack = item.job.plan.lifetime.deadline - now - meanRunTime - RETRY_MARGIN
         return minOf(remainingTime(item, now), slack).coerceAtLeast(Duration.ZERO)
     }
 
@@ -354,13 +441,11 @@
             .flatMap { job ->
                 job.items.values
                     .filter { it.progress is Progress.Waiting }
-                    .map { ItemRef(job.plan.id, it.plan.id) }
+                    .map { it.ref }
             }
 
     private fun item(ref: ItemRef): Item? = jobs[ref.job]?.items?.get(ref.item)
 
-    private fun Job.isDone(): Boolean = items.values.all { it.progress == Progress.Done }
-
     private companion object {
         // Items of the users' load profiles have 145 and 220 events of about 22 ms; completed runs adjust the mean.
         val DEFAULT_ITEM_RUN_TIME: Duration = 4.seconds
--- a/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
@@ -54,6 +54,9 @@
 
     fun stoppableItems(): List<CallId> = itemRuns.filter { it !in stopping }
 
+    /** Returns whether [call] is an item's run that was not told to stop. */
+    fun isStoppable(call: CallId): Boolean = call in itemRuns && call !in stopping
+
     fun markStopping(call: CallId) {
         stopping += call
     }
--- /dev/null
+++ b/core/src/main/kotlin/org/agatestream/core/SlotCounts.kt
@@ -0,0 +1,54 @@
+package org.agatestream.core
+
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The numbers of slots of the services, counted at most once in a short time. */
+internal class SlotCounts(
+    private val servers: ServerPool,
+) {
+    private class Usable(
+        val slots: Int,
+        val countedAt: MonotonicTime,
+    )
+
+    private val totals = HashMap<ServiceId, Int>()
+    private val usable = HashMap<ServiceId, Usable>()
+
+    /** Forgets the counts after a change of the servers. */
+    fun onServers() {
+        totals.clear()
+        usable.clear()
+    }
+
+    /** Returns the total number of slots of the servers of [service] outside [excluded], free or occupied. */
+    fun total(
+        service: ServiceId,
+        excluded: Set<BackendServerId>,
+    ): Int {
+        if (excluded.isNotEmpty()) return servers.slots(service, excluded)
+        return totals.getOrPut(service) { servers.slots(service) }
+    }
+
+    /**
+     * Returns the number of slots, free or occupied, of the servers of [service] that may get work at [now].
+     *
+     * If no server may, as all are paused or silent, all slots count: most such states end within a second.
+     */
+    fun usable(
+        service: ServiceId,
+        now: MonotonicTime,
+    ): Int {
+        val known = usable[service]
+        if (known != null && (now - known.countedAt).absoluteValue < VALIDITY) return known.slots
+        // A rate of 0 leaves out the limit of cold servers, which ends after a second at most.
+        val slots = servers.forService(service).filter { it.acceptsWork(0.0, now) }.sumOf { it.server.entry.slots }
+        val counted = if (slots > 0) slots else total(service, emptySet())
+        usable[service] = Usable(counted, now)
+        return counted
+    }
+
+    private companion object {
+        // A tenth of the shortest pause of a server.
+        val VALIDITY = 10.milliseconds
+    }
+}
--- a/core/src/main/kotlin/org/agatestream/core/SuspectIsolation.kt
+++ b/core/src/main/kotlin/org/agatestream/core/SuspectIsolation.kt
@@ -26,10 +26,12 @@
     }
 
     /** Returns the servers at which a run with a suspected part has not begun. */
-    fun servers(now: MonotonicTime): Set<BackendServerId> =
-        runs.values
+    fun servers(now: MonotonicTime): Set<BackendServerId> {
+        if (suspects.isClear) return emptySet()
+        return runs.values
             .filter { !it.hasBegun && suspects.judge(it.parts, now) !is PromptVerdict.Clear }
             .mapTo(HashSet()) { it.server }
+    }
 
     /** Records a run; a run that is known already keeps its state. */
     fun onStarted(
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -144,6 +144,11 @@
         metrics.gauge("agatestream.dispatch.waiting") { role?.dispatcher?.waitingRequests ?: 0 }
         metrics.gauge("agatestream.dispatch.orphaned") { role?.dispatcher?.orphanedRuns ?: 0 }
         metrics.gauge("agatestream.dispatch.doubted") { role?.dispatcher?.suspectedServers?.size ?: 0 }
+        metrics.gauge("agatestream.dispatch.overshare") {
+            role?.dispatcher?.workspacesOverShare(MonotonicTime.now())
+                ?: 0
+        }
+        metrics.gauge("agatestream.dispatch.refused.overshare") { role?.dispatcher?.refusedOverShare ?: 0 }
         metrics.gauge("agatestream.dispatch.jobs") { role?.dispatcher?.openJobs ?: 0 }
         metrics.gauge("agatestream.prompt.parts.condemned") { parts.suspects.condemned.size }
         metrics.gauge("agatestream.prompt.parts.suspected") { parts.suspects.suspectedCount }
