Choose the server with the least expected time to the first event

Cause: ServerPool.choose took the server with the most free slots whatever its speed, its cached prompt segments and its failure domain; the load that servers report was stored and not used. Reports reached the coordinator only with releases, some 0.5 s after the server made them.

Change: where servers report the duration of work, stand in several failure domains, or prompts name shared segments, the choice goes by expected time to the first event (speed, runs, prompt tokens to be read), the delay that the run brings to others, and the way. Elsewhere it is as before. Speed blends the reported figure with observed first events; the figure counts less the older it is (nothing after 600 ms) and the more it contradicts them. An avoided server counts as usual again after at most 4.5 s. VMs pass reported figures on with their status reports. A server that refuses again without a run in between is left alone for 200, then 400 ms instead of 100, and reported runs that the coordinator does not know count as occupancy.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -1,5 +1,7 @@
 package org.agatestream.core
 
+import org.agatestream.core.placement.ObservedLoad
+import org.agatestream.core.placement.PlacementDemand
 import kotlin.math.ceil
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -134,6 +136,7 @@
         }
         val load = servers.find(held.server) ?: return schedule(now)
         val wasSilent = load.isSilent(call)
+        servers.onRunEnding(load, call, firstEvent, now, detail)
         load.remove(call)
         load.record(outcome, firstEvent, now, wasSilent, detail)
         if (outcome == RunOutcome.ANSWERED && jobs.itemOf(call) == null) {
@@ -142,6 +145,14 @@
         return schedule(now)
     }
 
+    /** Applies loads that servers reported to VMs. */
+    public fun onServerLoads(
+        loads: List<ObservedLoad>,
+        now: MonotonicTime,
+    ) {
+        loads.forEach { servers.onReportedLoad(it, now) }
+    }
+
     /** Applies the outcome of an item's run; its slot is freed by a separate [release]. */
     public fun onItem(
         ref: ItemRef,
@@ -312,10 +323,11 @@
                 .filter { it.service == service }
                 .sortedWith(compareBy({ now > it.latestStart }, { it.priority }))
         for (request in order) {
+            val demand = demandOf(request, now)
             val load =
                 when (suspects.judge(request.parts, now)) {
                     is PromptVerdict.Clear -> {
-                        servers.choose(service, request.excluded, now, isolation.servers(now))
+                        servers.choose(service, request.excluded, now, isolation.servers(now), demand)
                             ?: preemptItem(request, now, actions)
                     }
 
@@ -332,7 +344,7 @@
                 } ?: continue
             queuedRequests.remove(request)
             isolation.onStarted(request.call, load.id, request.parts)
-            occupySlot(request.call, load, isItem = false, now)
+            occupySlot(request.call, load, isItem = false, now, demand)
             actions += DispatchAction.Place(request.call, load.id)
         }
     }
@@ -435,11 +447,18 @@
         load: ServerLoad,
         isItem: Boolean,
         now: MonotonicTime,
+        demand: PlacementDemand = PlacementDemand.UNKNOWN,
     ) {
         heldSlots[call] = HeldSlot(load.id, now)
-        load.onStarted(call, isItem, now)
+        load.onStarted(call, isItem, now, demand)
     }
 
+    private fun demandOf(
+        request: PlaceRequest,
+        now: MonotonicTime,
+    ): PlacementDemand =
+        PlacementDemand(request.origin, request.prompt, request.latestStart + FIRST_EVENT_RESERVE - now)
+
     private fun applyReportedRun(
         vm: VmId,
         running: RunningCall,
@@ -510,6 +529,9 @@
         val DEFAULT_RUN_TIME = 700.milliseconds
         val NO_SERVER_RETRY_AFTER = 1.seconds
 
+        // VMs set the latest start of a request this long before its first event is due.
+        val FIRST_EVENT_RESERVE = 150.milliseconds
+
         /** The age from which a run missing from its VM's report counts as ended. */
         val MAX_REPORT_DELAY = 700.milliseconds
         val EARLY_RELEASE_RETENTION = 10.seconds
--- a/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
@@ -1,6 +1,10 @@
 package org.agatestream.core
 
+import org.agatestream.core.placement.PlacedRun
+import org.agatestream.core.placement.PlacementDemand
+import org.agatestream.core.placement.PromptCache
 import org.agatestream.core.placement.ReportedLoad
+import org.agatestream.core.placement.ServerSpeed
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -8,8 +12,14 @@
 
 /** A coordinator's state of one backend server: its runs and its health. */
 internal class ServerLoad(
-    var server: UsableServer,
+    server: UsableServer,
 ) {
+    /** The server's entry; nothing is cached at it after a restart. */
+    var server: UsableServer = server
+        set(value) {
+            if (value.entry.startedAtMillis != field.entry.startedAtMillis) promptCache.clear()
+            field = value
+        }
     val id: BackendServerId get() = server.entry.id
     val onlineRuns: MutableSet<CallId> = LinkedHashSet()
     val itemRuns: MutableSet<CallId> = LinkedHashSet()
@@ -17,9 +27,11 @@
 
     // Runs of unresponsive VMs, which the server continues, with their expected end.
     private val orphans = HashMap<CallId, MonotonicTime>()
+    private val placedRuns = HashMap<CallId, PlacedRun>()
     private val coldStarts = ArrayDeque<MonotonicTime>()
     private var pausedUntil = MonotonicTime.ZERO
     private var failures = 0
+    private var refusals = 0
     private var isProbing = false
     private var probe: CallId? = null
 
@@ -35,6 +47,10 @@
     /** The last load that the server reported; null if it reported none. */
     var reportedLoad: ReportedLoad? = null
         private set
+    private var reportedAt = MonotonicTime.ZERO
+
+    val speed = ServerSpeed()
+    val promptCache = PromptCache()
 
     val running: Int get() = onlineRuns.size + itemRuns.size
 
@@ -75,7 +91,29 @@
     /** Returns whether [call] has waited too long for its first event and no run has received one since it was sent. */
     fun isSilent(call: CallId): Boolean = silentRuns[call]?.let { it > lastEventAt } == true
 
+    /** Applies the load that the server reported at [takenAt]. */
+    fun onReportedLoad(
+        load: ReportedLoad,
+        takenAt: MonotonicTime,
+    ) {
+        if (reportedLoad != null && takenAt <= reportedAt) return
+        reportedLoad = load
+        reportedAt = takenAt
+        load.durationPercent?.let { speed.onReported(it, takenAt) }
+    }
+
+    /** Returns the runs at the server, including those of VMs without coordinator if its report at [now] is recent. */
+    fun occupancy(now: MonotonicTime): Int {
+        val known = running + orphaned
+        val report = reportedLoad?.takeIf { now - reportedAt <= REPORT_LIFETIME } ?: return known
+        return maxOf(known, report.running + report.waiting)
+    }
+
+    /** Returns what the server had to do for [call] when it started; null if the run is not known. */
+    fun placedRun(call: CallId): PlacedRun? = placedRuns[call]
+
     fun remove(call: CallId) {
+        placedRuns -= call
         silentRuns -= call
         startedRuns -= call
         stopping -= call
@@ -119,10 +157,14 @@
         call: CallId,
         isItem: Boolean,
         now: MonotonicTime,
+        demand: PlacementDemand = PlacementDemand.UNKNOWN,
     ) {
         if (isItem) itemRuns += call else onlineRuns += call
         if (server.isCold(now)) coldStarts += now
         if (isProbing) probe = call
+        val tokensRead = maxOf(0, demand.promptTokens - promptCache.heldTokens(demand.prompt.shared, now))
+        placedRuns[call] = PlacedRun(running + orphaned, tokensRead, demand.tokens)
+        promptCache.onRun(demand.prompt.shared, now)
     }
 
     fun record(
@@ -132,7 +174,8 @@
         wasSilent: Boolean,
         detail: RunDetail = RunDetail.NONE,
     ) {
-        detail.load?.let { reportedLoad = it }
+        detail.load?.let { onReportedLoad(it, now - detail.loadAgeMillis.coerceAtLeast(0).milliseconds) }
+        if (outcome != RunOutcome.NOT_RUN && outcome != RunOutcome.STOPPED) refusals = 0
         when (outcome) {
             RunOutcome.ANSWERED -> {
                 lastEventAt = now
@@ -141,7 +184,7 @@
             }
 
             RunOutcome.NOT_RUN -> {
-                pausedUntil = now + REFUSAL_PAUSE
+                pausedUntil = now + REFUSAL_PAUSE * (1 shl minOf(refusals++, MAX_REFUSAL_DOUBLINGS))
             }
 
             RunOutcome.LOST -> {
@@ -184,6 +227,10 @@
 
         // A server that refuses is full with runs unknown to this coordinator; streams take about 0.7 s.
         val REFUSAL_PAUSE = 100.milliseconds
+        const val MAX_REFUSAL_DOUBLINGS = 2
+
+        // Half of the duration of a stream; later, most of the reported runs have ended.
+        val REPORT_LIFETIME = 300.milliseconds
 
         // A healthy server occasionally loses a single response.
         const val FAILURE_THRESHOLD = 2
--- a/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
@@ -1,15 +1,34 @@
 package org.agatestream.core
 
+import org.agatestream.core.placement.CostModel
+import org.agatestream.core.placement.LeastCost
+import org.agatestream.core.placement.ObservedLoad
+import org.agatestream.core.placement.PlacementDemand
+import org.agatestream.core.placement.PlacementSettings
 import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
 
 /** The backend servers that may get work, with the state of each. */
 internal class ServerPool(
     private val random: Random,
+    private val settings: PlacementSettings = PlacementSettings(),
 ) {
     private val loads = LinkedHashMap<BackendServerId, ServerLoad>()
+    private val byService = HashMap<ServiceId, ServiceServers>()
     private var manifest: Manifest? = null
     private var share = 1.0
 
+    /** The servers of one service. */
+    private class ServiceServers(
+        val costs: CostModel,
+    ) {
+        var loads: List<ServerLoad> = emptyList()
+        var hasSeveralDomains = false
+        var hasFigures = false
+    }
+
     val all: Collection<ServerLoad> get() = loads.values
 
     fun onManifest(manifest: Manifest) {
@@ -28,17 +47,23 @@
             if (load == null) loads[server.entry.id] = ServerLoad(server) else load.server = server
         }
         loads.keys.retainAll(usable.mapTo(HashSet()) { it.entry.id })
+        val grouped = loads.values.groupBy { it.server.entry.service }
+        for (service in byService.keys + grouped.keys) {
+            val servers = byService.getOrPut(service) { ServiceServers(CostModel(settings)) }
+            servers.loads = grouped[service].orEmpty()
+            servers.hasSeveralDomains = servers.loads.distinctBy { it.server.entry.failureDomain }.size > 1
+        }
     }
 
     fun find(id: BackendServerId): ServerLoad? = loads[id]
 
-    fun forService(service: ServiceId): List<ServerLoad> = loads.values.filter { it.server.entry.service == service }
+    fun forService(service: ServiceId): List<ServerLoad> = byService[service]?.loads.orEmpty()
 
     /** Returns the total number of slots of the servers of [service] outside [excluded], free or occupied. */
     fun slots(
         service: ServiceId,
         excluded: Set<BackendServerId> = emptySet(),
-    ): Int = forService(service).filter { it.id !in excluded }.sumOf { it.server.entry.slots }
+    ): Int = forService(service).sumOf { if (it.id in excluded) 0 else it.server.entry.slots }
 
     /** Returns whether a request may start at [load] now. */
     private fun mayStart(
@@ -53,17 +78,33 @@
     ): Boolean = load.acceptsWork(coldRate(load), now)
 
     /**
-     * Returns the server with the most free slots, a slow one only if there is no other; null if none is available.
+     * Returns the server with the least expected cost for [demand]; null if none is available.
      *
-     * Servers in [atRisk] are chosen only if there is no other.
+     * Where nothing distinguishes servers but their load and their first events, this is the one with the most free
+     * slots, a slow one only if there is no other. Servers in [atRisk] are chosen only if there is no other.
      */
     fun choose(
         service: ServiceId,
         excluded: Set<BackendServerId>,
         now: MonotonicTime,
         atRisk: Set<BackendServerId> = emptySet(),
+        demand: PlacementDemand = PlacementDemand.UNKNOWN,
+    ): ServerLoad? {
+        val servers = byService[service] ?: return null
+        if (!servers.hasSeveralDomains && !servers.hasFigures && demand.prompt.shared.isEmpty()) {
+            return chooseMostFree(servers.loads, excluded, now, atRisk)
+        }
+        return chooseLeastCost(servers, excluded + atRisk, now, demand)
+            ?: if (atRisk.isEmpty()) null else chooseLeastCost(servers, excluded, now, demand)
+    }
+
+    private fun chooseMostFree(
+        loads: List<ServerLoad>,
+        excluded: Set<BackendServerId>,
+        now: MonotonicTime,
+        atRisk: Set<BackendServerId>,
     ): ServerLoad? {
-        val available = forService(service).filter { it.id !in excluded && mayStart(it, now) }
+        val available = loads.filter { it.id !in excluded && mayStart(it, now) }
         if (available.isEmpty()) return null
         val median = available.map { it.firstEventMillis }.sorted()[available.size / 2]
         val threshold = maxOf(median * SLOW_FACTOR, MIN_SLOW_MILLIS)
@@ -72,6 +113,68 @@
         )
     }
 
+    private fun chooseLeastCost(
+        servers: ServiceServers,
+        excluded: Set<BackendServerId>,
+        now: MonotonicTime,
+        demand: PlacementDemand,
+    ): ServerLoad? {
+        val best = LeastCost<ServerLoad>(random, spread())
+        for (load in servers.loads) {
+            if (load.id in excluded || !mayStart(load, now)) continue
+            best.offer(load, costMillis(servers.costs, load, demand, now))
+        }
+        return best.choice()
+    }
+
+    /** Returns the expected cost of a run with [demand] at [load], in milliseconds. */
+    private fun costMillis(
+        costs: CostModel,
+        load: ServerLoad,
+        demand: PlacementDemand,
+        now: MonotonicTime,
+    ): Double {
+        val tokensRead = maxOf(0, demand.promptTokens - load.promptCache.heldTokens(demand.prompt.shared, now))
+        val running = load.occupancy(now) + 1
+        val factor = load.speed.factor(now)
+        return costs.firstEventMillis(running, tokensRead, factor) + costs.crowdingMillis(running, factor) +
+            costs.wayMillis(demand, load.server.entry.failureDomain)
+    }
+
+    /**
+     * Returns the relative difference in cost within which servers count as equally good.
+     *
+     * A VM without coordinator does not know what others send; all of them would choose the server that looks best.
+     */
+    private fun spread(): Double = if (share < SPREAD_BELOW_SHARE) UNCOORDINATED_SPREAD else 0.0
+
+    /** Applies a load that a server reported to a VM. */
+    fun onReportedLoad(
+        observed: ObservedLoad,
+        now: MonotonicTime,
+    ) {
+        val load = loads[observed.server] ?: return
+        if (observed.load.durationPercent != null) byService[load.server.entry.service]?.hasFigures = true
+        load.onReportedLoad(observed.load, now - observed.ageMillis.coerceAtLeast(0).milliseconds)
+    }
+
+    /** Records the end of the run [call] at [load], before it is removed. */
+    fun onRunEnding(
+        load: ServerLoad,
+        call: CallId,
+        firstEvent: Duration?,
+        now: MonotonicTime,
+        detail: RunDetail,
+    ) {
+        val servers = byService[load.server.entry.service] ?: return
+        val percent = detail.load?.durationPercent
+        if (percent != null) servers.hasFigures = true
+        val run = load.placedRun(call) ?: return
+        val millis = firstEvent?.toDouble(DurationUnit.MILLISECONDS) ?: return
+        val shown = servers.costs.onFirstEvent(run, millis, load.speed.factor(now))
+        load.speed.onObserved(shown, percent, now)
+    }
+
     /** Returns the server with the fewest runs; null if none is available. */
     fun chooseIdlest(
         service: ServiceId,
@@ -95,5 +198,9 @@
 
         // The first event normally arrives after 60 to 90 ms.
         const val MIN_SLOW_MILLIS = 120.0
+
+        // A coordinator is followed by nearly all VMs; a VM on its own has the share of one.
+        const val SPREAD_BELOW_SHARE = 0.25
+        const val UNCOORDINATED_SPREAD = 0.5
     }
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/agatestream/core/placement/PlacementDemand.kt
@@ -0,0 +1,34 @@
+package org.agatestream.core.placement
+
+import org.agatestream.core.FailureDomainId
+import kotlin.time.Duration
+
+/** What the choice of a server for a run depends on. */
+internal class PlacementDemand(
+    /** The failure domain of the VM that carries out the run; null if it is not known. */
+    val origin: FailureDomainId? = null,
+    val prompt: PromptShape = PromptShape.UNKNOWN,
+    /** The time left until the first event is due; null if none is due. */
+    val firstEventDueIn: Duration? = null,
+) {
+    /** The tokens of the prompt; 0 if not known. */
+    val promptTokens: Int = maxOf(prompt.promptTokens, prompt.shared.sumOf { it.tokens })
+
+    /** The tokens that the run is expected to occupy in the memory of its server; 0 if not known. */
+    val tokens: Int get() = promptTokens + prompt.outputTokens
+
+    companion object {
+        /** A run about which nothing is known. */
+        val UNKNOWN = PlacementDemand()
+    }
+}
+
+/** What a server had to do for a run when the run started there. */
+internal class PlacedRun(
+    /** The number of runs at the server, this one included. */
+    val running: Int,
+    /** The prompt tokens that the server presumably did not have cached. */
+    val tokensRead: Int,
+    /** The tokens that the run is expected to occupy. */
+    val tokens: Int,
+)
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -251,6 +251,7 @@
         }
         updateFollowers()
         if (report.operatorVersion > view.operatorVersion) refreshManifest()
+        dispatcher.onServerLoads(report.loads, now)
         execute(dispatcher.onReport(from, report.running, report.unlisted, now))
         val snapshot =
             if (report.isStoreReachable) null else view.snapshotSince(report.operatorVersion, report.serverVersion)
--- a/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
@@ -18,6 +18,7 @@
 import org.agatestream.core.ServiceId
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
+import org.agatestream.core.placement.ObservedLoad
 import org.agatestream.core.placement.PromptShape
 
 /** Requests a slot from the coordinator; durations count from the receipt of the message. */
@@ -175,6 +176,8 @@
     /** The version of the list of live VMs that this VM has from this coordinator; 0 if it has none. */
     val liveVersion: Long,
     val parts: PartReport = PartReport.NONE,
+    /** The loads that servers reported to this VM since its last report. */
+    val loads: List<ObservedLoad> = emptyList(),
 ) : PeerRequest
 
 /** The coordinator's response to a [StatusReport]. */
--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -148,7 +148,7 @@
         try {
             earlierRuns.forEach { it.job.cancelAndJoin() }
             val startedAt = MonotonicTime.now()
-            observer = RunObserver(startedAt)
+            observer = RunObserver(startedAt) { load, now -> slots.onReportedLoad(request.server, load, now) }
             slots.onSent(request.number, startedAt)
             end = exchange(request, observer) { slots.onFirstEvent(request.number, it) }
             outcome = end.outcome
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -265,6 +265,7 @@
             serverVersion = view.serverVersion,
             liveVersion = membership.liveVersion,
             parts = parts.report(MonotonicTime.now()),
+            loads = slots.takeReportedLoads(MonotonicTime.now()),
         )
 
     private fun sendItemReport(report: ItemReport) {
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -172,7 +172,7 @@
         private suspend fun attempt(slot: Slot): Attempt {
             val sentAt = MonotonicTime.now()
             var outcome = RunOutcome.STOPPED
-            val observer = RunObserver(sentAt)
+            val observer = RunObserver(sentAt) { load, now -> slots.onReportedLoad(slot.server.id, load, now) }
             if (isStream) slots.onSent(slot.number, sentAt)
             try {
                 val timeLeft = arrivedAt + callerTimeout - sentAt
--- a/server/src/main/kotlin/org/agatestream/server/RunObserver.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RunObserver.kt
@@ -2,6 +2,7 @@
 
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.RunDetail
+import org.agatestream.core.placement.ReportedLoad
 import org.agatestream.platform.BackendReply
 import org.agatestream.platform.ServerReport
 import kotlin.time.Duration
@@ -9,6 +10,7 @@
 /** Collects what a VM sees of one run, for the release of its slot. */
 internal class RunObserver(
     private val sentAt: MonotonicTime,
+    private val onLoad: (ReportedLoad, MonotonicTime) -> Unit = { _, _ -> },
 ) {
     private var report: ServerReport? = null
     private var reportedAt = sentAt
@@ -29,6 +31,7 @@
         if (reply is BackendReply.Unproven) return
         this.report = report
         reportedAt = now
+        report.load?.let { onLoad(it, now) }
         if (reply is BackendReply.Ran && reply.status >= FIRST_SERVER_ERROR) isServerError = true
     }
 
--- a/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
+++ b/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
@@ -21,7 +21,9 @@
 import org.agatestream.core.ServiceId
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
+import org.agatestream.core.placement.ObservedLoad
 import org.agatestream.core.placement.PromptShape
+import org.agatestream.core.placement.ReportedLoad
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -88,6 +90,7 @@
 
     // Run number to the time when it was sent, for runs without a first event.
     private val awaitingFirstEvent = HashMap<Long, MonotonicTime>()
+    private val loads = ReportedLoads()
     private val localDispatcher = Dispatcher(nextNumber = 0, suspects = parts.suspects)
     private var nextNumber = 1L
 
@@ -105,6 +108,19 @@
         if (number in runs) awaitingFirstEvent[number] = now
     }
 
+    /** Records the load that [server] reported. */
+    fun onReportedLoad(
+        server: BackendServerId,
+        load: ReportedLoad,
+        now: MonotonicTime,
+    ) {
+        loads.add(server, load, now)
+        localDispatcher.onServerLoads(listOf(ObservedLoad(server, load, ageMillis = 0)), now)
+    }
+
+    /** Returns the loads that servers reported since the last call, for the coordinator. */
+    fun takeReportedLoads(now: MonotonicTime): List<ObservedLoad> = loads.take(now)
+
     /** Records the first event of a run. */
     fun onFirstEvent(
         number: Long,
