--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -7,6 +7,8 @@
 import org.agatestream.core.fairness.RunWork
 import org.agatestream.core.fairness.WaitingQueues
 import org.agatestream.core.fairness.WaitingRequest
+import org.agatestream.core.placement.ObservedLoad
+import org.agatestream.core.placement.PlacementDemand
 import org.agatestream.core.placement.PromptShape
 import kotlin.math.ceil
 import kotlin.random.Random
@@ -161,6 +163,7 @@
         }
         val load = servers.find(held.server) ?: return schedule(now)
         val wasSilent = load.isSilent(call)
+        servers.onRunEnding(load, call, firstEvent, now, detail)
         load.remove(call)
         // A server that is leaving may end runs or refuse them on purpose.
         if (!detail.isServerLeaving) load.record(outcome, firstEvent, now, wasSilent, detail)
@@ -181,6 +184,14 @@
         if (outcome == RunOutcome.NOT_RUN) observedOf(held.service, now).onTurnedAway(now)
     }
 
+    /** Applies loads that servers reported to VMs. */
+    public fun onServerLoads(
+        loads: List<ObservedLoad>,
+        now: MonotonicTime,
+    ) {
+        loads.forEach { servers.onReportedLoad(it, now) }
+    }
+
     /** Applies the outcome of an item's run; its slot is freed by a separate [release]. */
     public fun onItem(
         ref: ItemRef,
@@ -430,7 +441,13 @@
         actions: MutableList<DispatchAction>,
     ): ServerLoad? {
         if (suspects.judge(request.parts, now) is PromptVerdict.Clear) {
-            return servers.choose(request.service, request.excluded, now, isolation.servers(now))
+            return servers.choose(
+                request.service,
+                request.excluded,
+                now,
+                isolation.servers(now),
+                demandOf(request, now),
+            )
                 ?: preemptItem(request, now, actions)
         }
         if (isolation.mustWait(request.parts, now)) return null
@@ -575,9 +592,16 @@
     ) {
         val work = RunWork.of(request?.prompt ?: PromptShape.UNKNOWN)
         heldSlots.add(call, HeldSlot(load.id, load.server.entry.service, now, isItem, work, request))
-        load.onStarted(call, isItem, now)
+        val demand = request?.let { demandOf(it, now) } ?: PlacementDemand.UNKNOWN
+        load.onStarted(call, isItem, now, demand)
     }
 
+    private fun demandOf(
+        request: PlaceRequest,
+        now: MonotonicTime,
+    ): PlacementDemand =
+        PlacementDemand(request.origin, request.prompt, request.latestStart + FIRST_EVENT_RESERVE - now)
+
     private fun applyReportedRun(
         vm: VmId,
         running: RunningCall,
@@ -644,6 +668,9 @@
         const val VMS_PER_JOB = 3
         val NO_SERVER_RETRY_AFTER = 1.seconds
 
+        // VMs set the latest start of a request this long before its first event is due.
+        val FIRST_EVENT_RESERVE = 150.milliseconds
+
         /** The age from which a run missing from its VM's report counts as ended. */
         val MAX_REPORT_DELAY = 700.milliseconds
         val EARLY_RELEASE_RETENTION = 10.seconds
--- a/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
@@ -18,6 +18,7 @@
 import org.agatestream.core.ServiceId
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
+import org.agatestream.core.placement.ObservedLoad
 import org.agatestream.core.placement.PromptShape
 
 /** Requests a slot from the coordinator; durations count from the receipt of the message. */
@@ -176,6 +177,8 @@
     val liveVersion: Long,
     val parts: PartReport = PartReport.NONE,
     val leaving: LeavingReport = LeavingReport.NONE,
+    /** The loads that servers reported to this VM since its last report. */
+    val loads: List<ObservedLoad> = emptyList(),
 ) : PeerRequest
 
 /** The coordinator's response to a [StatusReport]. */
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -280,6 +280,7 @@
             liveVersion = membership.liveVersion,
             parts = parts.report(MonotonicTime.now()),
             leaving = leaving.report(MonotonicTime.now()),
+            loads = slots.takeReportedLoads(MonotonicTime.now()),
         )
 
     private fun sendItemReport(report: ItemReport) {
