Never place more tokens at a server than its memory holds

Cause: slots were the only limit. A server ends when its requests exceed its memory (101,495 tokens for 8 slots), while prompts of one service differ in size by a factor of 40, so eight long ones exceed it.

A run counts with its prompt and expected output; runs reported by VMs, and those of silent VMs, count too. One larger than the memory is refused at once with prompt_refused, which says not run and not to be repeated. An item is stopped for a request that lacks memory only if that makes room.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatch.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatch.kt
@@ -96,6 +96,8 @@
     val silentMillis: Long? = null,
     /** The prompt parts that other requests may share, in order. */
     val parts: List<PromptPart> = emptyList(),
+    /** The tokens that the run is expected to occupy at its server; 0 if not known. */
+    val tokens: Int = 0,
 )
 
 /** Why a coordinator restricts the work that it assigns to a server. */
--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -274,6 +274,9 @@
         if (suspects.judge(request.parts, now) is PromptVerdict.Condemned) {
             return DispatchAction.Refuse(request.call, ErrorKind.PROMPT_REFUSED, Duration.ZERO)
         }
+        if (servers.isTooLarge(request.service, demandOf(request, now))) {
+            return DispatchAction.Refuse(request.call, ErrorKind.PROMPT_REFUSED, Duration.ZERO)
+        }
         if (servers.slots(request.service, request.excluded) == 0) {
             return DispatchAction.Refuse(request.call, ErrorKind.NO_CAPACITY, NO_SERVER_RETRY_AFTER)
         }
@@ -333,7 +336,7 @@
 
                     is PromptVerdict.Suspected -> {
                         if (isolation.mustWait(request.parts, now)) continue
-                        servers.chooseIdlest(service, request.excluded + isolation.servers(now), now)
+                        servers.chooseIdlest(service, request.excluded + isolation.servers(now), now, demand)
                     }
 
                     is PromptVerdict.Condemned -> {
@@ -360,11 +363,13 @@
         now: MonotonicTime,
         actions: MutableList<DispatchAction>,
     ): ServerLoad? {
+        val demand = demandOf(request, now)
         val candidates =
             servers
                 .forService(request.service)
                 .filter { it.id !in request.excluded && servers.acceptsWork(it, now) }
                 .flatMap { load -> load.stoppableItems().map { load to it } }
+                .filter { (load, call) -> servers.fitsWithout(call, load, demand) }
         val order =
             compareBy<Pair<ServerLoad, CallId>>(
                 { (load, _) -> load.free >= 0 },
@@ -375,7 +380,7 @@
         val (load, call) = candidates.maxWithOrNull(order) ?: return null
         actions += stopItem(call, "online_request")
         // A server with more runs than slots has no room yet.
-        return load.takeIf { it.free > 0 }
+        return load.takeIf { it.free > 0 && servers.fits(it, demand) }
     }
 
     private fun startItems(
@@ -476,7 +481,10 @@
         if (running.hasBegun) isolation.onBegun(call, now)
         // The job may have been loaded after the run was first reported.
         running.item?.let { jobs.onReported(it, call, now) }
-        servers.find(running.server)?.onRunReport(running, call, now)
+        servers.find(running.server)?.let {
+            it.onRunReport(running, call, now)
+            it.onTokens(call, running.tokens)
+        }
     }
 
     private fun stopItem(
--- a/core/src/main/kotlin/org/agatestream/core/Manifest.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Manifest.kt
@@ -89,6 +89,8 @@
     val id: ServiceId,
     /** The maximum requests per second to a cold backend server; 0 for no limit. */
     val coldRatePerSecond: Double,
+    /** The tokens that a backend server holds in memory; it ends if its requests exceed them. Null if not known. */
+    val memoryTokens: Int? = null,
 )
 
 /** A workspace of the manifest with its keys and its fleet-wide rate limit. */
--- a/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
@@ -25,8 +25,13 @@
     val itemRuns: MutableSet<CallId> = LinkedHashSet()
     private val stopping = HashSet<CallId>()
 
+    private class Orphan(
+        val until: MonotonicTime,
+        val tokens: Int,
+    )
+
     // Runs of unresponsive VMs, which the server continues, with their expected end.
-    private val orphans = HashMap<CallId, MonotonicTime>()
+    private val orphans = HashMap<CallId, Orphan>()
     private val placedRuns = HashMap<CallId, PlacedRun>()
     private val coldStarts = ArrayDeque<MonotonicTime>()
     private var pausedUntil = MonotonicTime.ZERO
@@ -52,6 +57,10 @@
     val speed = ServerSpeed()
     val promptCache = PromptCache()
 
+    /** The tokens that runs occupy, as far as known. */
+    var tokensInUse: Long = 0
+        private set
+
     val running: Int get() = onlineRuns.size + itemRuns.size
 
     /** The number of slots occupied by runs of unresponsive VMs. */
@@ -68,6 +77,9 @@
                 else -> null
             }
 
+    /** True while an item that was told to stop still runs. */
+    val isStoppingItems: Boolean get() = stopping.isNotEmpty()
+
     fun stoppableItems(): List<CallId> = itemRuns.filter { it !in stopping }
 
     fun markStopping(call: CallId) {
@@ -109,11 +121,21 @@
         return maxOf(known, report.running + report.waiting)
     }
 
+    /** Records the tokens of a run whose size was not known when it started. */
+    fun onTokens(
+        call: CallId,
+        tokens: Int,
+    ) {
+        val run = placedRuns[call]?.takeIf { it.tokens == 0 } ?: return
+        run.tokens = tokens
+        tokensInUse += tokens
+    }
+
     /** Returns what the server had to do for [call] when it started; null if the run is not known. */
     fun placedRun(call: CallId): PlacedRun? = placedRuns[call]
 
     fun remove(call: CallId) {
-        placedRuns -= call
+        placedRuns.remove(call)?.let { tokensInUse -= it.tokens }
         silentRuns -= call
         startedRuns -= call
         stopping -= call
@@ -127,18 +149,31 @@
         call: CallId,
         until: MonotonicTime,
     ) {
+        val tokens = placedRuns[call]?.tokens ?: 0
         remove(call)
-        orphans[call] = until
+        orphans[call] = Orphan(until, tokens)
+        tokensInUse += tokens
     }
 
     /** Frees the slots of all orphaned runs of [vm]. */
     fun dropOrphans(vm: VmId) {
-        orphans.keys.removeAll { it.vm == vm }
+        dropOrphans { call, _ -> call.vm == vm }
     }
 
     /** Frees the slots of orphaned runs whose expected end is at or before [now]. */
     fun expireOrphans(now: MonotonicTime) {
-        orphans.values.removeAll { now >= it }
+        dropOrphans { _, orphan -> now >= orphan.until }
+    }
+
+    private inline fun dropOrphans(isDropped: (CallId, Orphan) -> Boolean) {
+        if (orphans.isEmpty()) return
+        val all = orphans.iterator()
+        while (all.hasNext()) {
+            val (call, orphan) = all.next()
+            if (!isDropped(call, orphan)) continue
+            tokensInUse -= orphan.tokens
+            all.remove()
+        }
     }
 
     /** Returns whether a request may start now if a slot is free; [coldRate] limits the requests per second if cold. */
@@ -164,6 +199,7 @@
         if (isProbing) probe = call
         val tokensRead = maxOf(0, demand.promptTokens - promptCache.heldTokens(demand.prompt.shared, now))
         placedRuns[call] = PlacedRun(running + orphaned, tokensRead, demand.tokens)
+        tokensInUse += demand.tokens
         promptCache.onRun(demand.prompt.shared, now)
     }
 
--- a/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
@@ -5,6 +5,7 @@
 import org.agatestream.core.placement.ObservedLoad
 import org.agatestream.core.placement.PlacementDemand
 import org.agatestream.core.placement.PlacementSettings
+import org.agatestream.core.placement.TokenCapacity
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -65,11 +66,42 @@
         excluded: Set<BackendServerId> = emptySet(),
     ): Int = forService(service).sumOf { if (it.id in excluded) 0 else it.server.entry.slots }
 
-    /** Returns whether a request may start at [load] now. */
+    /** Returns whether a run with [demand] may start at [load] now. */
     private fun mayStart(
         load: ServerLoad,
+        demand: PlacementDemand,
         now: MonotonicTime,
-    ): Boolean = load.free > 0 && acceptsWork(load, now)
+    ): Boolean = load.free > 0 && fits(load, demand) && acceptsWork(load, now)
+
+    /** Returns whether a run with [demand] fits in the memory of [load] beside the runs there. */
+    fun fits(
+        load: ServerLoad,
+        demand: PlacementDemand,
+    ): Boolean = TokenCapacity.fits(demand.tokens, load.tokensInUse, memoryTokens(load.server.entry.service))
+
+    /**
+     * Returns whether a run with [demand] fits in the memory of [load] once [item] has ended.
+     *
+     * While other items are being stopped there, none more is stopped for its memory.
+     */
+    fun fitsWithout(
+        item: CallId,
+        load: ServerLoad,
+        demand: PlacementDemand,
+    ): Boolean {
+        if (fits(load, demand)) return true
+        val freed = load.placedRun(item)?.tokens ?: 0
+        val memory = memoryTokens(load.server.entry.service)
+        return !load.isStoppingItems && TokenCapacity.fits(demand.tokens, load.tokensInUse - freed, memory)
+    }
+
+    /** Returns whether a run with [demand] fits in the memory of no server of [service]. */
+    fun isTooLarge(
+        service: ServiceId,
+        demand: PlacementDemand,
+    ): Boolean = TokenCapacity.exceeds(demand.tokens, memoryTokens(service))
+
+    private fun memoryTokens(service: ServiceId): Int? = manifest?.services?.get(service)?.memoryTokens
 
     /** Returns whether a request may start at [load] now, apart from free slots. */
     fun acceptsWork(
@@ -92,7 +124,7 @@
     ): ServerLoad? {
         val servers = byService[service] ?: return null
         if (!servers.hasSeveralDomains && !servers.hasFigures && demand.prompt.shared.isEmpty()) {
-            return chooseMostFree(servers.loads, excluded, now, atRisk)
+            return chooseMostFree(servers.loads, excluded, now, atRisk, demand)
         }
         return chooseLeastCost(servers, excluded + atRisk, now, demand)
             ?: if (atRisk.isEmpty()) null else chooseLeastCost(servers, excluded, now, demand)
@@ -103,8 +135,9 @@
         excluded: Set<BackendServerId>,
         now: MonotonicTime,
         atRisk: Set<BackendServerId>,
+        demand: PlacementDemand,
     ): ServerLoad? {
-        val available = loads.filter { it.id !in excluded && mayStart(it, now) }
+        val available = loads.filter { it.id !in excluded && mayStart(it, demand, now) }
         if (available.isEmpty()) return null
         val median = available.map { it.firstEventMillis }.sorted()[available.size / 2]
         val threshold = maxOf(median * SLOW_FACTOR, MIN_SLOW_MILLIS)
@@ -121,7 +154,7 @@
     ): ServerLoad? {
         val best = LeastCost<ServerLoad>(random, spread())
         for (load in servers.loads) {
-            if (load.id in excluded || !mayStart(load, now)) continue
+            if (load.id in excluded || !mayStart(load, demand, now)) continue
             best.offer(load, costMillis(servers.costs, load, demand, now))
         }
         return best.choice()
@@ -180,9 +213,10 @@
         service: ServiceId,
         excluded: Set<BackendServerId>,
         now: MonotonicTime,
+        demand: PlacementDemand = PlacementDemand.UNKNOWN,
     ): ServerLoad? =
         forService(service)
-            .filter { it.id !in excluded && mayStart(it, now) }
+            .filter { it.id !in excluded && mayStart(it, demand, now) }
             .shuffled(random)
             .minByOrNull { it.running }
 
--- a/core/src/main/kotlin/org/agatestream/core/placement/PlacementDemand.kt
+++ b/core/src/main/kotlin/org/agatestream/core/placement/PlacementDemand.kt
@@ -12,10 +12,10 @@
     val firstEventDueIn: Duration? = null,
 ) {
     /** The tokens of the prompt; 0 if not known. */
-    val promptTokens: Int = maxOf(prompt.promptTokens, prompt.shared.sumOf { it.tokens })
+    val promptTokens: Int = prompt.knownPromptTokens
 
     /** The tokens that the run is expected to occupy in the memory of its server; 0 if not known. */
-    val tokens: Int get() = promptTokens + prompt.outputTokens
+    val tokens: Int get() = prompt.totalTokens
 
     companion object {
         /** A run about which nothing is known. */
@@ -29,6 +29,6 @@
     val running: Int,
     /** The prompt tokens that the server presumably did not have cached. */
     val tokensRead: Int,
-    /** The tokens that the run is expected to occupy. */
-    val tokens: Int,
+    /** The tokens that the run is expected to occupy; 0 if not known. */
+    var tokens: Int,
 )
--- a/core/src/main/kotlin/org/agatestream/core/placement/PromptShape.kt
+++ b/core/src/main/kotlin/org/agatestream/core/placement/PromptShape.kt
@@ -13,6 +13,12 @@
     /** The tokens that the answer is expected to have. */
     val outputTokens: Int = 0,
 ) {
+    /** The tokens of the prompt; at least those of its shared parts. */
+    val knownPromptTokens: Int get() = maxOf(promptTokens, shared.sumOf { it.tokens })
+
+    /** The tokens that a run is expected to occupy in the memory of its server; 0 if not known. */
+    val totalTokens: Int get() = knownPromptTokens + outputTokens
+
     public companion object {
         /** The shape of a request that says nothing about its prompt. */
         public val UNKNOWN: PromptShape = PromptShape()
--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -255,7 +255,7 @@
         val shared = PromptHeader.sharedParts(call.headers)
         val sentAt = MonotonicTime.now()
         if (parts.judge(shared, sentAt) is PromptVerdict.Condemned) return ItemEnd.Withheld
-        slots.onItemParts(request.number, shared)
+        slots.onItemParts(request.number, shared, PromptHeader.shape(call.headers).totalTokens)
         output.progress.startRun()
         val spec = BackendProtocol.request(call, server.id, server.address, RUN_TIMEOUT, output.lastEvent)
         var answered: HttpClientResponse? = null
--- a/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
+++ b/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
@@ -141,12 +141,13 @@
         runs[number]?.let { parts.onLost(it, server, sentAt) }
     }
 
-    /** Records the prompt parts of an item's run. */
+    /** Records the prompt parts of an item's run and the tokens that it is expected to occupy. */
     fun onItemParts(
         number: Long,
         shared: List<PromptPart>,
+        tokens: Int,
     ) {
-        runs.computeIfPresent(number) { _, call -> call.copy(parts = shared) }
+        runs.computeIfPresent(number) { _, call -> call.copy(parts = shared, tokens = tokens) }
     }
 
     /** Applies a change of the manifest or of the servers to the local dispatcher. */
@@ -188,7 +189,13 @@
                     meteredWorkspace = null
                     val server = view.registry.usable(decision.server)?.entry
                     if (server != null && server.service == requirements.service) {
-                        runs[number] = RunningCall(number, server.id, parts = requirements.parts)
+                        runs[number] =
+                            RunningCall(
+                                number,
+                                server.id,
+                                parts = requirements.parts,
+                                tokens = requirements.prompt.totalTokens,
+                            )
                         return Placement.Granted(Slot(number, server, coordinator, decided.decidedBy))
                     }
                     // This VM and the coordinator disagree on the server, as one has older data; it must not be used.
