Offer the slots that requests may use now, weighted by speed

Cause: the expected wait counts all slots, also those of excluded, silent and refusing servers, and counts a slot of a slow server like any other.

Change: ServerPool.usableSlots sums the slots of servers that accept work, without those of silent VMs' runs, each divided by the relative duration of work there (only where servers report it or stand in several domains). The dispatcher does not use it yet.

--- a/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
@@ -28,6 +28,9 @@
         var loads: List<ServerLoad> = emptyList()
         var hasSeveralDomains = false
         var hasFigures = false
+
+        /** True if more than the load of servers tells them apart. */
+        val hasDistinctions: Boolean get() = hasSeveralDomains || hasFigures
     }
 
     val all: Collection<ServerLoad> get() = loads.values
@@ -66,6 +69,27 @@
         excluded: Set<BackendServerId> = emptySet(),
     ): Int = forService(service).sumOf { if (it.id in excluded) 0 else it.server.entry.slots }
 
+    /**
+     * Returns the slots of [service] that requests may use now, free or occupied, weighted by the speed of their server.
+     *
+     * A server whose work takes twice as long as that of a usual one counts half. Servers outside [excluded] count
+     * that accept work; slots of silent VMs' runs don't.
+     */
+    fun usableSlots(
+        service: ServiceId,
+        excluded: Set<BackendServerId>,
+        now: MonotonicTime,
+    ): Double {
+        val servers = byService[service] ?: return 0.0
+        var sum = 0.0
+        for (load in servers.loads) {
+            if (load.id in excluded || !acceptsWork(load, now)) continue
+            val slots = maxOf(0, load.server.entry.slots - load.orphaned)
+            sum += if (servers.hasDistinctions) slots / load.speed.factor(now) else slots.toDouble()
+        }
+        return sum
+    }
+
     /** Returns whether a run with [demand] may start at [load] now. */
     private fun mayStart(
         load: ServerLoad,
@@ -123,7 +147,7 @@
         demand: PlacementDemand = PlacementDemand.UNKNOWN,
     ): ServerLoad? {
         val servers = byService[service] ?: return null
-        if (!servers.hasSeveralDomains && !servers.hasFigures && demand.prompt.shared.isEmpty()) {
+        if (!servers.hasDistinctions && demand.prompt.shared.isEmpty()) {
             return chooseMostFree(servers.loads, excluded, now, atRisk, demand)
         }
         return chooseLeastCost(servers, excluded + atRisk, now, demand)
