--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -314,6 +314,10 @@
         if (suspects.judge(request.parts, now) is PromptVerdict.Condemned) {
             return DispatchAction.Refuse(request.call, ErrorKind.PROMPT_REFUSED, Duration.ZERO)
         }
+        // Servers refuse a request that is larger than their memory as if they were full.
+        if (servers.isTooLarge(request.service, demandOf(request, now))) {
+            return DispatchAction.Refuse(request.call, ErrorKind.NO_CAPACITY, NO_SERVER_RETRY_AFTER)
+        }
         if (slotCounts.total(request.service, request.excluded) == 0) {
             return DispatchAction.Refuse(request.call, ErrorKind.NO_CAPACITY, NO_SERVER_RETRY_AFTER)
         }
@@ -451,7 +455,7 @@
                 ?: preemptItem(request, now, actions)
         }
         if (isolation.mustWait(request.parts, now)) return null
-        return servers.chooseIdlest(request.service, request.excluded + isolation.servers(now), now)
+        return servers.chooseIdlest(request.service, request.excluded + isolation.servers(now), now, demandOf(request, now))
     }
 
     /** Returns whether a server may be available to other requests although there is none for [request]. */
@@ -489,6 +493,7 @@
         now: MonotonicTime,
         actions: MutableList<DispatchAction>,
     ): ServerLoad? {
+        val demand = demandOf(request, now)
         val items = heldSlots.itemsOf(request.service)
         if (items.isEmpty()) return null
         val candidates =
@@ -496,7 +501,7 @@
                 .mapNotNull { call -> heldSlots[call]?.let { servers.find(it.server) }?.let { it to call } }
                 .filter { (load, call) ->
                     load.isStoppable(call) && load.id !in request.excluded && servers.acceptsWork(load, now)
-                }
+                }.filter { (load, call) -> servers.fitsWithout(call, load, demand) }
         val order =
             compareBy<Pair<ServerLoad, CallId>>(
                 { (load, _) -> load.free >= 0 },
@@ -507,7 +512,7 @@
         val (load, call) = candidates.maxWithOrNull(order) ?: return null
         actions += stopItem(call, "online_request")
         // A server with more runs than slots has no room yet.
-        return load.takeIf { it.free > 0 }
+        return load.takeIf { it.free > 0 && servers.fits(it, demand) }
     }
 
     private fun startItems(
@@ -619,7 +624,10 @@
         if (running.hasBegun) isolation.onBegun(call, now)
         // The job may have been loaded after the run was first reported.
         running.item?.let { jobs.onReported(it, call, now) }
-        servers.find(running.server)?.onRunReport(running, call, now)
+        servers.find(running.server)?.let {
+            it.onRunReport(running, call, now)
+            it.onTokens(call, running.tokens)
+        }
     }
 
     private fun stopItem(
