--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -565,6 +565,7 @@
         now: MonotonicTime,
         request: PlaceRequest? = null,
     ) {
+        removeHeld(call)
         val work = RunWork.of(request?.prompt ?: PromptShape.UNKNOWN)
         heldSlots.add(call, HeldSlot(load.id, load.server.entry.service, now, isItem, work, request))
         load.onStarted(call, isItem, now)
--- a/core/src/main/kotlin/org/agatestream/core/HeldSlots.kt
+++ b/core/src/main/kotlin/org/agatestream/core/HeldSlots.kt
@@ -31,11 +31,11 @@
     /** Returns the runs of items at servers of [service]. */
     fun itemsOf(service: ServiceId): Set<CallId> = itemsByService[service].orEmpty()
 
+    /** Adds the slot of a run that holds none. */
     fun add(
         call: CallId,
         slot: HeldSlot,
     ) {
-        remove(call)
         slots[call] = slot
         byVm.getOrPut(call.vm) { LinkedHashSet() } += call
         if (slot.isItem) itemsByService.getOrPut(slot.service) { LinkedHashSet() } += call
