--- a/standins/src/test/kotlin/org/agatestream/standin/LeavingServerTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/LeavingServerTest.kt
@@ -5,7 +5,6 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.ints.shouldBeGreaterThan
-import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import kotlinx.coroutines.async
@@ -105,7 +104,7 @@
         }
 
         for (fault in UNPROVEN) {
-            test("an answer that is not the server's own takes it not out of use: $fault") {
+            test("an answer that is not the server's own does not take it out of use: $fault") {
                 withServers { fleet ->
                     val server = fleet.servers.first()
                     eventually(FLEET_TIMEOUT) {
@@ -180,6 +179,19 @@
             }
         }
 
+        test("without a store and a coordinator, the VM that heard it and all others keep away from the server") {
+            withServers(names = listOf("a", "b", "c"), stopped = 1) { fleet ->
+                fleet.store.isDown = true
+                delay(2.seconds)
+                fleet.vms[0].stop()
+                fleet.sendUntilHeard(1)
+                fleet.spread(listOf(1)).first shouldBe 0
+                delay(SPREAD_TIME)
+                fleet.spread(listOf(1, 2)).first shouldBe 0
+                fleet.store.isDown = false
+            }
+        }
+
         test("a VM that starts later keeps away from the server") {
             PlatformFleet(listOf("a", "b"), servers = List(2) { PlatformServerStandIn("i-$it") }).use { fleet ->
                 fleet.start(lateVms = 1)
