Switch fair shares and the comparison of servers by configuration

The settings pass on which parts of the platform's rules are in force; where hosts are shared, workspaces share the slots and servers are compared by speed, prompt parts, memory and failure domain. Elsewhere rank, arrival and free slots decide.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -30,15 +30,16 @@
     random: Random = Random.Default,
     /** What this VM knows about prompt parts that end servers. */
     private val suspects: CrashSuspects = CrashSuspects(),
+    policy: SchedulingPolicy = SchedulingPolicy(),
 ) {
     private val isolation = SuspectIsolation(suspects)
-    private val servers = ServerPool(random)
+    private val servers = ServerPool(random, comparesServers = policy.comparesServers)
     private val slotCounts = SlotCounts(servers)
-    private val queues = WaitingQueues()
+    private val queues = WaitingQueues(sharesSlots = policy.sharesSlots)
     private val rates = WorkspaceRates()
     private val heldSlots = HeldSlots()
     private val earlyReleases = LinkedHashMap<CallId, MonotonicTime>()
-    private val jobs = JobTracker()
+    private val jobs = JobTracker(policy.sharesSlots)
     private val paces = HashMap<ServiceId, RunPace>()
     private val observed = HashMap<ServiceId, ObservedCapacity>()
     private var judgedVersion = 0L
@@ -455,7 +456,12 @@
                 ?: preemptItem(request, now, actions)
         }
         if (isolation.mustWait(request.parts, now)) return null
-        return servers.chooseIdlest(request.service, request.excluded + isolation.servers(now), now, demandOf(request, now))
+        return servers.chooseIdlest(
+            request.service,
+            request.excluded + isolation.servers(now),
+            now,
+            demandOf(request, now),
+        )
     }
 
     /** Returns whether a server may be available to other requests although there is none for [request]. */
--- a/core/src/main/kotlin/org/agatestream/core/JobTracker.kt
+++ b/core/src/main/kotlin/org/agatestream/core/JobTracker.kt
@@ -29,7 +29,10 @@
 )
 
 /** Tracks the progress of the items of all open jobs. */
-internal class JobTracker {
+internal class JobTracker(
+    /** True if workspaces take turns in starting items. */
+    private val sharesSlots: Boolean = true,
+) {
     private sealed interface Progress {
         /** Starts from [notBefore] on; until then [silentVm], which may still run it, is given time to report. */
         data class Waiting(
@@ -95,6 +98,9 @@
     private val itemsByVm = HashMap<VmId, MutableSet<Item>>()
     private val jobsWithReadyItems = LinkedHashSet<Job>()
     private val shares = ItemShares()
+
+    private fun turnOf(job: Job): WorkspaceId? = job.plan.workspace.takeIf { sharesSlots }
+
     private var meanRunTime: Duration = DEFAULT_ITEM_RUN_TIME
 
     val openJobs: Int get() = jobs.size
@@ -193,7 +199,7 @@
         val order =
             compareBy<Item>(
                 { !canMeetDeadline(it, now) },
-                { shares.pass(it.job.plan.workspace) },
+                { shares.pass(turnOf(it.job)) },
                 { remainingSteps(it, now) },
                 { it.job.plan.lifetime.deadline },
             )
@@ -268,7 +274,7 @@
     ) {
         val item = item(ref) ?: return
         if (item.progress == Progress.Done) return
-        shares.onStarted(item.job.plan.workspace, remainingTime(item, now) / maxOf(meanRunTime, MIN_REMAINING_TIME))
+        shares.onStarted(turnOf(item.job), remainingTime(item, now) / maxOf(meanRunTime, MIN_REMAINING_TIME))
         track(item, call, now)
     }
 
--- a/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
@@ -15,6 +15,8 @@
 internal class ServerPool(
     private val random: Random,
     private val settings: PlacementSettings = PlacementSettings(),
+    /** True if servers are compared by more than their load and their first events. */
+    private val comparesServers: Boolean = true,
 ) {
     private val loads = LinkedHashMap<BackendServerId, ServerLoad>()
     private val byService = HashMap<ServiceId, ServiceServers>()
@@ -55,7 +57,8 @@
         for (service in byService.keys + grouped.keys) {
             val servers = byService.getOrPut(service) { ServiceServers(CostModel(settings)) }
             servers.loads = grouped[service].orEmpty()
-            servers.hasSeveralDomains = servers.loads.distinctBy { it.server.entry.failureDomain }.size > 1
+            servers.hasSeveralDomains =
+                comparesServers && servers.loads.distinctBy { it.server.entry.failureDomain }.size > 1
         }
     }
 
@@ -125,7 +128,8 @@
         demand: PlacementDemand,
     ): Boolean = TokenCapacity.exceeds(demand.tokens, memoryTokens(service))
 
-    private fun memoryTokens(service: ServiceId): Int? = manifest?.services?.get(service)?.memoryTokens
+    private fun memoryTokens(service: ServiceId): Int? =
+        if (comparesServers) manifest?.services?.get(service)?.memoryTokens else null
 
     /** Returns whether a request may start at [load] now, apart from free slots. */
     fun acceptsWork(
@@ -147,7 +151,7 @@
         demand: PlacementDemand = PlacementDemand.UNKNOWN,
     ): ServerLoad? {
         val servers = byService[service] ?: return null
-        if (!servers.hasDistinctions && demand.prompt.shared.isEmpty()) {
+        if (!comparesServers || (!servers.hasDistinctions && demand.prompt.shared.isEmpty())) {
             return chooseMostFree(servers.loads, excluded, now, atRisk, demand)
         }
         return chooseLeastCost(servers, excluded + atRisk, now, demand)
@@ -211,7 +215,11 @@
         now: MonotonicTime,
     ) {
         val load = loads[observed.server] ?: return
-        if (observed.load.durationPercent != null) byService[load.server.entry.service]?.hasFigures = true
+        if (comparesServers &&
+            observed.load.durationPercent != null
+        ) {
+            byService[load.server.entry.service]?.hasFigures = true
+        }
         load.onReportedLoad(observed.load, now - observed.ageMillis.coerceAtLeast(0).milliseconds)
     }
 
@@ -225,7 +233,7 @@
     ) {
         val servers = byService[load.server.entry.service] ?: return
         val percent = detail.load?.durationPercent
-        if (percent != null) servers.hasFigures = true
+        if (comparesServers && percent != null) servers.hasFigures = true
         val run = load.placedRun(call) ?: return
         val millis = firstEvent?.toDouble(DurationUnit.MILLISECONDS) ?: return
         val shown = servers.costs.onFirstEvent(run, millis, load.speed.factor(now))
--- a/core/src/main/kotlin/org/agatestream/core/fairness/FairQueue.kt
+++ b/core/src/main/kotlin/org/agatestream/core/fairness/FairQueue.kt
@@ -19,6 +19,8 @@
 internal class FairQueue(
     private val weightOf: (WorkspaceId) -> Double,
     private val startedAt: MonotonicTime,
+    /** True if workspaces share the slots; otherwise all requests count as those of one workspace. */
+    private val sharesSlots: Boolean = true,
 ) {
     private val groups = LinkedHashMap<WorkspaceId?, ShareGroup>()
     private val order = LaneOrder()
@@ -153,7 +155,7 @@
 
     /** Records that a run of [workspace] ended which had been started from this queue. */
     fun onEnded(workspace: WorkspaceId?) {
-        groups[workspace]?.let { it.running = maxOf(0, it.running - 1) }
+        groups[keyOf(workspace)]?.let { it.running = maxOf(0, it.running - 1) }
     }
 
     /** Returns how long a new request of [workspace] would wait, with [extraWork] ahead of it beyond what waits. */
@@ -164,7 +166,7 @@
         extraWork: Double = 0.0,
     ): Duration {
         val all = ((waitingWork + extraWork) / capacity.workPerSecond).seconds
-        val group = groups[workspace] ?: return all
+        val group = groups[keyOf(workspace)] ?: return all
         val own = ((group.waitingWork + extraWork) / available(group, capacity, now)).seconds
         return if (isOverShare(group, capacity, now)) own else minOf(all, own)
     }
@@ -214,7 +216,7 @@
         workspace: WorkspaceId?,
         capacity: Capacity,
         now: MonotonicTime,
-    ): Boolean = groups[workspace]?.let { isOverShare(it, capacity, now) } == true
+    ): Boolean = groups[keyOf(workspace)]?.let { isOverShare(it, capacity, now) } == true
 
     /** Forgets the workspaces that asked for nothing for [RETENTION]. */
     fun forgetIdle(now: MonotonicTime) {
@@ -263,6 +265,7 @@
         capacity: Capacity,
         now: MonotonicTime,
     ): Double {
+        if (!sharesSlots) return ShareLevel.UNLIMITED
         if (levelAt?.let { (now - it).absoluteValue < LEVEL_VALIDITY } == true) return level
         val demands = groups.values.map { WeightedDemand(it.demand.perSecond(now), it.weight) }
         level = ShareLevel.of(demands, capacity.workPerSecond)
@@ -274,11 +277,14 @@
     }
 
     private fun groupOf(workspace: WorkspaceId?): ShareGroup =
-        groups.getOrPut(workspace) {
-            val weight = if (workspace == null) 1.0 else weightOf(workspace).coerceAtLeast(MIN_WEIGHT)
-            ShareGroup(workspace, weight, groupNumber++, DecayedRate(startedAt))
+        groups.getOrPut(keyOf(workspace)) {
+            val key = keyOf(workspace)
+            val weight = if (key == null) 1.0 else weightOf(key).coerceAtLeast(MIN_WEIGHT)
+            ShareGroup(key, weight, groupNumber++, DecayedRate(startedAt))
         }
 
+    private fun keyOf(workspace: WorkspaceId?): WorkspaceId? = workspace.takeIf { sharesSlots }
+
     private fun markLate(
         capacity: Capacity,
         now: MonotonicTime,
--- a/core/src/main/kotlin/org/agatestream/core/fairness/WaitingQueues.kt
+++ b/core/src/main/kotlin/org/agatestream/core/fairness/WaitingQueues.kt
@@ -11,6 +11,7 @@
 /** The requests that wait for a slot, by service, call and deadline; [weightOf] returns the weights of workspaces. */
 internal class WaitingQueues(
     private val weightOf: (WorkspaceId) -> Double = { 1.0 },
+    private val sharesSlots: Boolean = true,
 ) {
     private val queues = LinkedHashMap<ServiceId, FairQueue>()
     private val byCall = HashMap<CallId, WaitingRequest>()
@@ -34,7 +35,7 @@
     fun queueOf(
         request: PlaceRequest,
         now: MonotonicTime,
-    ): FairQueue = queues.getOrPut(request.service) { FairQueue(weightOf, now) }
+    ): FairQueue = queues.getOrPut(request.service) { FairQueue(weightOf, now, sharesSlots) }
 
     /** Adds a request that arrives at [now]. */
     fun add(
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -22,6 +22,7 @@
 import org.agatestream.core.PauseDetector
 import org.agatestream.core.PlaceRequest
 import org.agatestream.core.RunOutcome
+import org.agatestream.core.SchedulingPolicy
 import org.agatestream.core.ServerSuspicion
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
@@ -51,6 +52,7 @@
     /** Starts a check that this VM still coordinates and knows every job; if so, [onConfirmed] gets the same number. */
     private val confirm: (Int) -> Unit,
     private val leaving: LeavingServerWatch = LeavingServerWatch(view),
+    policy: SchedulingPolicy = SchedulingPolicy(),
 ) {
     private class Follower(
         var vm: LiveVm,
@@ -65,7 +67,7 @@
         val since: MonotonicTime,
     )
 
-    val dispatcher = Dispatcher(nextNumber = term.firstRunNumber, suspects = parts.suspects)
+    val dispatcher = Dispatcher(nextNumber = term.firstRunNumber, suspects = parts.suspects, policy = policy)
     private val followers = LinkedHashMap<VmId, Follower>()
     private val silentVms = HashMap<String, SilentVm>()
     private val markedSilent = HashSet<String>()
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -14,6 +14,7 @@
 import org.agatestream.core.ClockReading
 import org.agatestream.core.CoordinatorTerm
 import org.agatestream.core.MonotonicTime
+import org.agatestream.core.SchedulingPolicy
 import org.agatestream.core.ShutdownState
 import org.agatestream.core.VmId
 import org.agatestream.core.drain.DrainSource
@@ -25,6 +26,7 @@
 import org.agatestream.http.HttpServer
 import org.agatestream.http.parseAddress
 import org.agatestream.platform.CallerProtocol
+import org.agatestream.platform.PlatformContracts
 import org.agatestream.platform.PlatformStore
 import java.io.IOException
 import java.security.SecureRandom
@@ -47,6 +49,7 @@
     private val network = KtorPeerNetwork(self, secret, metrics.registry)
     private val client = HttpClient(eventLoops, CONNECT_TIMEOUT)
     private val buffers = BufferBudget(ANSWER_BUFFER_BYTES)
+    private val policy = SchedulingPolicy.forServers(PlatformContracts.areHostsShared(config.contracts))
     private val store =
         PlatformStore(client, config.storeAddress, STORE_READ_TIMEOUT, STORE_WRITE_TIMEOUT, ::onStoreCall)
     private val view: PlatformView = PlatformView(store, ::onViewChanged)
@@ -77,7 +80,7 @@
             leaving = leaving,
         )
     private val slots: SlotAllocator =
-        SlotAllocator(self, config.failureDomain, network, view, scope, membership, parts, { role }, leaving)
+        SlotAllocator(self, config.failureDomain, network, view, scope, membership, parts, { role }, leaving, policy)
     private val itemExecutor =
         ItemExecutor(slots, view, jobStore, client, parts, scope, ::sendItemReport, buffers, leaving)
     private val entryTtl = minOf(DEFAULT_ENTRY_TTL, config.entryTtlMaxSeconds.seconds)
@@ -335,6 +338,7 @@
                 isLeaving = { shutdown.hasBegun },
                 confirm = ::confirmRole,
                 leaving = leaving,
+                policy = policy,
             )
         role = started
         started.start(MonotonicTime.now())
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVmConfig.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVmConfig.kt
@@ -35,6 +35,8 @@
     val entryTtlMaxSeconds: Double,
     /** How long a job's results stay readable after its submission, in seconds. */
     val resultsKeptSeconds: Double,
+    /** The names of the parts of the platform's rules that are in force. */
+    val contracts: List<String> = emptyList(),
     /** The environment variable that holds the fleet secret. */
     val fleetSecretVariable: String = "AGATESTREAM_FLEET_SECRET",
 ) {
--- a/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
+++ b/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
@@ -17,6 +17,7 @@
 import org.agatestream.core.RunDetail
 import org.agatestream.core.RunOutcome
 import org.agatestream.core.RunningCall
+import org.agatestream.core.SchedulingPolicy
 import org.agatestream.core.ServerEntry
 import org.agatestream.core.ServiceId
 import org.agatestream.core.VmId
@@ -85,6 +86,7 @@
     private val parts: PromptPartWatch,
     private val role: () -> CoordinatorRole?,
     private val leaving: LeavingServerWatch = LeavingServerWatch(view),
+    policy: SchedulingPolicy = SchedulingPolicy(),
 ) {
     private val pendingDecisions = HashMap<Long, CompletableDeferred<PlaceDecision>>()
     private val runs = LinkedHashMap<Long, RunningCall>()
@@ -92,7 +94,7 @@
     // Run number to the time when it was sent, for runs without a first event.
     private val awaitingFirstEvent = HashMap<Long, MonotonicTime>()
     private val loads = ReportedLoads()
-    private val localDispatcher = Dispatcher(nextNumber = 0, suspects = parts.suspects)
+    private val localDispatcher = Dispatcher(nextNumber = 0, suspects = parts.suspects, policy = policy)
     private var nextNumber = 1L
 
     /** Returns the runs in flight at this VM, with the time that each has waited for its first event at [now]. */
