Cap a workspace only while half of the slots are in use

Cause: the first second of a service assumes 700 ms for a run, so the capacity was taken for too low where prompts are long or runs short, and a workspace could be held back although slots were free.

Change: the assumed time holds for the mean work that is asked for, and no workspace is held back while fewer than half of the slots serve online requests.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -292,6 +292,7 @@
             return DispatchAction.Refuse(request.call, ErrorKind.RATE_EXCEEDED, wait)
         }
         queues.queueOf(request, now).onAsked(request, now)
+        paceOf(request.service).onAsked(RunWork.of(request.prompt))
         if (suspects.judge(request.parts, now) is PromptVerdict.Condemned) {
             return DispatchAction.Refuse(request.call, ErrorKind.PROMPT_REFUSED, Duration.ZERO)
         }
@@ -357,7 +358,7 @@
         now: MonotonicTime,
     ): Capacity {
         val slots = maxOf(1, slotCounts.usable(service, now)).toDouble()
-        val known = Capacity(slots, slots * paceOf(service).workPerSecond)
+        val known = Capacity(slots, slots * paceOf(service).workPerSecond, heldSlots.onlineOf(service))
         return if (knowsMostRuns) known else observedOf(service, now).limit(known, now)
     }
 
--- a/core/src/main/kotlin/org/agatestream/core/HeldSlots.kt
+++ b/core/src/main/kotlin/org/agatestream/core/HeldSlots.kt
@@ -17,6 +17,7 @@
     private val slots = HashMap<CallId, HeldSlot>()
     private val byVm = HashMap<VmId, MutableSet<CallId>>()
     private val itemsByService = HashMap<ServiceId, MutableSet<CallId>>()
+    private val onlineByService = HashMap<ServiceId, Int>()
 
     val size: Int get() = slots.size
 
@@ -31,6 +32,9 @@
     /** Returns the runs of items at servers of [service]. */
     fun itemsOf(service: ServiceId): Set<CallId> = itemsByService[service].orEmpty()
 
+    /** Returns the number of runs of online requests at servers of [service]. */
+    fun onlineOf(service: ServiceId): Int = onlineByService[service] ?: 0
+
     /** Adds the slot of a run that holds none. */
     fun add(
         call: CallId,
@@ -38,7 +42,11 @@
     ) {
         slots[call] = slot
         byVm.getOrPut(call.vm) { LinkedHashSet() } += call
-        if (slot.isItem) itemsByService.getOrPut(slot.service) { LinkedHashSet() } += call
+        if (slot.isItem) {
+            itemsByService.getOrPut(slot.service) { LinkedHashSet() } += call
+        } else {
+            onlineByService.merge(slot.service, 1, Int::plus)
+        }
     }
 
     fun remove(call: CallId): HeldSlot? {
@@ -47,7 +55,11 @@
             it -= call
             if (it.isEmpty()) byVm -= call.vm
         }
-        if (slot.isItem) itemsByService[slot.service]?.remove(call)
+        if (slot.isItem) {
+            itemsByService[slot.service]?.remove(call)
+        } else {
+            onlineByService.merge(slot.service, -1, Int::plus)
+        }
         return slot
     }
 }
--- a/core/src/main/kotlin/org/agatestream/core/fairness/Capacity.kt
+++ b/core/src/main/kotlin/org/agatestream/core/fairness/Capacity.kt
@@ -6,4 +6,6 @@
     val slots: Double,
     /** The work that they do per second, in units of [RunWork]. */
     val workPerSecond: Double,
+    /** The number of slots that online requests use. */
+    val used: Int = 0,
 )
--- a/core/src/main/kotlin/org/agatestream/core/fairness/FairQueue.kt
+++ b/core/src/main/kotlin/org/agatestream/core/fairness/FairQueue.kt
@@ -13,8 +13,8 @@
  *
  * Workspaces share the slots in proportion to their weights by start-time fair queueing. Requests that can still be on
  * time and those with a higher priority go first; they take a workspace at most [MAX_LEAD] ahead of the others. While
- * the demand exceeds the capacity, a workspace that demands more than its share uses no more slots than its share, so
- * that the others find free ones. Time without waiting requests earns a workspace nothing.
+ * the demand exceeds the capacity and half of the slots are in use, a workspace that demands more than its share uses no more
+ * slots than its share, so that the others find free ones. Time without waiting requests earns a workspace nothing.
  */
 internal class FairQueue(
     private val weightOf: (WorkspaceId) -> Double,
@@ -236,7 +236,11 @@
         capacity: Capacity,
         now: MonotonicTime,
     ): Boolean {
-        if (groups.size < 2 || !isOverShare(group, capacity, now)) return false
+        if (groups.size < 2 || capacity.used < capacity.slots * MIN_USE ||
+            !isOverShare(group, capacity, now)
+        ) {
+            return false
+        }
         return group.running >= maxOf(1.0, slotsOf(group, capacity, now))
     }
 
@@ -333,6 +337,9 @@
         // one run later, as the slots then become free at the same times.
         private val RESERVE_TIME = 4.seconds
 
+        // While more of the slots are free, nobody is held back, as the estimate of the capacity may be too low.
+        private const val MIN_USE = 0.5
+
         // The part of its share that a workspace keeps whatever the delays of others.
         private const val MIN_SHARE_LEFT = 0.25
         private const val MIN_WEIGHT = 0.001
--- a/core/src/main/kotlin/org/agatestream/core/fairness/ObservedCapacity.kt
+++ b/core/src/main/kotlin/org/agatestream/core/fairness/ObservedCapacity.kt
@@ -30,7 +30,7 @@
         if (turnedAway.perSecond(now) < MIN_TURNED_AWAY) return capacity
         val observed = maxOf(answered.perSecond(now) * GROWTH, RunWork.UNKNOWN)
         if (observed >= capacity.workPerSecond) return capacity
-        return Capacity(capacity.slots * observed / capacity.workPerSecond, observed)
+        return Capacity(capacity.slots * observed / capacity.workPerSecond, observed, capacity.used)
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/agatestream/core/fairness/RunPace.kt
+++ b/core/src/main/kotlin/org/agatestream/core/fairness/RunPace.kt
@@ -9,6 +9,7 @@
     private var meanMillis = DEFAULT_RUN_TIME.toDouble(DurationUnit.MILLISECONDS)
     private var meanWork = RunWork.UNKNOWN
     private var isKnown = false
+    private var hasRequests = false
 
     /** The mean time of a run. */
     val runTime: Duration get() = meanMillis.milliseconds
@@ -16,6 +17,13 @@
     /** The work that a slot does per second, in units of [RunWork]. */
     val workPerSecond: Double get() = meanWork / runTime.toDouble(DurationUnit.SECONDS).coerceAtLeast(MIN_SECONDS)
 
+    /** Records the [work] of a request; before the first run ends, a usual request is assumed to take the usual time. */
+    fun onAsked(work: Double) {
+        if (isKnown) return
+        meanWork = if (hasRequests) meanWork + SMOOTHING * (work - meanWork) else work
+        hasRequests = true
+    }
+
     /** Records a run of [time] that did [work]. */
     fun record(
         time: Duration,
