Drop partial outputs of items that are finished elsewhere or ended

Cause: a VM kept the output of an item that another VM went on with, and the coordinator took outputs of stopped runs after the end of their job, both for as long as the process ran.

PartialOutputsTest (5), CoordinatorRoleTest (7) and the tests of jobs in server pass. No figure of the heap was taken.

--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -73,7 +73,7 @@
     private val workspaces = HashMap<ItemRef, WorkspaceId?>()
 
     // Lets an interrupted item resume on whichever VM runs it next.
-    private val partialOutputs = HashMap<ItemRef, PartialOutput>()
+    private val partialOutputs = PartialOutputs()
     private var tickLoop: Job? = null
     private var refresh: Job? = null
     private var isStopped = false
@@ -153,6 +153,7 @@
     ) {
         noticePause(now)
         plan.items.forEach { workspaces[ItemRef(plan.id, it.id)] = plan.workspace }
+        partialOutputs.onJob(plan.id, plan.items.map { it.id } - done)
         val known = view.manifest?.version ?: 0
         if (known < plan.manifestVersion) {
             EventLog.info("job_held", "job" to plan.id, "accepted_under" to plan.manifestVersion, "manifest" to known)
@@ -165,7 +166,7 @@
         now: MonotonicTime,
     ) {
         workspaces.keys.removeAll { it.job == job }
-        partialOutputs.keys.removeAll { it.job == job }
+        partialOutputs.onJobEnded(job)
         execute(dispatcher.onJobEnded(job, now))
     }
 
@@ -218,11 +219,9 @@
         noticePause(now)
         if (report.outcome == ItemOutcome.LISTED) {
             workspaces -= report.item
-            partialOutputs -= report.item
-        }
-        report.partial?.let {
-            if (it.replaces(partialOutputs[report.item])) partialOutputs[report.item] = it
+            partialOutputs.onListed(report.item)
         }
+        report.partial?.let { partialOutputs.offer(report.item, it) }
         execute(dispatcher.onItem(report.item, CallId(from, report.number), report.outcome, now))
     }
 
--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -100,7 +100,7 @@
     )
 
     private val running = HashMap<Long, ActiveRun>()
-    private val outputs = HashMap<ItemRef, Output>()
+    private val outputs = IdleMap<ItemRef, Output>(OUTPUT_RETENTION)
     private val pendingResults = LinkedHashSet<ItemRef>()
 
     /** Items that are finished but whose results are not in the store yet. */
@@ -160,6 +160,10 @@
                 val detail = observer.detail(MonotonicTime.now())
                 slots.releaseItem(request.number, outcome, observer.firstEvent, detail)
                 finish(request, end)
+                // Another run of the item here has cancelled this one and uses the output.
+                if (running.none { (number, it) -> number != request.number && it.item == request.item }) {
+                    outputs.onIdle(request.item, MonotonicTime.now())
+                }
             }
         }
     }
@@ -235,7 +239,7 @@
                 is Outcome.Ok -> row.value.host
                 is Outcome.Failed -> return ItemEnd.Interrupted("job_unavailable")
             }
-        val output = outputs.getOrPut(request.item) { Output() }
+        val output = outputs.use(request.item) { Output() }
         request.partial?.let { output.mergeFrom(it) }
         val call = toBackendCall(item, host, request.workspace)
         val end = exchange(request, call, output, observer, onFirst)
@@ -445,6 +449,9 @@
         // The job's completion target bounds items, not the route's timeout; a run takes about 5 s.
         val RUN_TIMEOUT = 60.seconds
 
+        // The coordinator has the output, too, and may have another VM go on; items are due within 18 s.
+        val OUTPUT_RETENTION = 30.seconds
+
         // A coordinator that does not know that the server is leaving would assign it again at once, without an end.
         val UNUSABLE_DELAY = 50.milliseconds
 
