Decide roll-outs of server versions in core

Cause: servers have a version and operators order roll-outs, but nothing limits what a new version gets or moves the traffic to it. Change: core.rollout holds a state chart, the comparison of both versions by route and load level, the exposure budget and the version in use; the dispatcher asks it through VersionGate. platform reads orders and statuses.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatch.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatch.kt
@@ -43,6 +43,8 @@
     /** The failure domain of the VM that asks; null if it is not known. */
     val origin: FailureDomainId? = null,
     val prompt: PromptShape = PromptShape.UNKNOWN,
+    /** The name of the route; null if the VM that asks did not say. */
+    val route: String? = null,
 )
 
 /** The outcome of a run, as evidence of the health of its server. */
--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -1,5 +1,7 @@
 package org.agatestream.core
 
+import org.agatestream.core.rollout.StartedRun
+import org.agatestream.core.rollout.VersionGate
 import kotlin.math.ceil
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -21,9 +23,11 @@
     random: Random = Random.Default,
     /** What this VM knows about prompt parts that end servers. */
     private val suspects: CrashSuspects = CrashSuspects(),
+    /** Decides which versions of a service may get a run. */
+    private val gate: VersionGate = VersionGate.Open,
 ) {
     private val isolation = SuspectIsolation(suspects)
-    private val servers = ServerPool(random)
+    private val servers = ServerPool(random, gate)
     private val queuedRequests = ArrayList<PlaceRequest>()
     private val rates = WorkspaceRates()
     private val heldSlots = HashMap<CallId, HeldSlot>()
@@ -132,6 +136,7 @@
             earlyReleases[call] = now
             return emptyList()
         }
+        gate.onEnded(call, outcome, firstEvent, detail, now)
         val load = servers.find(held.server) ?: return schedule(now)
         val wasSilent = load.isSilent(call)
         load.remove(call)
@@ -240,6 +245,24 @@
         return schedule(now)
     }
 
+    /** Returns the number of runs at [ids], with those of unresponsive VMs. */
+    public fun runsAt(ids: Set<BackendServerId>): Int =
+        heldSlots.values.count { it.server in ids } + servers.all.filter { it.id in ids }.sumOf { it.orphaned }
+
+    /** Returns the number of runs and waiting requests of [service]. */
+    public fun demand(service: ServiceId): Int =
+        servers.forService(service).sumOf { it.running + it.orphaned } + queuedRequests.count { it.service == service }
+
+    /** Stops the items that run at [ids]; they resume at other servers. */
+    public fun stopItemsAt(
+        ids: Set<BackendServerId>,
+        reason: String,
+    ): List<DispatchAction> =
+        servers.all
+            .filter { it.id in ids }
+            .flatMap { it.stoppableItems() }
+            .map { stopItem(it, reason) }
+
     /** Refuses requests whose wait has expired and schedules queued work. */
     public fun tick(now: MonotonicTime): List<DispatchAction> {
         val expired = queuedRequests.filter { now >= it.queueDeadline }
@@ -263,7 +286,7 @@
         if (suspects.judge(request.parts, now) is PromptVerdict.Condemned) {
             return DispatchAction.Refuse(request.call, ErrorKind.PROMPT_REFUSED, Duration.ZERO)
         }
-        if (servers.slots(request.service, request.excluded) == 0) {
+        if (servers.slots(request.service, now, request.excluded) == 0) {
             return DispatchAction.Refuse(request.call, ErrorKind.NO_CAPACITY, NO_SERVER_RETRY_AFTER)
         }
         val wait = expectedWait(request.service, now)
@@ -285,7 +308,7 @@
         service: ServiceId,
         now: MonotonicTime,
     ): Duration {
-        val slots = servers.slots(service)
+        val slots = servers.slots(service, now)
         if (slots == 0) return NO_SERVER_RETRY_AFTER
         val ahead = queuedRequests.count { it.service == service && !isolation.mustWait(it.parts, now) }
         if (ahead == 0) return Duration.ZERO
@@ -332,7 +355,7 @@
                 } ?: continue
             queuedRequests.remove(request)
             isolation.onStarted(request.call, load.id, request.parts)
-            occupySlot(request.call, load, isItem = false, now)
+            occupySlot(request.call, load, isItem = false, now, request.route)
             actions += DispatchAction.Place(request.call, load.id)
         }
     }
@@ -375,8 +398,17 @@
         val vms = followers - unanswering
         if (vms.isEmpty()) return
         val spareSlots = HashMap<ServiceId, Int>()
-        for (load in servers.all) spareSlots.merge(load.server.entry.service, maxOf(0, load.free), Int::plus)
-        for (service in spareSlots.keys.toList()) spareSlots.computeIfPresent(service) { _, n -> n - headroom(service) }
+        for (load in servers.all.filter {
+            servers.mayUse(it, now)
+        }) {
+            spareSlots.merge(load.server.entry.service, maxOf(0, load.free), Int::plus)
+        }
+        for (service in spareSlots.keys.toList()) {
+            spareSlots.computeIfPresent(service) { _, n ->
+                n -
+                    headroom(service, now)
+            }
+        }
         queuedRequests.filter { !isolation.mustWait(it.parts, now) }.forEach { spareSlots[it.service] = 0 }
         if (spareSlots.values.all { it <= 0 }) return
         val ready = jobs.pendingItems(now).filter { (_, plan) -> isCurrentFor(plan) }
@@ -390,14 +422,17 @@
             val load = servers.choose(service, emptySet(), now, isolation.servers(now)) ?: continue
             val call = CallId(chooseVm(ref, vms), nextNumber++)
             spareSlots.merge(service, -1, Int::plus)
-            occupySlot(call, load, isItem = true, now)
+            occupySlot(call, load, isItem = true, now, route(ref, plan)?.name)
             jobs.onStarted(ref, call, now)
             actions += DispatchAction.StartItem(call, ref, load.id)
         }
     }
 
     /** Returns the number of slots kept free of items, so that the next online requests need no preemption. */
-    private fun headroom(service: ServiceId): Int = ceil(servers.slots(service) * HEADROOM_FRACTION).toInt()
+    private fun headroom(
+        service: ServiceId,
+        now: MonotonicTime,
+    ): Int = ceil(servers.slots(service, now) * HEADROOM_FRACTION).toInt()
 
     /**
      * Returns the VM among [vms] that runs an item, one of [VMS_PER_JOB] for each job.
@@ -435,9 +470,11 @@
         load: ServerLoad,
         isItem: Boolean,
         now: MonotonicTime,
+        route: String? = null,
     ) {
         heldSlots[call] = HeldSlot(load.id, now)
         load.onStarted(call, isItem, now)
+        gate.onStarted(StartedRun(call, load.server.entry, load.running, route, isItem), now)
     }
 
     private fun applyReportedRun(
@@ -474,6 +511,7 @@
         now: MonotonicTime,
     ) {
         isolation.onAbandoned(call)
+        gate.onForgotten(call)
         val held = heldSlots.remove(call) ?: return
         val load = servers.find(held.server) ?: return
         val isItem = jobs.itemOf(call) != null
@@ -486,6 +524,7 @@
 
     private fun releaseSlot(call: CallId) {
         isolation.onAbandoned(call)
+        gate.onForgotten(call)
         heldSlots.remove(call)?.let { servers.find(it.server) }?.remove(call)
     }
 
--- a/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
@@ -1,10 +1,12 @@
 package org.agatestream.core
 
+import org.agatestream.core.rollout.VersionGate
 import kotlin.random.Random
 
 /** The backend servers that may get work, with the state of each. */
 internal class ServerPool(
     private val random: Random,
+    private val gate: VersionGate = VersionGate.Open,
 ) {
     private val loads = LinkedHashMap<BackendServerId, ServerLoad>()
     private var manifest: Manifest? = null
@@ -34,11 +36,31 @@
 
     fun forService(service: ServiceId): List<ServerLoad> = loads.values.filter { it.server.entry.service == service }
 
-    /** Returns the total number of slots of the servers of [service] outside [excluded], free or occupied. */
+    /**
+     * Returns the total number of slots of the servers of [service] outside [excluded], free or occupied.
+     *
+     * Servers whose version may get no work at [now] do not count.
+     */
     fun slots(
         service: ServiceId,
+        now: MonotonicTime,
         excluded: Set<BackendServerId> = emptySet(),
-    ): Int = forService(service).filter { it.id !in excluded }.sumOf { it.server.entry.slots }
+    ): Int = forService(service).filter { it.id !in excluded && mayUse(it, now) }.sumOf { it.server.entry.slots }
+
+    /** Returns whether the version of the server may get work. */
+    fun mayUse(
+        load: ServerLoad,
+        now: MonotonicTime,
+    ): Boolean = gate.rank(load.server.entry, now) != null
+
+    /** Returns those of [available] whose version goes before that of the others. */
+    private fun preferred(
+        available: List<ServerLoad>,
+        now: MonotonicTime,
+    ): List<ServerLoad> {
+        val best = available.mapNotNull { gate.rank(it.server.entry, now) }.minOrNull()
+        return available.filter { gate.rank(it.server.entry, now) == best }
+    }
 
     /** Returns whether a request may start at [load] now. */
     private fun mayStart(
@@ -50,7 +72,7 @@
     fun acceptsWork(
         load: ServerLoad,
         now: MonotonicTime,
-    ): Boolean = load.acceptsWork(coldRate(load), now)
+    ): Boolean = load.acceptsWork(coldRate(load), now) && mayUse(load, now)
 
     /**
      * Returns the server with the most free slots, a slow one only if there is no other; null if none is available.
@@ -63,7 +85,7 @@
         now: MonotonicTime,
         atRisk: Set<BackendServerId> = emptySet(),
     ): ServerLoad? {
-        val available = forService(service).filter { it.id !in excluded && mayStart(it, now) }
+        val available = preferred(forService(service).filter { it.id !in excluded && mayStart(it, now) }, now)
         if (available.isEmpty()) return null
         val median = available.map { it.firstEventMillis }.sorted()[available.size / 2]
         val threshold = maxOf(median * SLOW_FACTOR, MIN_SLOW_MILLIS)
@@ -78,8 +100,7 @@
         excluded: Set<BackendServerId>,
         now: MonotonicTime,
     ): ServerLoad? =
-        forService(service)
-            .filter { it.id !in excluded && mayStart(it, now) }
+        preferred(forService(service).filter { it.id !in excluded && mayStart(it, now) }, now)
             .shuffled(random)
             .minByOrNull { it.running }
 
--- a/core/src/main/kotlin/org/agatestream/core/ServerRegistry.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerRegistry.kt
@@ -88,6 +88,9 @@
         return if (expired.isEmpty()) this else copy(entries = entries - expired, expiring = expiring - expired)
     }
 
+    /** Returns the entries of all servers, with those that are draining or out of service. */
+    public fun all(): List<ServerEntry> = entries.values.map { it.entry }
+
     /** Returns the servers that may get new work. */
     public fun usable(): Collection<UsableServer> = entries.values.filter { isUsable(it) }
 
--- /dev/null
+++ b/core/src/main/kotlin/org/agatestream/core/rollout/ExposureBudget.kt
@@ -0,0 +1,26 @@
+package org.agatestream.core.rollout
+
+/**
+ * How many runs the new version may get while it is not proven.
+ *
+ * A bad version may get a tenth of all requests and 50 more; the budget stays below 70 % of that, because placements that
+ * were lost on the way and attempts that repeat a request are counted too.
+ */
+internal object ExposureBudget {
+    private const val REQUEST_SHARE = 0.07
+    private const val SLACK = 35.0
+
+    // The first runs need not use up what a later comparison at full load needs.
+    private const val CANARY_SHARE = 0.05
+    private const val CANARY_SLACK = 12.0
+
+    /** Returns the most runs that the new version may have had at [stage] after [requests] runs of the service. */
+    fun limit(
+        stage: RolloutStage,
+        requests: Double,
+    ): Int =
+        when (stage) {
+            RolloutStage.ORDERED, RolloutStage.CANARY -> (CANARY_SHARE * requests + CANARY_SLACK).toInt()
+            else -> (REQUEST_SHARE * requests + SLACK).toInt()
+        }
+}
