Carry out roll-outs at the coordinator and record them in the store

Cause: orders were neither read nor enforced, and a coordinator's end would have lost what the target had got. Change: PlatformView keeps the orders, RolloutControl advances them and writes record and status in one transaction that a named coordinator alone passes; VMs hear the state with the answers to their reports, follow the version in use without a coordinator, and refuse placements at a version that was rolled back. Gauges and log lines by service.

--- a/core/src/main/kotlin/org/agatestream/core/CoordinatorTerm.kt
+++ b/core/src/main/kotlin/org/agatestream/core/CoordinatorTerm.kt
@@ -11,7 +11,8 @@
 @Serializable
 @JvmInline
 public value class CoordinatorTerm(
-    private val version: Long,
+    /** The version of the row. */
+    public val version: Long,
 ) : Comparable<CoordinatorTerm> {
     /** The number of the first item run of this term; those of two terms and of online requests never coincide. */
     public val firstRunNumber: Long get() = ITEM_RUN_FLAG or (version shl RUN_NUMBER_BITS)
--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -59,6 +59,9 @@
     /** The number of jobs with unfinished items. */
     public val openJobs: Int get() = jobs.openJobs
 
+    /** True once every VM that may serve callers has reported its runs. */
+    public val isFullyReported: Boolean get() = hasAllReported()
+
     /** The servers whose work is restricted, with the reason. */
     public val suspectedServers: Map<BackendServerId, ServerSuspicion>
         get() = servers.all.mapNotNull { load -> load.suspicion?.let { load.id to it } }.toMap()
--- a/core/src/main/kotlin/org/agatestream/core/rollout/Rollout.kt
+++ b/core/src/main/kotlin/org/agatestream/core/rollout/Rollout.kt
@@ -332,6 +332,13 @@
         stored = record
         storedAt = now
         return when {
+            // A write whose answer was lost has taken effect; the platform acts on it.
+            record.stage.isFinal && !stage.isFinal && record.stage != stage.recorded() -> {
+                val from = stage
+                stage = record.stage
+                change(from, "late_write", null, now)
+            }
+
             record.stage == RolloutStage.MOVING && stage == RolloutStage.LOADED -> {
                 apply(RolloutEvent.PROVEN, "no_difference", Verdict.NoDifference(evidence.sample), now)
             }
--- a/core/src/main/kotlin/org/agatestream/core/rollout/RolloutOrder.kt
+++ b/core/src/main/kotlin/org/agatestream/core/rollout/RolloutOrder.kt
@@ -31,6 +31,7 @@
 }
 
 /** The public state of a roll-out. */
+@Serializable
 public enum class RolloutOutcome {
     RUNNING,
     COMPLETED,
--- a/core/src/main/kotlin/org/agatestream/core/rollout/Rollouts.kt
+++ b/core/src/main/kotlin/org/agatestream/core/rollout/Rollouts.kt
@@ -13,7 +13,7 @@
 public class Rollouts(
     private val book: VersionBook,
     /** Names this coordinator in records. */
-    private val writer: String,
+    public val writer: String,
 ) : VersionGate {
     private val open = HashMap<ServiceId, Rollout>()
     private val callServices = HashMap<CallId, ServiceId>()
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -25,6 +25,9 @@
 import org.agatestream.core.ServerSuspicion
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
+import org.agatestream.core.rollout.Rollout
+import org.agatestream.core.rollout.RolloutSituation
+import org.agatestream.core.rollout.Rollouts
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -51,6 +54,9 @@
     /** Starts a check that this VM still coordinates and knows every job; if so, [onConfirmed] gets the same number. */
     private val confirm: (Int) -> Unit,
 ) {
+    /** The roll-outs that this VM carries out. */
+    val rollouts = Rollouts(view.versions, writer = self.value)
+
     private class Follower(
         var vm: LiveVm,
         var lastHeardAt: MonotonicTime,
@@ -64,7 +70,7 @@
         val since: MonotonicTime,
     )
 
-    val dispatcher = Dispatcher(nextNumber = term.firstRunNumber, suspects = parts.suspects)
+    val dispatcher = Dispatcher(nextNumber = term.firstRunNumber, suspects = parts.suspects, gate = rollouts)
     private val followers = LinkedHashMap<VmId, Follower>()
     private val silentVms = HashMap<String, SilentVm>()
     private val markedSilent = HashSet<String>()
@@ -92,6 +98,7 @@
 
     fun start(now: MonotonicTime) {
         view.manifest?.let { dispatcher.onManifest(it) }
+        rollouts.onServers(view.registry.all())
         execute(dispatcher.onServers(view.registry.usable(), now))
         dispatcher.allowItems(now + TAKEOVER_WAIT)
         tickLoop =
@@ -142,9 +149,23 @@
     fun onViewChanged(now: MonotonicTime) {
         noticePause(now)
         view.manifest?.let { dispatcher.onManifest(it) }
+        rollouts.onServers(view.registry.all())
         execute(dispatcher.onServers(view.registry.usable(), now))
     }
 
+    /** Returns what this VM knows of the servers of a roll-out. */
+    fun situationOf(rollout: Rollout): RolloutSituation =
+        RolloutSituation(
+            oldRuns = dispatcher.runsAt(rollout.oldServers),
+            demand = dispatcher.demand(rollout.order.service),
+            isComplete = dispatcher.isFullyReported,
+        )
+
+    /** Stops the items at the old servers of a roll-out; they resume at other servers. */
+    fun stopItemsAt(servers: Set<BackendServerId>) {
+        execute(dispatcher.stopItemsAt(servers, "rollout"))
+    }
+
     fun onJob(
         plan: JobPlan,
         done: Set<ItemId>,
@@ -191,6 +212,7 @@
                 workspace = request.workspace ?: request.meteredWorkspace,
                 origin = request.origin,
                 prompt = request.prompt,
+                route = request.route,
             )
         execute(dispatcher.place(placeRequest, now))
         pendingPlacements.remove(call)
@@ -255,9 +277,19 @@
         val snapshot =
             if (report.isStoreReachable) null else view.snapshotSince(report.operatorVersion, report.serverVersion)
         val list = liveVms.takeIf { report.liveVersion != liveVersion }
-        return StatusResponse(list, liveVersion, isResigning, snapshot, parts.answer(report.parts, now))
+        return StatusResponse(
+            list,
+            liveVersion,
+            isResigning,
+            snapshot,
+            parts.answer(report.parts, now),
+            rolloutNotices(),
+        )
     }
 
+    private fun rolloutNotices(): List<RolloutNotice> =
+        view.versions.knownStatuses.map { (service, status) -> RolloutNotice(service, status.target, status.outcome) }
+
     /** Catches up with a VM that has newer rows: the feed of this VM may be silent. */
     private fun refreshManifest() {
         if (refresh?.isActive == true) return
--- a/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
@@ -235,6 +235,7 @@
             answer.live?.let { updateLiveVms(it, answer.liveVersion) }
             parts.onAnswered(report.parts, answer.parts, MonotonicTime.now())
             answer.snapshot?.let { view.applySnapshot(it, MonotonicTime.now()) }
+            view.applyRollouts(answer.rollouts)
         } else {
             markCoordinatorSilent(coordinator, if (answer == null) "report_unanswered" else "not_coordinator", now)
         }
--- a/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
@@ -19,6 +19,8 @@
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
 import org.agatestream.core.placement.PromptShape
+import org.agatestream.core.rollout.RolloutOutcome
+import org.agatestream.core.rollout.ServerVersion
 
 /** Requests a slot from the coordinator; durations count from the receipt of the message. */
 @Serializable
@@ -43,6 +45,8 @@
     /** The failure domain of the VM that asks. */
     val origin: FailureDomainId? = null,
     val prompt: PromptShape = PromptShape.UNKNOWN,
+    /** The name of the route; null from builds that do not send it. */
+    val route: String? = null,
 ) : PeerRequest
 
 /** The coordinator's decision on a [PlaceSlotRequest]; sent later as a [DecisionNotice] if the request was queued. */
@@ -190,8 +194,18 @@
     @SerialName("news")
     val snapshot: PlatformSnapshot?,
     val parts: PartReport = PartReport.NONE,
+    /** The roll-outs whose orders exist. */
+    val rollouts: List<RolloutNotice> = emptyList(),
 ) : PeerResponse
 
+/** How the latest roll-out of [service] stands. */
+@Serializable
+internal data class RolloutNotice(
+    val service: ServiceId,
+    val target: ServerVersion,
+    val outcome: RolloutOutcome,
+)
+
 /** A VM that serves callers. */
 @Serializable
 internal data class LiveVm(
--- a/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
@@ -11,6 +11,7 @@
 import org.agatestream.core.JobId
 import org.agatestream.core.JobRules
 import org.agatestream.core.RowName
+import org.agatestream.core.ServiceId
 import org.agatestream.core.StoreTime
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
@@ -78,6 +79,7 @@
     const val JOBS = "jobs"
     const val RESULTS = "results"
     const val DONE = "done"
+    const val ROLLOUTS = "rollouts"
     const val VM_PREFIX = "vm/"
     private const val END_SUFFIX = "/end"
     private const val COORDINATOR_KEY = "coordinator"
@@ -108,6 +110,9 @@
 
     val coordinator: RowName = RowName(FLEET, "", COORDINATOR_KEY)
 
+    /** Returns the name of the record of the latest roll-out of [service]. */
+    fun rollout(service: ServiceId): RowName = RowName(ROLLOUTS, "", service.value)
+
     /** Returns the partition of a workspace's rows; all share one, so that a transaction can cover them. */
     fun partitionOf(workspace: WorkspaceId?): String = workspace?.value.orEmpty()
 
--- a/server/src/main/kotlin/org/agatestream/server/PlatformView.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformView.kt
@@ -11,10 +11,15 @@
 import org.agatestream.core.RowStore
 import org.agatestream.core.ServerEntry
 import org.agatestream.core.ServerRegistry
+import org.agatestream.core.ServiceId
 import org.agatestream.core.StoredRow
+import org.agatestream.core.rollout.RolloutOrder
+import org.agatestream.core.rollout.RolloutStatus
+import org.agatestream.core.rollout.VersionBook
 import org.agatestream.platform.OperatorRow
 import org.agatestream.platform.PlatformNames
 import org.agatestream.platform.parseManifest
+import org.agatestream.platform.parseRolloutOrder
 import org.agatestream.platform.parseServerEntry
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -28,12 +33,16 @@
         private set
     var registry: ServerRegistry = ServerRegistry()
         private set
+
+    /** Which versions of each service may get work. */
+    val versions = VersionBook()
     var operatorVersion = 0L
         private set
     var serverVersion = 0L
         private set
 
     private val operatorRows = HashMap<String, ByteArray>()
+    private var rolloutOrders: Map<ServiceId, RolloutOrder> = emptyMap()
     private val serverRows = HashMap<String, ByteArray>()
     private var lastContactAt: MonotonicTime? = null
     private var isInContact = false
@@ -88,6 +97,11 @@
         store.readAll(PlatformNames.OPERATOR_TABLE, "")?.let { replaceOperatorRows(it.rows, it.version) }
     }
 
+    /** Applies what the coordinator says about roll-outs. */
+    fun applyRollouts(notices: List<RolloutNotice>) {
+        for (notice in notices) versions.onStatus(notice.service, RolloutStatus(notice.outcome, notice.target))
+    }
+
     /** Returns all rows if there are any newer than the versions [operators] and [servers]; null otherwise. */
     fun snapshotSince(
         operators: Long,
@@ -144,6 +158,7 @@
 
     private fun applyOperatorRows(source: String) {
         val domains = HashSet<FailureDomainId>()
+        val orders = HashMap<ServiceId, RolloutOrder>()
         for ((key, value) in operatorRows) {
             when (val row = PlatformNames.operatorRow(key)) {
                 is OperatorRow.ManifestRow -> {
@@ -154,15 +169,59 @@
                     domains += row.domain
                 }
 
+                is OperatorRow.Rollout -> {
+                    readOrder(row.service, value)?.let { orders[row.service] = it }
+                }
+
                 null -> {}
             }
         }
+        applyOrders(orders, source)
         if (domains != registry.outOfService) {
             EventLog.info("evacuation_changed", "domains" to domains.joinToString(","), "source" to source)
             registry = registry.onOutOfService(domains)
         }
     }
 
+    /** Returns the order in the row of [service]; an unreadable row leaves the order as it was. */
+    private fun readOrder(
+        service: ServiceId,
+        value: ByteArray,
+    ): RolloutOrder? =
+        when (val parsed = parseRolloutOrder(service, value)) {
+            is Outcome.Ok -> {
+                parsed.value
+            }
+
+            is Outcome.Failed -> {
+                EventLog.warn("rollout_order_unreadable", "service" to service, "reason" to parsed.failure.message)
+                rolloutOrders[service]
+            }
+        }
+
+    private fun applyOrders(
+        orders: Map<ServiceId, RolloutOrder>,
+        source: String,
+    ) {
+        if (orders == rolloutOrders) return
+        for (service in rolloutOrders.keys - orders.keys) EventLog.info("rollout_withdrawn", "service" to service)
+        for (order in orders.values - rolloutOrders.values.toSet()) {
+            EventLog.info(
+                "rollout_ordered",
+                "service" to order.service,
+                "target" to order.target,
+                "duration" to order.duration,
+                "source" to source,
+            )
+        }
+        rolloutOrders = orders
+        versions.onOrders(orders.values)
+    }
+
+    private fun applyServerVersions() {
+        versions.onServers(registry.all().filter { !it.isDraining })
+    }
+
     private fun applyManifest(
         bytes: ByteArray,
         source: String,
@@ -195,6 +254,7 @@
 
     private fun applyAllServers(now: MonotonicTime) {
         registry = registry.onSnapshot(serverRows.mapNotNull { (key, value) -> readEntry(key, value) }, now)
+        applyServerVersions()
     }
 
     private fun applyServerChanges(
@@ -221,6 +281,7 @@
             )
         }
         serverVersion = maxOf(serverVersion, version)
+        applyServerVersions()
         onChange(now)
     }
 
@@ -243,6 +304,7 @@
         val left = registry.expire(now)
         if (left === registry) return
         registry = left
+        applyServerVersions()
         onChange(now)
     }
 
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -14,6 +14,7 @@
 import org.agatestream.core.ClockReading
 import org.agatestream.core.CoordinatorTerm
 import org.agatestream.core.MonotonicTime
+import org.agatestream.core.ServiceId
 import org.agatestream.core.ShutdownState
 import org.agatestream.core.VmId
 import org.agatestream.http.BufferBudget
@@ -88,7 +89,12 @@
             shutdown = shutdown,
             entryTtl = entryTtl,
         )
+    private val rolloutRows = RolloutRows(relay)
+    private val rolloutStatuses =
+        RolloutStatusReader(view.versions, rolloutRows, { membership.reachableCoordinator() != null }, scope)
+    private val measuredRollouts = HashSet<ServiceId>()
     private var role: CoordinatorRole? = null
+    private var rolloutControl: RolloutControl? = null
     private var jobWatcher: Job? = null
     private var cleaner: Job? = null
     private val calls = HashSet<Job>()
@@ -224,6 +230,9 @@
         from: VmId,
         request: RunItemRequest,
     ): PeerResponse? {
+        val server = view.registry.usable(request.server)?.entry
+        // Without a response, the coordinator places the item elsewhere.
+        if (server != null && view.versions.isRolledBack(server)) return null
         val verdict = membership.judgeStart(request.term, ClockReading.now())
         return carryOut(from, request.term, verdict) { itemExecutor.start(request) }
     }
@@ -288,6 +297,19 @@
     private fun onViewChanged(now: MonotonicTime) {
         slots.onViewChanged(now)
         role?.onViewChanged(now)
+        rolloutControl?.onViewChanged(now)
+        rolloutStatuses.onViewChanged()
+        view.versions.allOrders.forEach { measureRollout(it.service) }
+    }
+
+    /** Registers the gauges of a service when its first roll-out is ordered. */
+    private fun measureRollout(service: ServiceId) {
+        if (!measuredRollouts.add(service)) return
+        val current = { role?.rollouts?.all?.get(service) }
+        metrics.serviceGauge("agatestream.rollout.share", service) { current()?.share ?: 0 }
+        metrics.serviceGauge("agatestream.rollout.exposed", service) { current()?.exposed ?: 0 }
+        metrics.serviceGauge("agatestream.rollout.requests", service) { current()?.requests ?: 0 }
+        metrics.serviceGauge("agatestream.rollout.stage", service) { current()?.stage?.ordinal ?: -1 }
     }
 
     private fun onCoordinatorChanged(vm: VmId?) {
@@ -320,8 +342,19 @@
                 confirm = ::confirmRole,
             )
         role = started
+        rolloutControl =
+            RolloutControl(
+                rollouts = started.rollouts,
+                book = view.versions,
+                rows = rolloutRows,
+                term = membership.coordinatorTerm,
+                situation = started::situationOf,
+                stopItems = started::stopItemsAt,
+                scope = scope,
+            )
         started.start(MonotonicTime.now())
         started.onStatusReport(self, status(), MonotonicTime.now())
+        rolloutControl?.onViewChanged(MonotonicTime.now())
         watchJobs(started)
         cleaner = JobCleaner(store, jobStore, config.resultsKeptSeconds.seconds).start(scope)
     }
@@ -360,6 +393,8 @@
         EventLog.info("coordinator_ended", "vm" to self)
         val ended = role
         role = null
+        rolloutControl?.stop()
+        rolloutControl = null
         jobWatcher?.cancel()
         cleaner?.cancel()
         scope.launch { ended?.stop() }
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -162,6 +162,7 @@
                 parts = promptParts,
                 workspace = admission.workspace?.id,
                 prompt = promptShape,
+                route = route.name,
             )
         }
 
--- a/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
+++ b/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
@@ -41,6 +41,8 @@
     /** The workspace that asks, also once its rate was charged. */
     val workspace: WorkspaceId? = meteredWorkspace,
     val prompt: PromptShape = PromptShape.UNKNOWN,
+    /** The name of the route. */
+    val route: String? = null,
 )
 
 /** Permission to run one request at [server]; the holder must release it. */
@@ -88,7 +90,7 @@
 
     // Run number to the time when it was sent, for runs without a first event.
     private val awaitingFirstEvent = HashMap<Long, MonotonicTime>()
-    private val localDispatcher = Dispatcher(nextNumber = 0, suspects = parts.suspects)
+    private val localDispatcher = Dispatcher(nextNumber = 0, suspects = parts.suspects, gate = view.versions)
     private var nextNumber = 1L
 
     /** Returns the runs in flight at this VM, with the time that each has waited for its first event at [now]. */
@@ -171,7 +173,9 @@
                 is PlaceDecision.Placed -> {
                     meteredWorkspace = null
                     val server = view.registry.usable(decision.server)?.entry
-                    if (server != null && server.service == requirements.service) {
+                    val isServed = server != null && server.service == requirements.service
+                    // The coordinator may not know yet that the version was rolled back.
+                    if (isServed && !view.versions.isRolledBack(server)) {
                         runs[number] = RunningCall(number, server.id, parts = requirements.parts)
                         return Placement.Granted(Slot(number, server, coordinator, decided.decidedBy))
                     }
@@ -254,6 +258,7 @@
                     workspace = requirements.workspace,
                     origin = domain,
                     prompt = requirements.prompt,
+                    route = requirements.route,
                 )
             val immediate = requestSlot(coordinator, request, now)
             val decision =
@@ -319,6 +324,7 @@
                 workspace = requirements.workspace,
                 origin = domain,
                 prompt = requirements.prompt,
+                route = requirements.route,
             )
         val actions = localDispatcher.place(request, now) + localDispatcher.tick(now + LOCAL_QUEUE_TIME)
         for (action in actions) {
--- a/server/src/main/kotlin/org/agatestream/server/VmMetrics.kt
+++ b/server/src/main/kotlin/org/agatestream/server/VmMetrics.kt
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.agatestream.core.ItemOutcome
 import org.agatestream.core.RunOutcome
+import org.agatestream.core.ServiceId
 import kotlin.time.Duration
 import kotlin.time.toJavaDuration
 import java.time.Duration as JavaDuration
@@ -58,6 +59,15 @@
         Gauge.builder(name) { read() }.register(registry)
     }
 
+    /** Registers a gauge [name] of [service] that shows the value of [read]. */
+    fun serviceGauge(
+        name: String,
+        service: ServiceId,
+        read: () -> Number,
+    ) {
+        Gauge.builder(name) { read() }.tag("service", service.value).register(registry)
+    }
+
     private fun histogram(
         name: String,
         description: String,
