--- a/core/src/main/kotlin/org/agatestream/core/Dispatch.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatch.kt
@@ -98,6 +98,8 @@
     val silentMillis: Long? = null,
     /** The prompt parts that other requests may share, in order. */
     val parts: List<PromptPart> = emptyList(),
+    /** The time from sending the run to its first event; null before that, or while no roll-out needs it. */
+    val firstEventMillis: Long? = null,
 )
 
 /** Why a coordinator restricts the work that it assigns to a server. */
--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -493,6 +493,7 @@
             val load = servers.find(running.server) ?: return
             occupySlot(call, load, running.item != null, now)
         }
+        (running.firstEventMillis ?: running.silentMillis)?.let { gate.onProgress(call, it, running.hasBegun) }
         isolation.onStarted(call, running.server, running.parts)
         if (running.hasBegun) isolation.onBegun(call, now)
         // The job may have been loaded after the run was first reported.
--- a/core/src/main/kotlin/org/agatestream/core/rollout/Evidence.kt
+++ b/core/src/main/kotlin/org/agatestream/core/rollout/Evidence.kt
@@ -5,6 +5,7 @@
 import org.agatestream.core.RunDetail
 import org.agatestream.core.RunOutcome
 import kotlin.math.roundToInt
+import kotlin.math.sqrt
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -93,18 +94,18 @@
     }
 
     /**
-     * Judges the new version by the runs that ended and by [inFlight], those that already take too long.
+     * Judges the new version by the runs that ended and by what is known of those [inFlight].
      *
      * A difference counts if a sound version shows it with less probability than [limits] say.
      */
     fun judge(
-        inFlight: Collection<ObservedStart>,
+        inFlight: Collection<RunInFlight>,
         limits: VerdictLimits,
         now: MonotonicTime,
     ): Verdict {
-        val overdue = inFlight.mapNotNull { overdue(it, now) }
-        val new = runs.getValue(VersionSide.NEW) + overdue.filter { it.start.side == VersionSide.NEW }
-        val old = runs.getValue(VersionSide.OLD) + overdue.filter { it.start.side == VersionSide.OLD }
+        val unfinished = inFlight.mapNotNull { observe(it, now) }
+        val new = runs.getValue(VersionSide.NEW) + unfinished.filter { it.start.side == VersionSide.NEW }
+        val old = runs.getValue(VersionSide.OLD) + unfinished.filter { it.start.side == VersionSide.OLD }
         for (from in listOf(null, now - RECENT)) {
             val newSpan = if (from == null) new else new.filter { it.endedAt >= from }
             val oldSpan = if (from == null) old else old.filter { it.endedAt >= from }
@@ -113,14 +114,14 @@
         return Verdict.NoDifference(sample)
     }
 
-    /** Returns a run that has not ended as a slow one if it already takes several times as long as others. */
-    private fun overdue(
-        start: ObservedStart,
+    /** Returns a run that has not ended as an observation, if it has begun or already takes several times as long. */
+    private fun observe(
+        run: RunInFlight,
         now: MonotonicTime,
     ): RunObservation? {
-        val times = RunTimes(null, null, (now - start.at).inWholeMilliseconds)
-        val slowdown = reference.slowdown(start, times, now) ?: return null
-        return if (slowdown < SLOW) null else RunObservation(start, now, isFailure = false, slowdown)
+        val times = RunTimes(run.waitedMillis, null, (now - run.start.at).inWholeMilliseconds)
+        val slowdown = reference.slowdown(run.start, times, now) ?: return null
+        return if (run.hasBegun || slowdown >= SLOW) RunObservation(run.start, now, false, slowdown) else null
     }
 
     private fun findDifference(
@@ -181,7 +182,9 @@
         val oldRatios = old.mapNotNull { it.slowdown }
         val oldHits = oldRatios.count { it >= slow }
         val usual = maxOf(USUAL_SLOW, OLD_TOLERANCE * (oldHits + 1) / (oldRatios.size + OLD_PRIOR_RUNS))
-        val cluster = maxOf(1, (judged.size.toDouble() / judged.episodes()).roundToInt())
+        val perEpisode = judged.size.toDouble() / judged.episodes()
+        // A busy host alone seldom makes runs very slow, so that these depend on each other less.
+        val cluster = maxOf(1, (if (slow == VERY_SLOW) sqrt(perEpisode) else perEpisode).roundToInt())
         val chance = binomialTail(judged.size / cluster, hits / cluster, minOf(usual, MAX_USUAL))
         if (chance >= limits.maxChance) return null
         return Verdict.Bad("slow", group, hits, judged.size, oldHits, oldRatios.size, chance)
--- a/core/src/main/kotlin/org/agatestream/core/rollout/Rollout.kt
+++ b/core/src/main/kotlin/org/agatestream/core/rollout/Rollout.kt
@@ -81,7 +81,7 @@
     private var newServers: List<ServerEntry> = emptyList()
     private var loadedServers: Set<BackendServerId> = emptySet()
     private val oldServerIds = HashSet<BackendServerId>()
-    private val inFlight = HashMap<CallId, ObservedStart>()
+    private val inFlight = HashMap<CallId, RunInFlight>()
 
     /** The servers of other versions that were seen since the order. */
     public val oldServers: Set<BackendServerId> get() = oldServerIds
@@ -182,7 +182,17 @@
         if (side == VersionSide.NEW) exposed++
         val level = LoadLevel.of(run.running, run.server.slots)
         val route = run.route ?: run.server.service.value
-        inFlight[run.call] = ObservedStart(side, run.server.id, run.server.failureDomain, level, route, now, run.isItem)
+        val start =
+            ObservedStart(side, run.server.id, run.server.failureDomain, level, route, now, run.isItem)
+        inFlight[run.call] = RunInFlight(start)
+    }
+
+    internal fun onProgress(
+        call: CallId,
+        waitedMillis: Long,
+        hasBegun: Boolean,
+    ) {
+        inFlight.computeIfPresent(call) { _, run -> run.copy(waitedMillis = waitedMillis, hasBegun = hasBegun) }
     }
 
     internal fun onEnded(
@@ -192,8 +202,8 @@
         detail: RunDetail,
         now: MonotonicTime,
     ) {
-        val start = inFlight.remove(call) ?: return
-        evidence.add(start, outcome, firstEvent, detail, now)
+        val run = inFlight.remove(call) ?: return
+        evidence.add(run.start, outcome, firstEvent, detail, now)
     }
 
     internal fun onForgotten(call: CallId) {
--- a/core/src/main/kotlin/org/agatestream/core/rollout/Rollouts.kt
+++ b/core/src/main/kotlin/org/agatestream/core/rollout/Rollouts.kt
@@ -106,6 +106,15 @@
         rollout.onStarted(run, now)
     }
 
+    override fun onProgress(
+        call: CallId,
+        waitedMillis: Long,
+        hasBegun: Boolean,
+    ) {
+        val service = callServices[call] ?: return
+        open[service]?.onProgress(call, waitedMillis, hasBegun)
+    }
+
     override fun onEnded(
         call: CallId,
         outcome: RunOutcome,
--- a/core/src/main/kotlin/org/agatestream/core/rollout/RunObservation.kt
+++ b/core/src/main/kotlin/org/agatestream/core/rollout/RunObservation.kt
@@ -37,6 +37,14 @@
     val isItem: Boolean = false,
 )
 
+/** A run that has not ended, as far as it is known. */
+internal data class RunInFlight(
+    val start: ObservedStart,
+    /** How long the first event took or, if the run has not begun, has taken so far; null if nobody said. */
+    val waitedMillis: Long? = null,
+    val hasBegun: Boolean = false,
+)
+
 /** How long parts of a run took, in milliseconds; null where the run has none. */
 internal data class RunTimes(
     val firstEvent: Long?,
--- a/core/src/main/kotlin/org/agatestream/core/rollout/VersionBook.kt
+++ b/core/src/main/kotlin/org/agatestream/core/rollout/VersionBook.kt
@@ -37,6 +37,9 @@
     /** The orders that are not known to be completed or rolled back. */
     public val openOrders: List<RolloutOrder> get() = orders.values.filter { statuses[it.service]?.ends(it) != true }
 
+    /** True if there is an order that is not known to be completed or rolled back. */
+    public val hasOpenOrders: Boolean get() = orders.isNotEmpty() && openOrders.isNotEmpty()
+
     /** Applies the operators' orders; there is at most one for a service. */
     public fun onOrders(current: Collection<RolloutOrder>) {
         val services = orders.keys + current.map { it.service }
@@ -101,6 +104,12 @@
         now: MonotonicTime,
     ): Unit = Unit
 
+    override fun onProgress(
+        call: CallId,
+        waitedMillis: Long,
+        hasBegun: Boolean,
+    ): Unit = Unit
+
     override fun onEnded(
         call: CallId,
         outcome: RunOutcome,
--- a/core/src/main/kotlin/org/agatestream/core/rollout/VersionGate.kt
+++ b/core/src/main/kotlin/org/agatestream/core/rollout/VersionGate.kt
@@ -25,6 +25,17 @@
         now: MonotonicTime,
     )
 
+    /**
+     * Records that a run had its first event after [waitedMillis], or has waited that long if not [hasBegun].
+     *
+     * Slow runs end late, so that their first events are the earliest sign of a slow version.
+     */
+    public fun onProgress(
+        call: CallId,
+        waitedMillis: Long,
+        hasBegun: Boolean,
+    )
+
     /** Records the end of a run. */
     public fun onEnded(
         call: CallId,
@@ -49,6 +60,12 @@
             now: MonotonicTime,
         ): Unit = Unit
 
+        override fun onProgress(
+            call: CallId,
+            waitedMillis: Long,
+            hasBegun: Boolean,
+        ): Unit = Unit
+
         override fun onEnded(
             call: CallId,
             outcome: RunOutcome,
--- a/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
+++ b/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
@@ -112,9 +112,10 @@
         number: Long,
         now: MonotonicTime,
     ) {
-        awaitingFirstEvent -= number
+        val sentAt = awaitingFirstEvent.remove(number)
         val run = runs[number] ?: return
-        runs[number] = run.copy(hasBegun = true)
+        val waited = sentAt?.takeIf { view.versions.hasOpenOrders }?.let { (now - it).inWholeMilliseconds }
+        runs[number] = run.copy(hasBegun = true, firstEventMillis = waited)
         parts.onSoundStart(run.parts, now)
     }
 
