--- a/core/src/main/kotlin/org/agatestream/core/Dispatch.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatch.kt
@@ -43,6 +43,8 @@
     /** The failure domain of the VM that asks; null if it is not known. */
     val origin: FailureDomainId? = null,
     val prompt: PromptShape = PromptShape.UNKNOWN,
+    /** The name of the route; null if the VM that asks did not say. */
+    val route: String? = null,
 )
 
 /** The outcome of a run, as evidence of the health of its server. */
@@ -98,6 +100,8 @@
     val parts: List<PromptPart> = emptyList(),
     /** The tokens that the run is expected to occupy at its server; 0 if not known. */
     val tokens: Int = 0,
+    /** The time from sending the run to its first event; null before that, or while no roll-out needs it. */
+    val firstEventMillis: Long? = null,
 )
 
 /** Why a coordinator restricts the work that it assigns to a server. */
--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -10,6 +10,8 @@
 import org.agatestream.core.placement.ObservedLoad
 import org.agatestream.core.placement.PlacementDemand
 import org.agatestream.core.placement.PromptShape
+import org.agatestream.core.rollout.StartedRun
+import org.agatestream.core.rollout.VersionGate
 import kotlin.math.ceil
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -31,9 +33,11 @@
     /** What this VM knows about prompt parts that end servers. */
     private val suspects: CrashSuspects = CrashSuspects(),
     policy: SchedulingPolicy = SchedulingPolicy(),
+    /** Decides which versions of a service may get a run. */
+    private val gate: VersionGate = VersionGate.Open,
 ) {
     private val isolation = SuspectIsolation(suspects)
-    private val servers = ServerPool(random, comparesServers = policy.comparesServers)
+    private val servers = ServerPool(random, gate = gate, comparesServers = policy.comparesServers)
     private val slotCounts = SlotCounts(servers)
     private val queues = WaitingQueues(sharesSlots = policy.sharesSlots)
     private val rates = WorkspaceRates()
@@ -75,6 +79,9 @@
             queue.overShare(capacityOf(service, now), now)
         }
 
+    /** True once every VM that may serve callers has reported its runs. */
+    public val isFullyReported: Boolean get() = hasAllReported()
+
     /** The servers whose work is restricted, with the reason. */
     public val suspectedServers: Map<BackendServerId, ServerSuspicion>
         get() = servers.all.mapNotNull { load -> load.suspicion?.let { load.id to it } }.toMap()
@@ -98,7 +105,7 @@
 
     /** Refuses the queued requests for which no server is left, as [place] does with new ones. */
     private fun refuseUnservable(now: MonotonicTime): List<DispatchAction> {
-        val unservable = queues.all.map { it.request }.filter { slotCounts.total(it.service, it.excluded) == 0 }
+        val unservable = queues.all.map { it.request }.filter { slotCounts.total(it.service, it.excluded, now) == 0 }
         unservable.forEach { queues.remove(it.call) }
         return unservable.map { refuse(it, ErrorKind.NO_CAPACITY, NO_SERVER_RETRY_AFTER, now) }
     }
@@ -162,6 +169,7 @@
             earlyReleases[call] = now
             return emptyList()
         }
+        gate.onEnded(call, outcome, firstEvent, detail, now)
         val load = servers.find(held.server) ?: return schedule(now)
         val wasSilent = load.isSilent(call)
         servers.onRunEnding(load, call, firstEvent, now, detail)
@@ -291,6 +299,24 @@
         return schedule(now)
     }
 
+    /** Returns the number of runs at [ids], with those of unresponsive VMs. */
+    public fun runsAt(ids: Set<BackendServerId>): Int =
+        heldSlots.countAt(ids) + servers.all.filter { it.id in ids }.sumOf { it.orphaned }
+
+    /** Returns the number of runs and waiting requests of [service]. */
+    public fun demand(service: ServiceId): Int =
+        servers.forService(service).sumOf { it.running + it.orphaned } + (queues[service]?.size ?: 0)
+
+    /** Stops the items that run at [ids]; they resume at other servers. */
+    public fun stopItemsAt(
+        ids: Set<BackendServerId>,
+        reason: String,
+    ): List<DispatchAction> =
+        servers.all
+            .filter { it.id in ids }
+            .flatMap { it.stoppableItems() }
+            .map { stopItem(it, reason) }
+
     /** Refuses requests whose wait has expired and schedules queued work. */
     public fun tick(now: MonotonicTime): List<DispatchAction> {
         val expired = queues.removeExpired(now).map { it.request } + removeExcess(now)
@@ -320,7 +346,7 @@
         if (servers.isTooLarge(request.service, demandOf(request, now))) {
             return DispatchAction.Refuse(request.call, ErrorKind.NO_CAPACITY, NO_SERVER_RETRY_AFTER)
         }
-        if (slotCounts.total(request.service, request.excluded) == 0) {
+        if (slotCounts.total(request.service, request.excluded, now) == 0) {
             return DispatchAction.Refuse(request.call, ErrorKind.NO_CAPACITY, NO_SERVER_RETRY_AFTER)
         }
         val wait = expectedWait(request, now)
@@ -363,7 +389,7 @@
         request: PlaceRequest,
         now: MonotonicTime,
     ): Duration {
-        if (slotCounts.total(request.service, emptySet()) == 0) return NO_SERVER_RETRY_AFTER
+        if (slotCounts.total(request.service, emptySet(), now) == 0) return NO_SERVER_RETRY_AFTER
         val queue = queues.queueOf(request, now)
         return queue.expectedWait(request.workspace, capacityOf(request.service, now), now, RunWork.of(request.prompt))
     }
@@ -532,8 +558,13 @@
         if (vms.isEmpty()) return
         if (!jobs.hasReadyItems(now)) return
         val spareSlots = HashMap<ServiceId, Int>()
-        for (load in servers.all) spareSlots.merge(load.server.entry.service, maxOf(0, load.free), Int::plus)
-        for (service in spareSlots.keys.toList()) spareSlots.computeIfPresent(service) { _, n -> n - headroom(service) }
+        for (load in servers.all) {
+            if (!servers.mayUse(load, now)) continue
+            spareSlots.merge(load.server.entry.service, maxOf(0, load.free), Int::plus)
+        }
+        for (service in spareSlots.keys.toList()) {
+            spareSlots.computeIfPresent(service) { _, spare -> spare - headroom(service, now) }
+        }
         queues.services
             .filterValues { it.startable > 0 }
             .keys
@@ -554,15 +585,17 @@
             }
             val call = CallId(chooseVm(ref, vms), nextNumber++)
             spareSlots.merge(service, -1, Int::plus)
-            occupySlot(call, load, isItem = true, now)
+            occupySlot(call, load, isItem = true, now, route = route(ref, plan)?.name)
             jobs.onStarted(ref, call, now)
             actions += DispatchAction.StartItem(call, ref, load.id)
         }
     }
 
     /** Returns the number of slots kept free of items, so that the next online requests need no preemption. */
-    private fun headroom(service: ServiceId): Int =
-        ceil(slotCounts.total(service, emptySet()) * HEADROOM_FRACTION).toInt()
+    private fun headroom(
+        service: ServiceId,
+        now: MonotonicTime,
+    ): Int = ceil(slotCounts.total(service, emptySet(), now) * HEADROOM_FRACTION).toInt()
 
     /**
      * Returns the VM among [vms] that runs an item, one of [VMS_PER_JOB] for each job.
@@ -601,12 +634,14 @@
         isItem: Boolean,
         now: MonotonicTime,
         request: PlaceRequest? = null,
+        route: String? = request?.route,
     ) {
         removeHeld(call)
         val work = RunWork.of(request?.prompt ?: PromptShape.UNKNOWN)
         heldSlots.add(call, HeldSlot(load.id, load.server.entry.service, now, isItem, work, request))
         val demand = request?.let { demandOf(it, now) } ?: PlacementDemand.UNKNOWN
         load.onStarted(call, isItem, now, demand)
+        gate.onStarted(StartedRun(call, load.server.entry, load.running, route, isItem), now)
     }
 
     private fun demandOf(
@@ -628,6 +663,7 @@
             val load = servers.find(running.server) ?: return
             occupySlot(call, load, running.item != null, now)
         }
+        (running.firstEventMillis ?: running.silentMillis)?.let { gate.onProgress(call, it, running.hasBegun) }
         isolation.onStarted(call, running.server, running.parts)
         if (running.hasBegun) isolation.onBegun(call, now)
         // The job may have been loaded after the run was first reported.
@@ -652,6 +688,7 @@
         now: MonotonicTime,
     ) {
         isolation.onAbandoned(call)
+        gate.onForgotten(call)
         val held = removeHeld(call) ?: return
         val load = servers.find(held.server) ?: return
         val isItem = jobs.itemOf(call) != null
@@ -669,6 +706,7 @@
 
     private fun releaseSlot(call: CallId) {
         isolation.onAbandoned(call)
+        gate.onForgotten(call)
         removeHeld(call)?.let { servers.find(it.server) }?.remove(call)
     }
 
--- a/core/src/main/kotlin/org/agatestream/core/HeldSlots.kt
+++ b/core/src/main/kotlin/org/agatestream/core/HeldSlots.kt
@@ -35,6 +35,9 @@
     /** Returns the number of runs of online requests at servers of [service]. */
     fun onlineOf(service: ServiceId): Int = onlineByService[service] ?: 0
 
+    /** Returns the number of runs at [servers]. */
+    fun countAt(servers: Set<BackendServerId>): Int = slots.values.count { it.server in servers }
+
     /** Adds the slot of a run that holds none. */
     fun add(
         call: CallId,
--- a/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
@@ -6,6 +6,7 @@
 import org.agatestream.core.placement.PlacementDemand
 import org.agatestream.core.placement.PlacementSettings
 import org.agatestream.core.placement.TokenCapacity
+import org.agatestream.core.rollout.VersionGate
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -17,6 +18,7 @@
     private val settings: PlacementSettings = PlacementSettings(),
     /** True if servers are compared by more than their load and their first events. */
     private val comparesServers: Boolean = true,
+    private val gate: VersionGate = VersionGate.Open,
 ) {
     private val loads = LinkedHashMap<BackendServerId, ServerLoad>()
     private val byService = HashMap<ServiceId, ServiceServers>()
@@ -66,11 +68,32 @@
 
     fun forService(service: ServiceId): List<ServerLoad> = byService[service]?.loads.orEmpty()
 
-    /** Returns the total number of slots of the servers of [service] outside [excluded], free or occupied. */
+    /**
+     * Returns the total number of slots of the servers of [service] outside [excluded], free or occupied.
+     *
+     * Servers whose version may get no work at [now] do not count.
+     */
     fun slots(
         service: ServiceId,
+        now: MonotonicTime,
         excluded: Set<BackendServerId> = emptySet(),
-    ): Int = forService(service).sumOf { if (it.id in excluded) 0 else it.server.entry.slots }
+    ): Int = forService(service).sumOf { if (it.id !in excluded && mayUse(it, now)) it.server.entry.slots else 0 }
+
+    /** Returns whether the version of the server may get work. */
+    fun mayUse(
+        load: ServerLoad,
+        now: MonotonicTime,
+    ): Boolean = gate.rank(load.server.entry, now) != null
+
+    /** Returns those of [available] whose version goes before that of the others. */
+    private fun preferred(
+        available: List<ServerLoad>,
+        now: MonotonicTime,
+    ): List<ServerLoad> {
+        if (gate === VersionGate.Open || available.isEmpty()) return available
+        val best = available.mapNotNull { gate.rank(it.server.entry, now) }.minOrNull()
+        return available.filter { gate.rank(it.server.entry, now) == best }
+    }
 
     /**
      * Returns the slots of [service] that requests may use now, free or occupied, weighted by the speed of their server.
@@ -135,7 +158,7 @@
     fun acceptsWork(
         load: ServerLoad,
         now: MonotonicTime,
-    ): Boolean = load.acceptsWork(coldRate(load), now)
+    ): Boolean = load.acceptsWork(coldRate(load), now) && mayUse(load, now)
 
     /**
      * Returns the server with the least expected cost for [demand]; null if none is available.
@@ -165,7 +188,7 @@
         atRisk: Set<BackendServerId>,
         demand: PlacementDemand,
     ): ServerLoad? {
-        val available = loads.filter { it.id !in excluded && mayStart(it, demand, now) }
+        val available = preferred(loads.filter { it.id !in excluded && mayStart(it, demand, now) }, now)
         if (available.isEmpty()) return null
         val median = available.map { it.firstEventMillis }.sorted()[available.size / 2]
         val threshold = maxOf(median * SLOW_FACTOR, MIN_SLOW_MILLIS)
@@ -181,8 +204,7 @@
         demand: PlacementDemand,
     ): ServerLoad? {
         val best = LeastCost<ServerLoad>(random, spread())
-        for (load in servers.loads) {
-            if (load.id in excluded || !mayStart(load, demand, now)) continue
+        for (load in preferred(servers.loads.filter { it.id !in excluded && mayStart(it, demand, now) }, now)) {
             best.offer(load, costMillis(servers.costs, load, demand, now))
         }
         return best.choice()
@@ -247,8 +269,7 @@
         now: MonotonicTime,
         demand: PlacementDemand = PlacementDemand.UNKNOWN,
     ): ServerLoad? =
-        forService(service)
-            .filter { it.id !in excluded && mayStart(it, demand, now) }
+        preferred(forService(service).filter { it.id !in excluded && mayStart(it, demand, now) }, now)
             .shuffled(random)
             .minByOrNull { it.running }
 
--- a/core/src/main/kotlin/org/agatestream/core/ServerRegistry.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerRegistry.kt
@@ -138,6 +138,9 @@
     /** Returns the server with [id] whether or not it may get new work. */
     public fun find(id: BackendServerId): ServerEntry? = entries[id]?.entry
 
+    /** Returns the entries of all servers, with those that are draining or out of service. */
+    public fun all(): List<ServerEntry> = entries.values.map { it.entry }
+
     /** Returns the servers that may get new work. */
     public fun usable(): Collection<UsableServer> = entries.values.filter { isUsable(it) }
 
--- a/core/src/main/kotlin/org/agatestream/core/SlotCounts.kt
+++ b/core/src/main/kotlin/org/agatestream/core/SlotCounts.kt
@@ -6,13 +6,13 @@
 internal class SlotCounts(
     private val servers: ServerPool,
 ) {
-    private class Usable(
+    private class Count(
         val slots: Int,
         val countedAt: MonotonicTime,
     )
 
-    private val totals = HashMap<ServiceId, Int>()
-    private val usable = HashMap<ServiceId, Usable>()
+    private val totals = HashMap<ServiceId, Count>()
+    private val usable = HashMap<ServiceId, Count>()
 
     /** Forgets the counts after a change of the servers. */
     fun onServers() {
@@ -20,13 +20,16 @@
         usable.clear()
     }
 
-    /** Returns the total number of slots of the servers of [service] outside [excluded], free or occupied. */
+    /** Returns the slots, free or occupied, of the servers of [service] outside [excluded] whose version may get work. */
     fun total(
         service: ServiceId,
         excluded: Set<BackendServerId>,
+        now: MonotonicTime,
     ): Int {
-        if (excluded.isNotEmpty()) return servers.slots(service, excluded)
-        return totals.getOrPut(service) { servers.slots(service) }
+        if (excluded.isNotEmpty()) return servers.slots(service, now, excluded)
+        val known = totals[service]
+        if (known != null && (now - known.countedAt).absoluteValue < VALIDITY) return known.slots
+        return servers.slots(service, now).also { totals[service] = Count(it, now) }
     }
 
     /**
@@ -41,9 +44,14 @@
         val known = usable[service]
         if (known != null && (now - known.countedAt).absoluteValue < VALIDITY) return known.slots
         // A rate of 0 leaves out the limit of cold servers, which ends after a second at most.
-        val slots = servers.forService(service).filter { it.acceptsWork(0.0, now) }.sumOf { it.server.entry.slots }
-        val counted = if (slots > 0) slots else total(service, emptySet())
-        usable[service] = Usable(counted, now)
+        val slots =
+            servers
+                .forService(service)
+                .filter {
+                    it.acceptsWork(0.0, now) && servers.mayUse(it, now)
+                }.sumOf { it.server.entry.slots }
+        val counted = if (slots > 0) slots else total(service, emptySet(), now)
+        usable[service] = Count(counted, now)
         return counted
     }
 
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -26,6 +26,9 @@
 import org.agatestream.core.ServerSuspicion
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
+import org.agatestream.core.rollout.Rollout
+import org.agatestream.core.rollout.RolloutSituation
+import org.agatestream.core.rollout.Rollouts
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -54,6 +57,9 @@
     private val leaving: LeavingServerWatch = LeavingServerWatch(view),
     policy: SchedulingPolicy = SchedulingPolicy(),
 ) {
+    /** The roll-outs that this VM carries out. */
+    val rollouts = Rollouts(view.versions, writer = self.value)
+
     private class Follower(
         var vm: LiveVm,
         var lastHeardAt: MonotonicTime,
@@ -67,7 +73,13 @@
         val since: MonotonicTime,
     )
 
-    val dispatcher = Dispatcher(nextNumber = term.firstRunNumber, suspects = parts.suspects, policy = policy)
+    val dispatcher =
+        Dispatcher(
+            nextNumber = term.firstRunNumber,
+            suspects = parts.suspects,
+            policy = policy,
+            gate = rollouts,
+        )
     private val followers = LinkedHashMap<VmId, Follower>()
     private val silentVms = HashMap<String, SilentVm>()
     private val markedSilent = HashSet<String>()
@@ -95,6 +107,7 @@
 
     fun start(now: MonotonicTime) {
         view.manifest?.let { dispatcher.onManifest(it) }
+        rollouts.onServers(view.registry.all())
         execute(dispatcher.onServers(view.registry.usable(), now))
         dispatcher.allowItems(now + TAKEOVER_WAIT)
         tickLoop =
@@ -145,9 +158,23 @@
     fun onViewChanged(now: MonotonicTime) {
         noticePause(now)
         view.manifest?.let { dispatcher.onManifest(it) }
+        rollouts.onServers(view.registry.all())
         execute(dispatcher.onServers(view.registry.usable(), now))
     }
 
+    /** Returns what this VM knows of the servers of a roll-out. */
+    fun situationOf(rollout: Rollout): RolloutSituation =
+        RolloutSituation(
+            oldRuns = dispatcher.runsAt(rollout.oldServers),
+            demand = dispatcher.demand(rollout.order.service),
+            isComplete = dispatcher.isFullyReported,
+        )
+
+    /** Stops the items at the old servers of a roll-out; they resume at other servers. */
+    fun stopItemsAt(servers: Set<BackendServerId>) {
+        execute(dispatcher.stopItemsAt(servers, "rollout"))
+    }
+
     fun onJob(
         plan: JobPlan,
         done: Set<ItemId>,
@@ -195,6 +222,7 @@
                 workspace = request.workspace ?: request.meteredWorkspace,
                 origin = request.origin,
                 prompt = request.prompt,
+                route = request.route,
             )
         execute(dispatcher.place(placeRequest, now))
         pendingPlacements.remove(call)
@@ -265,9 +293,13 @@
             snapshot = snapshot,
             parts = parts.answer(report.parts, now),
             leaving = leaving.answer(report.leaving, now),
+            rollouts = rolloutNotices(),
         )
     }
 
+    private fun rolloutNotices(): List<RolloutNotice> =
+        view.versions.knownStatuses.map { (service, status) -> RolloutNotice(service, status.target, status.outcome) }
+
     /** Catches up with a VM that has newer rows: the feed of this VM may be silent. */
     private fun refreshManifest() {
         if (refresh?.isActive == true) return
--- a/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
@@ -243,6 +243,7 @@
             parts.onAnswered(report.parts, answer.parts, MonotonicTime.now())
             leaving.onAnswered(answer.leaving, MonotonicTime.now())
             answer.snapshot?.let { view.applySnapshot(it, MonotonicTime.now()) }
+            view.applyRollouts(answer.rollouts)
         } else {
             markCoordinatorSilent(coordinator, if (answer == null) "report_unanswered" else "not_coordinator", now)
         }
--- a/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
+++ b/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
@@ -44,6 +44,8 @@
     /** The workspace that asks, also once its rate was charged. */
     val workspace: WorkspaceId? = meteredWorkspace,
     val prompt: PromptShape = PromptShape.UNKNOWN,
+    /** The name of the route. */
+    val route: String? = null,
 )
 
 /** Permission to run one request at [server]; the holder must release it. */
@@ -94,7 +96,8 @@
     // Run number to the time when it was sent, for runs without a first event.
     private val awaitingFirstEvent = HashMap<Long, MonotonicTime>()
     private val loads = ReportedLoads()
-    private val localDispatcher = Dispatcher(nextNumber = 0, suspects = parts.suspects, policy = policy)
+    private val localDispatcher =
+        Dispatcher(nextNumber = 0, suspects = parts.suspects, policy = policy, gate = view.versions)
     private var nextNumber = 1L
 
     /** Returns the runs in flight at this VM, with the time that each has waited for its first event at [now]. */
@@ -129,9 +132,10 @@
         number: Long,
         now: MonotonicTime,
     ) {
-        awaitingFirstEvent -= number
+        val sentAt = awaitingFirstEvent.remove(number)
         val run = runs[number] ?: return
-        runs[number] = run.copy(hasBegun = true)
+        val waited = sentAt?.takeIf { view.versions.hasOpenOrders }?.let { (now - it).inWholeMilliseconds }
+        runs[number] = run.copy(hasBegun = true, firstEventMillis = waited)
         parts.onSoundStart(run.parts, now)
     }
 
@@ -192,7 +196,9 @@
                 is PlaceDecision.Placed -> {
                     meteredWorkspace = null
                     val server = view.registry.usable(decision.server)?.entry
-                    if (server != null && server.service == requirements.service) {
+                    val isServed = server != null && server.service == requirements.service
+                    // The coordinator may not know yet that the version was rolled back.
+                    if (isServed && !view.versions.isRolledBack(server)) {
                         runs[number] =
                             RunningCall(
                                 number,
@@ -281,6 +287,7 @@
                     workspace = requirements.workspace,
                     origin = domain,
                     prompt = requirements.prompt,
+                    route = requirements.route,
                 )
             val immediate = requestSlot(coordinator, request, now)
             val decision =
@@ -346,6 +353,7 @@
                 workspace = requirements.workspace,
                 origin = domain,
                 prompt = requirements.prompt,
+                route = requirements.route,
             )
         val actions = localDispatcher.place(request, now) + localDispatcher.tick(now + LOCAL_QUEUE_TIME)
         for (action in actions) {
