--- a/standins/src/main/kotlin/org/agatestream/standin/Main.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/Main.kt
@@ -17,7 +17,14 @@
 /** Runs the stand-in or scenario command specified by the first argument. */
 public fun main(args: Array<String>) {
     val parser = ArgParser("agatestream-standins")
-    parser.subcommands(PlatformCommand(), EngineCommand(), ServiceCommand(), RunCommand(), QuickstartCommand())
+    parser.subcommands(
+        PlatformCommand(),
+        EngineCommand(),
+        ServiceCommand(),
+        RowStoreCommand(),
+        RunCommand(),
+        QuickstartCommand(),
+    )
     parser.parse(args.ifEmpty { arrayOf("--help") })
 }
 
