Hold requests at a starting VM and replace an ended coordinator at once

Cause: after all VMs ended together, a VM refused every request until its first reads (503 not_current, always 500 ms), used the whole fleet's rates until it knew how many VMs share them, and waited for time-outs although another process held the named coordinator's address.

Requests pass once manifest, servers and the list of VMs are read; before, the seeds count as the VMs. An authenticated process with another id at the coordinator's address proves its end.

--- a/server/src/main/kotlin/org/agatestream/server/CallerRoutes.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CallerRoutes.kt
@@ -12,6 +12,7 @@
 import org.agatestream.http.readBody
 import org.agatestream.platform.CallerProtocol
 import org.agatestream.platform.CallerRequest
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -23,6 +24,7 @@
     private val forwarder: RouteForwarder,
     private val jobs: JobCalls,
     private val shutdown: GracefulShutdown,
+    private val gate: StartupGate,
     /** The TTL of an answer with the entry addresses. */
     private val entryTtl: Duration,
 ) {
@@ -41,7 +43,8 @@
     private suspend fun serveRoute(call: HttpCall) {
         val now = MonotonicTime.now()
         if (shutdown.isRefusingRequests()) return call.respondNotServed(SHUTTING_DOWN)
-        val manifest = view.manifest ?: return call.respondNotServed(NOT_READY)
+        gate.await(CallerProtocol.callerTimeout(call), seedOf(call))
+        val manifest = view.manifest ?: return call.respondNotServed(notReady(call))
         val admission =
             manifest
                 .admit(CallerProtocol.host(call), call.path, CallerProtocol.key(call))
@@ -63,11 +66,18 @@
         call: HttpCall,
         block: suspend (WorkspaceId?) -> Unit,
     ) {
-        val manifest = view.manifest ?: return call.respondNotServed(NOT_READY)
+        gate.await(CallerProtocol.callerTimeout(call), seedOf(call))
+        val manifest = view.manifest ?: return call.respondNotServed(notReady(call))
         val workspace = manifest.authenticate(CallerProtocol.key(call)).getOrElse { return refuse(call, it) }
         block(workspace?.id)
     }
 
+    /** Returns a value that differs between callers; a request without an id gets a random one. */
+    private fun seedOf(call: HttpCall): Int = CallerProtocol.requestId(call)?.hashCode() ?: Random.nextInt()
+
+    private fun notReady(call: HttpCall): Failure =
+        Failure(ErrorKind.NOT_CURRENT, "this VM knows no manifest yet", gate.retryAfter(seedOf(call)))
+
     private suspend fun respondReadiness(call: HttpCall) {
         val isReady = view.manifest != null && !shutdown.hasBegun
         call.respond(if (isReady) STATUS_OK else ErrorKind.NOT_CURRENT.status, TEXT, ByteArray(0))
@@ -100,7 +110,6 @@
         const val STATUS_OK = 200
         const val JSON = "application/json"
         const val TEXT = "text/plain"
-        val NOT_READY = Failure(ErrorKind.NOT_CURRENT, "this VM knows no manifest yet", 500.milliseconds)
     }
 }
 
--- a/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
@@ -40,6 +40,8 @@
     private val random: Random,
     private val scope: CoroutineScope,
     private val onCoordinatorChanged: (VmId?) -> Unit,
+    /** Called when the listed VMs have been read for the first time. */
+    private val onRosterKnown: () -> Unit,
     /** Handles this VM's own status report while it is the coordinator. */
     private val onLocalStatus: (StatusReport) -> StatusResponse?,
 ) {
@@ -99,8 +101,12 @@
         reportTrigger.trySend(Unit)
     }
 
-    /** The number of VMs that the store lists. */
-    val listedCount: Int get() = roster.size
+    /** True once the listed VMs were read from the store. */
+    var isRosterKnown = false
+        private set
+
+    /** The number of VMs that may serve callers: those that the store lists, or the seeds before it is read. */
+    val listedCount: Int get() = if (isRosterKnown) roster.size else maxOf(roster.size, config.seedPeers.size)
 
     /** Returns the coordinator, or null if there is none or it does not respond. */
     fun reachableCoordinator(): VmId? =
@@ -301,7 +307,8 @@
     /** Returns whether the coordinator's VM has since restarted under another process id. */
     private fun isReplaced(): Boolean {
         val named = record ?: return false
-        return named.name == config.name || roster.all.any { it.name == named.name && it.id != named.vm }
+        if (named.name == config.name || network.isReplaced(named.vm)) return true
+        return roster.all.any { it.name == named.name && it.id != named.vm }
     }
 
     /** Claims the role if the store still names the coordinator of [version], on which the decision was made. */
@@ -384,6 +391,10 @@
     private fun replaceRows(rows: List<StoredRow>) {
         roster.clear()
         applyChanges(rows)
+        if (!isRosterKnown) {
+            isRosterKnown = true
+            onRosterKnown()
+        }
     }
 
     private fun applyChanges(rows: List<StoredRow>) {
--- a/server/src/main/kotlin/org/agatestream/server/KtorPeerNetwork.kt
+++ b/server/src/main/kotlin/org/agatestream/server/KtorPeerNetwork.kt
@@ -64,6 +64,9 @@
     private val openConnections = ConcurrentHashMap.newKeySet<PeerConnection>()
     private val dials = ConcurrentHashMap<String, Deferred<PeerConnection?>>()
     private val backoffs = ConcurrentHashMap<String, DialBackoff>()
+
+    // The address at which another process proved its id, by the id of the process that listened there before.
+    private val replaced = ConcurrentHashMap<VmId, String>()
     private val unauthenticated = Semaphore(MAX_UNAUTHENTICATED_CONNECTIONS)
     private var server: ServerSocket? = null
 
@@ -80,8 +83,12 @@
     override fun updateAddresses(vms: List<ListedVm>) {
         for (vm in vms) addresses[vm.id] = vm.peerAddress
         addresses.keys.retainAll(vms.mapTo(HashSet()) { it.id })
+        replaced.keys.retainAll(addresses.keys)
     }
 
+    /** A process listens before it is listed and until it ends, so another one at its address proves its end. */
+    override fun isReplaced(vm: VmId): Boolean = replaced[vm].let { it != null && it == addresses[vm] }
+
     /** Listens on [host] and [port], or any free port if that is 0; returns the port. */
     public suspend fun listen(
         host: String,
@@ -113,7 +120,10 @@
     ): PeerResponse? {
         val startedAt = MonotonicTime.now()
         val connection = withTimeoutOrNull(timeout) { dial(address).await() } ?: return null
-        if (expected != null && connection.peer != expected) return null
+        if (expected != null && connection.peer != expected) {
+            replaced[expected] = address
+            return null
+        }
         val left = timeout - (MonotonicTime.now() - startedAt)
         return if (left.isPositive()) connection.call(request, left) else null
     }
--- a/server/src/main/kotlin/org/agatestream/server/PeerTransport.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PeerTransport.kt
@@ -19,4 +19,7 @@
         timeout: Duration,
         expected: VmId? = null,
     ): PeerResponse?
+
+    /** Returns whether another process was found at the address of [vm], which has therefore ended. */
+    public fun isReplaced(vm: VmId): Boolean = false
 }
--- a/server/src/main/kotlin/org/agatestream/server/PlatformView.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformView.kt
@@ -33,6 +33,10 @@
     var serverVersion = 0L
         private set
 
+    /** True once the backend servers were read, from the store or from a peer. */
+    var areServersKnown = false
+        private set
+
     private val operatorRows = HashMap<String, ByteArray>()
     private val serverRows = HashMap<String, ByteArray>()
     private var lastContactAt: MonotonicTime? = null
@@ -194,6 +198,7 @@
     }
 
     private fun applyAllServers(now: MonotonicTime) {
+        areServersKnown = true
         registry = registry.onSnapshot(serverRows.mapNotNull { (key, value) -> readEntry(key, value) }, now)
     }
 
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -71,6 +71,7 @@
             random = Random.Default,
             scope = scope,
             onCoordinatorChanged = ::onCoordinatorChanged,
+            onRosterKnown = ::openGateIfRead,
             onLocalStatus = { role?.onStatusReport(self, it, MonotonicTime.now()) },
         )
     private val slots: SlotAllocator =
@@ -78,6 +79,7 @@
     private val itemExecutor = ItemExecutor(slots, view, jobStore, client, parts, scope, ::sendItemReport, buffers)
     private val entryTtl = minOf(DEFAULT_ENTRY_TTL, config.entryTtlMaxSeconds.seconds)
     private val shutdown = gracefulShutdown()
+    private val gate = StartupGate(MonotonicTime.now())
     private val routes =
         CallerRoutes(
             config = config,
@@ -86,6 +88,7 @@
             forwarder = RouteForwarder(slots, client, parts, metrics, buffers, shutdown),
             jobs = JobCalls(self, jobStore),
             shutdown = shutdown,
+            gate = gate,
             entryTtl = entryTtl,
         )
     private var role: CoordinatorRole? = null
@@ -285,7 +288,13 @@
         view.onStoreContact(answered, MonotonicTime.now())
     }
 
+    /** Lets requests pass once the manifest, the servers and the number of VMs that share the rates are known. */
+    private fun openGateIfRead() {
+        if (view.manifest != null && view.areServersKnown && membership.isRosterKnown) gate.open()
+    }
+
     private fun onViewChanged(now: MonotonicTime) {
+        openGateIfRead()
         slots.onViewChanged(now)
         role?.onViewChanged(now)
     }
--- a/server/src/test/kotlin/org/agatestream/server/FleetMembershipTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/FleetMembershipTest.kt
@@ -32,6 +32,9 @@
 import kotlin.time.Duration.Companion.seconds
 
 private val SELF = VmId("self@1")
+
+// The coordinator's row is read, reported to in vain, and claimed, each in one or two steps.
+private const val STEPS_TO_CLAIM = 20
 private val OTHER = CoordinatorRecord(VmId("other@1"), "other", "127.0.0.1:2")
 
 /** Runs coroutines only on demand, so that a test chooses their order; no delay ends. */
@@ -103,6 +106,8 @@
 /** A network on which every VM responds with [response]. */
 private class FakePeers(
     var response: PeerResponse? = null,
+    /** The VMs at whose addresses other processes listen. */
+    private val replaced: Set<VmId> = emptySet(),
 ) : PeerTransport {
     override val self: VmId = SELF
 
@@ -110,6 +115,8 @@
 
     override fun updateAddresses(vms: List<ListedVm>) = Unit
 
+    override fun isReplaced(vm: VmId): Boolean = vm in replaced
+
     override suspend fun call(
         peer: VmId,
         request: PeerRequest,
@@ -177,6 +184,7 @@
             random = Random(1),
             scope = scope,
             onCoordinatorChanged = { coordinators += it },
+            onRosterKnown = {},
             onLocalStatus = { null },
         )
     membership.start()
@@ -205,6 +213,18 @@
             }
         }
 
+        // Guards against a fleet that waits for time-outs although the named process provably ended.
+        test("all VMs restart at once: a coordinator whose address another process holds is replaced at once") {
+            val store = GatedStore(FakeRowStore())
+            store.isOpen.complete(Unit)
+            val row = FleetTables.encode(CoordinatorRecord.serializer(), OTHER)
+            store.write(emptyMap(), listOf(RowChange(FleetTables.coordinator, row)))
+            withMembership(store, FakePeers(replaced = setOf(OTHER.vm))) { dispatcher, _, _ ->
+                repeat(STEPS_TO_CLAIM) { dispatcher.runWaiting() }
+                store.coordinator() shouldBe SELF
+            }
+        }
+
         // Guards against items that a replaced coordinator has run through other VMs.
         test("a VM refuses orders of a coordinator that it knows to be replaced") {
             val store = GatedStore(FakeRowStore())
--- a/server/src/test/kotlin/org/agatestream/server/KtorPeerNetworkTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/KtorPeerNetworkTest.kt
@@ -55,6 +55,18 @@
             }
         }
 
+        // Guards against waits for a coordinator whose process ended and whose address its successor holds.
+        test("a process is known to have ended once another one proves its id at its address") {
+            withPair { a, b ->
+                val ended = VmId("b-before")
+                a.updateAddresses(listOf(ListedVm(ended, FailureDomainId("d"), "", "127.0.0.1:${b.port}")))
+                a.isReplaced(ended) shouldBe false
+                a.call(ended, probe, 5.seconds) shouldBe null
+                a.isReplaced(ended) shouldBe true
+                a.isReplaced(b.self) shouldBe false
+            }
+        }
+
         test("an oversized or malformed first frame closes the connection") {
             withPair { a, b ->
                 for (bytes in listOf(byteArrayOf(0x7f, 0, 0, 0), byteArrayOf(0, 0, 0, 2, 1, 1))) {
