--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -77,6 +77,7 @@
             random = Random.Default,
             scope = scope,
             onCoordinatorChanged = ::onCoordinatorChanged,
+            onRosterKnown = ::openGateIfRead,
             onLocalStatus = { role?.onStatusReport(self, it, MonotonicTime.now()) },
             leaving = leaving,
         )
@@ -86,6 +87,7 @@
         ItemExecutor(slots, view, jobStore, client, parts, scope, ::sendItemReport, buffers, leaving)
     private val entryTtl = minOf(DEFAULT_ENTRY_TTL, config.entryTtlMaxSeconds.seconds)
     private val shutdown = gracefulShutdown()
+    private val gate = StartupGate(MonotonicTime.now())
     private val routes =
         CallerRoutes(
             config = config,
@@ -94,6 +96,7 @@
             forwarder = RouteForwarder(slots, client, parts, metrics, buffers, shutdown, leaving),
             jobs = JobCalls(self, jobStore),
             shutdown = shutdown,
+            gate = gate,
             entryTtl = entryTtl,
         )
     private val rolloutRows = RolloutRows(relay)
@@ -313,7 +316,13 @@
         view.onStoreContact(answered, MonotonicTime.now())
     }
 
+    /** Lets requests pass once the manifest, the servers and the number of VMs that share the rates are known. */
+    private fun openGateIfRead() {
+        if (view.manifest != null && view.areServersKnown && membership.isRosterKnown) gate.open()
+    }
+
     private fun onViewChanged(now: MonotonicTime) {
+        openGateIfRead()
         slots.onViewChanged(now)
         role?.onViewChanged(now)
         rolloutControl?.onViewChanged(now)
