Keep requests in their failure domain while it serves them in time

Cause: the choice ignored the failure domain of the requesting VM, so in the model 66 to 76 % of requests left it.

Change: DomainRouting decides for each request. It stays while the best own server is expected to give the first event within 35 % of the time left (28 % while traffic leaves, so that it does not swing), and leaves if the domain is full, slow, has no server, or another holds far more of the prompt, provided that the way and its price cost less than staying. The dispatcher returns changes with both costs (event=domain_left, domain_regained) and counts runs by from, to and reason (agatestream_domain_sent_total). Items prefer servers and VMs in the domain of their job's bodies. Settings placement.domainLatencyMillis and placement.domainMillisPerMegabyte.

Core and platform tests pass, and CoordinatorRoleTest, FleetMembershipTest, StoreRelayTest, JobWatcherTest, KtorPeerNetworkTest of server; the whole server suite was not run.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -1,7 +1,10 @@
 package org.agatestream.core
 
+import org.agatestream.core.placement.DomainChange
+import org.agatestream.core.placement.DomainFlow
 import org.agatestream.core.placement.ObservedLoad
 import org.agatestream.core.placement.PlacementDemand
+import org.agatestream.core.placement.PlacementSettings
 import kotlin.math.ceil
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -23,9 +26,10 @@
     random: Random = Random.Default,
     /** What this VM knows about prompt parts that end servers. */
     private val suspects: CrashSuspects = CrashSuspects(),
+    placement: PlacementSettings = PlacementSettings(),
 ) {
     private val isolation = SuspectIsolation(suspects)
-    private val servers = ServerPool(random)
+    private val servers = ServerPool(random, placement)
     private val queuedRequests = ArrayList<PlaceRequest>()
     private val rates = WorkspaceRates()
     private val heldSlots = HashMap<CallId, HeldSlot>()
@@ -34,6 +38,7 @@
     private val meanRunMillis = HashMap<ServiceId, Double>()
     private var manifest: Manifest? = null
     private var followers: List<VmId> = emptyList()
+    private var vmDomains: Map<VmId, FailureDomainId> = emptyMap()
     private var expectedFollowers = 0
     private val reported = HashSet<VmId>()
     private val unanswering = HashSet<VmId>()
@@ -61,6 +66,12 @@
     public val suspectedServers: Map<BackendServerId, ServerSuspicion>
         get() = servers.all.mapNotNull { load -> load.suspicion?.let { load.id to it } }.toMap()
 
+    /** Removes and returns the changes of traffic between failure domains since the last call. */
+    public fun takeDomainChanges(): List<DomainChange> = servers.takeDomainChanges()
+
+    /** Removes and returns the number of runs sent to another failure domain since the last call. */
+    public fun takeDomainFlows(): Map<DomainFlow, Int> = servers.takeDomainFlows()
+
     /** Applies a version of the manifest. */
     public fun onManifest(manifest: Manifest) {
         this.manifest = manifest
@@ -82,13 +93,15 @@
      *
      * [expected] is the number of VMs that may serve callers; [followers] are those that send their requests here.
      * [extraBurst] is the number of requests that each workspace may send at once beyond the followers' share of its
-     * burst.
+     * burst. [domains] are the failure domains of the followers, as far as known.
      */
     public fun onFollowers(
         followers: List<VmId>,
         expected: Int,
         extraBurst: Double = 0.0,
+        domains: Map<VmId, FailureDomainId> = emptyMap(),
     ) {
+        vmDomains = domains
         this.followers = followers
         expectedFollowers = expected
         val share = if (expected <= 0) 1.0 else minOf(1.0, followers.size.toDouble() / expected)
@@ -404,8 +417,9 @@
                 continue
             }
             if ((spareSlots[service] ?: 0) <= 0) continue
-            val load = servers.choose(service, emptySet(), now, isolation.servers(now)) ?: continue
-            val call = CallId(chooseVm(ref, vms), nextNumber++)
+            val demand = PlacementDemand(origin = jobs.bodyHolder(ref)?.let { vmDomains[it] })
+            val load = servers.choose(service, emptySet(), now, isolation.servers(now), demand) ?: continue
+            val call = CallId(chooseVm(ref, vms, load.server.entry.failureDomain), nextNumber++)
             spareSlots.merge(service, -1, Int::plus)
             occupySlot(call, load, isItem = true, now)
             jobs.onStarted(ref, call, now)
@@ -420,14 +434,17 @@
      * Returns the VM among [vms] that runs an item, one of [VMS_PER_JOB] for each job.
      *
      * Spreading a job limits how many of its runs are interrupted, with their slots still occupied, when a VM is lost.
-     * The number of VMs is small because each of them reads the job's bodies.
+     * The number of VMs is small because each of them reads the job's bodies. VMs in the [domain] of the item's server
+     * are preferred.
      */
     private fun chooseVm(
         ref: ItemRef,
         vms: List<VmId>,
+        domain: FailureDomainId,
     ): VmId {
-        val holder = jobs.bodyHolder(ref)?.takeIf { it in vms }
-        val others = (vms - setOfNotNull(holder)).sortedByDescending { rendezvousRank(ref.job.value, it.value) }
+        val near = if (vmDomains.isEmpty()) vms else vms.filter { vmDomains[it] == domain }.ifEmpty { vms }
+        val holder = jobs.bodyHolder(ref)?.takeIf { it in near }
+        val others = (near - setOfNotNull(holder)).sortedByDescending { rendezvousRank(ref.job.value, it.value) }
         val candidates = (listOfNotNull(holder) + others).take(VMS_PER_JOB)
         return candidates[jobs.position(ref) % candidates.size]
     }
--- a/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
@@ -1,6 +1,12 @@
 package org.agatestream.core
 
 import org.agatestream.core.placement.CostModel
+import org.agatestream.core.placement.DomainChange
+import org.agatestream.core.placement.DomainDecision
+import org.agatestream.core.placement.DomainFlow
+import org.agatestream.core.placement.DomainOffer
+import org.agatestream.core.placement.DomainRouting
+import org.agatestream.core.placement.DomainSpeed
 import org.agatestream.core.placement.LeastCost
 import org.agatestream.core.placement.ObservedLoad
 import org.agatestream.core.placement.PlacementDemand
@@ -20,15 +26,22 @@
     private val byService = HashMap<ServiceId, ServiceServers>()
     private var manifest: Manifest? = null
     private var share = 1.0
+    private val flows = HashMap<DomainFlow, Int>()
 
     /** The servers of one service. */
     private class ServiceServers(
         val costs: CostModel,
+        val routing: DomainRouting,
     ) {
         var loads: List<ServerLoad> = emptyList()
         var hasSeveralDomains = false
         var hasFigures = false
 
+        private val domainSpeeds = HashMap<FailureDomainId, DomainSpeed>()
+
+        fun domainSpeed(load: ServerLoad): DomainSpeed =
+            domainSpeeds.getOrPut(load.server.entry.failureDomain) { DomainSpeed() }
+
         /** True if more than the load of servers tells them apart. */
         val hasDistinctions: Boolean get() = hasSeveralDomains || hasFigures
     }
@@ -53,7 +66,7 @@
         loads.keys.retainAll(usable.mapTo(HashSet()) { it.entry.id })
         val grouped = loads.values.groupBy { it.server.entry.service }
         for (service in byService.keys + grouped.keys) {
-            val servers = byService.getOrPut(service) { ServiceServers(CostModel(settings)) }
+            val servers = byService.getOrPut(service) { ServiceServers(CostModel(settings), DomainRouting(service)) }
             servers.loads = grouped[service].orEmpty()
             servers.hasSeveralDomains = servers.loads.distinctBy { it.server.entry.failureDomain }.size > 1
         }
@@ -85,7 +98,7 @@
         for (load in servers.loads) {
             if (load.id in excluded || !acceptsWork(load, now)) continue
             val slots = maxOf(0, load.server.entry.slots - load.orphaned)
-            sum += if (servers.hasDistinctions) slots / load.speed.factor(now) else slots.toDouble()
+            sum += if (servers.hasDistinctions) slots / factor(servers, load, now) else slots.toDouble()
         }
         return sum
     }
@@ -176,28 +189,105 @@
         now: MonotonicTime,
         demand: PlacementDemand,
     ): ServerLoad? {
-        val best = LeastCost<ServerLoad>(random, spread())
+        val origin = demand.origin.takeIf { servers.hasSeveralDomains }
+        val own = LeastCost<ServerLoad>(random, spread())
+        val others = LeastCost<ServerLoad>(random, spread())
+        var ownSlots = 0
         for (load in servers.loads) {
+            val isOwn = origin == null || load.server.entry.failureDomain == origin
+            if (isOwn) ownSlots += load.server.entry.slots
             if (load.id in excluded || !mayStart(load, demand, now)) continue
-            best.offer(load, costMillis(servers.costs, load, demand, now))
+            (if (isOwn) own else others).offer(load, costMillis(servers, load, demand, now))
         }
-        return best.choice()
+        if (origin == null) return own.choice()
+        return chooseDomain(servers, origin, own.choice(), others.choice(), ownSlots, demand, now)
     }
 
+    /** Returns [own] or [other], the best servers in and outside the domain of the request, or null to wait. */
+    private fun chooseDomain(
+        servers: ServiceServers,
+        origin: FailureDomainId,
+        own: ServerLoad?,
+        other: ServerLoad?,
+        ownSlots: Int,
+        demand: PlacementDemand,
+        now: MonotonicTime,
+    ): ServerLoad? {
+        if (own == null && other == null) return null
+        val ownOffer =
+            when {
+                own != null -> offer(servers, own, demand, now)
+                ownSlots > 0 -> servers.costs.offerAfterWait(ownSlots)
+                else -> null
+            }
+        val otherOffer = other?.let { offer(servers, it, demand, now) }
+        val due = demand.firstEventDueIn?.toDouble(DurationUnit.MILLISECONDS)
+        return when (val decision = servers.routing.decide(origin, ownOffer, own == null, otherOffer, due, now)) {
+            is DomainDecision.Stay -> {
+                own
+            }
+
+            is DomainDecision.Leave -> {
+                other?.also {
+                    flows.merge(
+                        DomainFlow(origin, it.server.entry.failureDomain, decision.reason),
+                        1,
+                        Int::plus,
+                    )
+                }
+            }
+        }
+    }
+
+    private fun offer(
+        servers: ServiceServers,
+        load: ServerLoad,
+        demand: PlacementDemand,
+        now: MonotonicTime,
+    ): DomainOffer {
+        val tokensRead = tokensRead(load, demand, now)
+        val firstEvent = servers.costs.firstEventMillis(load.occupancy(now) + 1, tokensRead, factor(servers, load, now))
+        val domain = load.server.entry.failureDomain
+        val latency = servers.costs.latencyMillis(demand, domain)
+        return DomainOffer(firstEvent + latency, firstEvent + servers.costs.wayMillis(demand, domain), tokensRead)
+    }
+
+    private fun tokensRead(
+        load: ServerLoad,
+        demand: PlacementDemand,
+        now: MonotonicTime,
+    ): Int = maxOf(0, demand.promptTokens - load.promptCache.heldTokens(demand.prompt.shared, now))
+
     /** Returns the expected cost of a run with [demand] at [load], in milliseconds. */
     private fun costMillis(
-        costs: CostModel,
+        servers: ServiceServers,
         load: ServerLoad,
         demand: PlacementDemand,
         now: MonotonicTime,
     ): Double {
-        val tokensRead = maxOf(0, demand.promptTokens - load.promptCache.heldTokens(demand.prompt.shared, now))
+        val costs = servers.costs
         val running = load.occupancy(now) + 1
-        val factor = load.speed.factor(now)
-        return costs.firstEventMillis(running, tokensRead, factor) + costs.crowdingMillis(running, factor) +
+        val factor = factor(servers, load, now)
+        return costs.firstEventMillis(running, tokensRead(load, demand, now), factor) +
+            costs.crowdingMillis(running, factor) +
             costs.wayMillis(demand, load.server.entry.failureDomain)
     }
 
+    private fun factor(
+        servers: ServiceServers,
+        load: ServerLoad,
+        now: MonotonicTime,
+    ): Double = load.speed.factor(now, servers.domainSpeed(load).shift(now))
+
+    /** Removes and returns the changes of traffic between failure domains since the last call. */
+    fun takeDomainChanges(): List<DomainChange> = byService.values.flatMap { it.routing.takeChanges() }
+
+    /** Removes and returns the number of runs that were sent to another failure domain since the last call. */
+    fun takeDomainFlows(): Map<DomainFlow, Int> {
+        if (flows.isEmpty()) return emptyMap()
+        return HashMap(flows).also { flows.clear() }
+    }
+
     /**
      * Returns the relative difference in cost within which servers count as equally good.
      *
@@ -211,8 +301,11 @@
         now: MonotonicTime,
     ) {
         val load = loads[observed.server] ?: return
-        if (observed.load.durationPercent != null) byService[load.server.entry.service]?.hasFigures = true
         load.onReportedLoad(observed.load, now - observed.ageMillis.coerceAtLeast(0).milliseconds)
+        if (observed.load.durationPercent == null) return
+        val servers = byService[load.server.entry.service] ?: return
+        servers.hasFigures = true
+        servers.domainSpeed(load).record(load.speed.factor(now), now)
     }
 
     /** Records the end of the run [call] at [load], before it is removed. */
@@ -228,8 +321,9 @@
         if (percent != null) servers.hasFigures = true
         val run = load.placedRun(call) ?: return
         val millis = firstEvent?.toDouble(DurationUnit.MILLISECONDS) ?: return
-        val shown = servers.costs.onFirstEvent(run, millis, load.speed.factor(now))
+        val shown = servers.costs.onFirstEvent(run, millis, factor(servers, load, now))
         load.speed.onObserved(shown, percent, now)
+        servers.domainSpeed(load).record(shown, now)
     }
 
     /** Returns the server with the fewest runs; null if none is available. */
--- a/core/src/main/kotlin/org/agatestream/core/placement/CostModel.kt
+++ b/core/src/main/kotlin/org/agatestream/core/placement/CostModel.kt
@@ -22,6 +22,18 @@
         factor: Double,
     ): Double = CROWDING_WEIGHT * factor * firstEvents.millisPerRun * running
 
+    /** Returns the offer of a domain without a free slot, of whose [slots] the next to be freed serves the request. */
+    fun offerAfterWait(slots: Int): DomainOffer {
+        val millis = RUN_MILLIS / slots + firstEvents.estimate(FULL_RUNNING, tokensRead = 0)
+        return DomainOffer(millis, millis, tokensRead = 0)
+    }
+
+    /** Returns the latency of the way from the domain of [demand] to [domain], in milliseconds. */
+    fun latencyMillis(
+        demand: PlacementDemand,
+        domain: FailureDomainId,
+    ): Double = if (demand.origin == null || demand.origin == domain) 0.0 else settings.domainLatencyMillis
+
     /** Returns the cost of the way from the domain of [demand] to [domain], in milliseconds. */
     fun wayMillis(
         demand: PlacementDemand,
@@ -54,6 +66,10 @@
         const val BYTES_PER_EVENT = 60.0
         const val BYTES_PER_MEGABYTE = 1_000_000.0
 
+        // The duration of a run and the runs at a full server, for the wait until a slot is free.
+        const val RUN_MILLIS = 700.0
+        const val FULL_RUNNING = 8
+
         // In a model of deployment A, weight 0 gave the busiest server 1.76 times the mean load and 8 gave 1.34, while
         // 18 % and 45 % of the shared tokens were read again; 2 gave 1.45 and 31 %.
         const val CROWDING_WEIGHT = 2.0
--- a/core/src/main/kotlin/org/agatestream/core/placement/ServerSpeed.kt
+++ b/core/src/main/kotlin/org/agatestream/core/placement/ServerSpeed.kt
@@ -54,9 +54,16 @@
         observedAt = now
     }
 
-    /** Returns how long work takes relative to the usual at [now]. */
-    fun factor(now: MonotonicTime): Double {
-        val observed = observed(now)
+    /**
+     * Returns how long work takes relative to the usual at [now].
+     *
+     * [shift] is how much longer work takes in the failure domain of the server than it lately did.
+     */
+    fun factor(
+        now: MonotonicTime,
+        shift: Double = 1.0,
+    ): Double {
+        val observed = observed(now) * shift
         val taken = figureTakenAt ?: return observed
         val freshness = remaining(now - taken, FIGURE_LIFETIME)
         if (freshness <= 0.0) return observed
--- a/core/src/test/kotlin/org/agatestream/core/placement/PlacementModel.kt
+++ b/core/src/test/kotlin/org/agatestream/core/placement/PlacementModel.kt
@@ -48,6 +48,8 @@
     val knowledge: Knowledge = Knowledge.ALL,
     /** True if servers in the domain with an index may get work at a time. */
     val isDomainUsable: (Int, Duration) -> Boolean = { _, _ -> true },
+    /** False if the dispatcher does not know where requests come from. */
+    val isOriginKnown: Boolean = true,
     val length: Duration = 20.seconds,
 )
 
@@ -79,7 +81,12 @@
         private set
     private var sharedTokens = 0L
     private var sharedTokensRead = 0L
-    private var leftDomain = 0
+    private val leftByDomain = IntArray(load.domainSpeeds.size)
+    private val placedByDomain = IntArray(load.domainSpeeds.size)
+
+    /** The times at which requests began or ceased to leave a domain. */
+    val changes = ArrayList<Pair<Duration, DomainChange>>()
+    val flows = HashMap<DomainFlow, Int>()
     private var placed = 0
 
     /** The runs started at each server in each second. */
@@ -91,7 +98,9 @@
     val busiestToMean: Double get() = servers.maxOf { it.busyMillis } / servers.sumOf { it.busyMillis } * servers.size
     val mostStarts: Double get() = startsBySecond.maxOf { it.sum() }.toDouble() / placed * servers.size
     val readAgainFraction: Double get() = sharedTokensRead.toDouble() / sharedTokens
-    val leftFraction: Double get() = leftDomain.toDouble() / placed
+    val leftFraction: Double get() = leftByDomain.sum().toDouble() / placed
+
+    fun leftFraction(domain: Int): Double = leftByDomain[domain].toDouble() / placedByDomain[domain]
 
     private inner class Server(
         val index: Int,
@@ -144,6 +153,8 @@
             }
         execute(dispatcher.onServers(usable, now))
         execute(dispatcher.tick(now))
+        dispatcher.takeDomainChanges().forEach { changes += queue.time to it }
+        dispatcher.takeDomainFlows().forEach { (flow, count) -> flows.merge(flow, count, Int::plus) }
         queue.after(50.milliseconds, ::tick)
     }
 
@@ -180,7 +191,7 @@
                     latestStart = START + request.at + 150.milliseconds,
                     queueDeadline = START + request.at + 3.seconds,
                     excluded = emptySet(),
-                    origin = domainOf(domain).takeIf { load.knowledge == Knowledge.ALL },
+                    origin = domainOf(domain).takeIf { load.knowledge == Knowledge.ALL && load.isOriginKnown },
                     prompt = if (load.knowledge == Knowledge.ALL) request.prompt else PromptShape.UNKNOWN,
                 )
             execute(dispatcher.place(placement, now))
@@ -228,7 +239,8 @@
         server: Server,
     ) {
         placed++
-        if (server.domain != request.domain) leftDomain++
+        placedByDomain[request.domain]++
+        if (server.domain != request.domain) leftByDomain[request.domain]++
         startsBySecond[server.index][queue.time.inWholeSeconds.toInt()]++
         val held = server.cache.heldTokens(request.prompt.shared, now)
         val shared = request.prompt.shared.sumOf { it.tokens }
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -25,6 +25,8 @@
 import org.agatestream.core.ServerSuspicion
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
+import org.agatestream.core.placement.DomainFlow
+import org.agatestream.core.placement.PlacementSettings
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -50,6 +52,9 @@
     private val isLeaving: () -> Boolean,
     /** Starts a check that this VM still coordinates and knows every job; if so, [onConfirmed] gets the same number. */
     private val confirm: (Int) -> Unit,
+    placement: PlacementSettings = PlacementSettings(),
+    /** Counts runs that were sent to another failure domain. */
+    private val onDomainFlow: (DomainFlow, Int) -> Unit = { _, _ -> },
 ) {
     private class Follower(
         var vm: LiveVm,
@@ -64,7 +69,7 @@
         val since: MonotonicTime,
     )
 
-    val dispatcher = Dispatcher(nextNumber = term.firstRunNumber, suspects = parts.suspects)
+    val dispatcher = Dispatcher(nextNumber = term.firstRunNumber, suspects = parts.suspects, placement = placement)
     private val followers = LinkedHashMap<VmId, Follower>()
     private val silentVms = HashMap<String, SilentVm>()
     private val markedSilent = HashSet<String>()
@@ -285,6 +290,21 @@
         setResigning((isLeaving() || !view.isStoreReachable(now)) && others.any { it.isStoreReachable }, now)
         execute(dispatcher.tick(now))
         logSuspects()
+        reportDomains()
+    }
+
+    private fun reportDomains() {
+        for (change in dispatcher.takeDomainChanges()) {
+            EventLog.info(
+                if (change.isLeaving) "domain_left" else "domain_regained",
+                "domain" to change.origin,
+                "service" to change.service,
+                "reason" to change.reason,
+                "stay_ms" to change.stayMillis?.toInt(),
+                "leave_ms" to change.leaveMillis?.toInt(),
+            )
+        }
+        for ((flow, count) in dispatcher.takeDomainFlows()) onDomainFlow(flow, count)
     }
 
     private fun logSuspects() {
@@ -332,7 +352,8 @@
             liveVersion++
         }
         val serving = liveVms.map { it.id }
-        dispatcher.onFollowers(serving, maxOf(listedVms(), serving.size))
+        val domains = liveVms.associate { it.id to it.domain }
+        dispatcher.onFollowers(serving, maxOf(listedVms(), serving.size), domains = domains)
     }
 
     private fun execute(actions: List<DispatchAction>) {
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -74,7 +74,7 @@
             onLocalStatus = { role?.onStatusReport(self, it, MonotonicTime.now()) },
         )
     private val slots: SlotAllocator =
-        SlotAllocator(self, config.failureDomain, network, view, scope, membership, parts, { role })
+        SlotAllocator(self, config.failureDomain, network, view, scope, membership, parts, { role }, config.placement)
     private val itemExecutor = ItemExecutor(slots, view, jobStore, client, parts, scope, ::sendItemReport, buffers)
     private val entryTtl = minOf(DEFAULT_ENTRY_TTL, config.entryTtlMaxSeconds.seconds)
     private val shutdown = gracefulShutdown()
@@ -319,6 +319,8 @@
                 listedVms = { membership.listedCount },
                 isLeaving = { shutdown.hasBegun },
                 confirm = ::confirmRole,
+                placement = config.placement,
+                onDomainFlow = metrics::onDomainFlow,
             )
         role = started
         started.start(MonotonicTime.now())
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVmConfig.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVmConfig.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import org.agatestream.core.FailureDomainId
+import org.agatestream.core.placement.PlacementSettings
 
 /** The settings file of a VM that runs on the users' platform; the platform fills it in from a template. */
 @Serializable
@@ -37,6 +38,8 @@
     val resultsKeptSeconds: Double,
     /** The environment variable that holds the fleet secret. */
     val fleetSecretVariable: String = "AGATESTREAM_FLEET_SECRET",
+    /** What it costs to send a request to another failure domain. */
+    val placement: PlacementSettings = PlacementSettings(),
 ) {
     /** The processing capacity of this VM, in standard cores. */
     val cores: Double get() = coreShare * coreSpeed
--- a/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
+++ b/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
@@ -22,6 +22,7 @@
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
 import org.agatestream.core.placement.ObservedLoad
+import org.agatestream.core.placement.PlacementSettings
 import org.agatestream.core.placement.PromptShape
 import org.agatestream.core.placement.ReportedLoad
 import kotlin.time.Duration
@@ -84,6 +85,7 @@
     private val membership: FleetMembership,
     private val parts: PromptPartWatch,
     private val role: () -> CoordinatorRole?,
+    placement: PlacementSettings = PlacementSettings(),
 ) {
     private val pendingDecisions = HashMap<Long, CompletableDeferred<PlaceDecision>>()
     private val runs = LinkedHashMap<Long, RunningCall>()
@@ -91,7 +93,7 @@
     // Run number to the time when it was sent, for runs without a first event.
     private val awaitingFirstEvent = HashMap<Long, MonotonicTime>()
     private val loads = ReportedLoads()
-    private val localDispatcher = Dispatcher(nextNumber = 0, suspects = parts.suspects)
+    private val localDispatcher = Dispatcher(nextNumber = 0, suspects = parts.suspects, placement = placement)
     private var nextNumber = 1L
 
     /** Returns the runs in flight at this VM, with the time that each has waited for its first event at [now]. */
--- a/server/src/main/kotlin/org/agatestream/server/VmMetrics.kt
+++ b/server/src/main/kotlin/org/agatestream/server/VmMetrics.kt
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.agatestream.core.ItemOutcome
 import org.agatestream.core.RunOutcome
+import org.agatestream.core.placement.DomainFlow
 import kotlin.time.Duration
 import kotlin.time.toJavaDuration
 import java.time.Duration as JavaDuration
@@ -38,6 +39,17 @@
         registry.counter("agatestream.runs", "outcome", outcome.name.lowercase()).increment()
     }
 
+    /** Counts runs that the coordinator sent to another failure domain. */
+    fun onDomainFlow(
+        flow: DomainFlow,
+        count: Int,
+    ) {
+        val reason = flow.reason.name.lowercase()
+        registry
+            .counter("agatestream.domain.sent", "from", flow.from.value, "to", flow.to.value, "reason", reason)
+            .increment(count.toDouble())
+    }
+
     fun onItem(outcome: ItemOutcome) {
         registry.counter("agatestream.items", "outcome", outcome.name.lowercase()).increment()
     }
