--- a/core/src/test/kotlin/org/agatestream/core/placement/PlacementModelTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/placement/PlacementModelTest.kt
@@ -78,6 +78,18 @@
             }
         }
 
+        test("SlowHomeDomain: few requests leave their domain where one has half the speed and servers slow down") {
+            for (rate in listOf(170.0, 300.0)) {
+                val load = PlacementLoad(requestsPerSecond = rate, noisyFraction = 0.15)
+                val before = simulate("SlowHomeDomain $rate/s", earlier(load))
+                val after = simulate("SlowHomeDomain $rate/s", load)
+                // Staying costs a few first events at the slow domain whose slowdown could not be foreseen.
+                after.onTimeFraction shouldBeGreaterThanOrEqualTo before.onTimeFraction - 0.003
+                after.leftFraction shouldBeLessThanOrEqualTo 0.35
+                after.readAgainFraction shouldBeLessThanOrEqualTo before.readAgainFraction * 0.8
+            }
+        }
+
         val equal = listOf(1.0, 1.0, 1.0)
 
         test("OwnDomainHasRoom: requests stay in their domain") {
