--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -7,6 +7,8 @@
 import org.agatestream.core.fairness.RunWork
 import org.agatestream.core.fairness.WaitingQueues
 import org.agatestream.core.fairness.WaitingRequest
+import org.agatestream.core.placement.DomainChange
+import org.agatestream.core.placement.DomainFlow
 import org.agatestream.core.placement.ObservedLoad
 import org.agatestream.core.placement.PlacementDemand
 import org.agatestream.core.placement.PromptShape
@@ -32,12 +34,12 @@
     random: Random = Random.Default,
     /** What this VM knows about prompt parts that end servers. */
     private val suspects: CrashSuspects = CrashSuspects(),
-    policy: SchedulingPolicy = SchedulingPolicy(),
+    private val policy: SchedulingPolicy = SchedulingPolicy(),
     /** Decides which versions of a service may get a run. */
     private val gate: VersionGate = VersionGate.Open,
 ) {
     private val isolation = SuspectIsolation(suspects)
-    private val servers = ServerPool(random, gate = gate, comparesServers = policy.comparesServers)
+    private val servers = ServerPool(random, policy, gate)
     private val slotCounts = SlotCounts(servers)
     private val queues = WaitingQueues(sharesSlots = policy.sharesSlots)
     private val rates = WorkspaceRates()
@@ -52,6 +54,7 @@
     private var knowsMostRuns = true
     private var manifest: Manifest? = null
     private var followers: List<VmId> = emptyList()
+    private var vmDomains: Map<VmId, FailureDomainId> = emptyMap()
     private var expectedFollowers = 0
     private val reported = HashSet<VmId>()
     private val unanswering = HashSet<VmId>()
@@ -86,6 +89,12 @@
     public val suspectedServers: Map<BackendServerId, ServerSuspicion>
         get() = servers.all.mapNotNull { load -> load.suspicion?.let { load.id to it } }.toMap()
 
+    /** Removes and returns the changes of traffic between failure domains since the last call. */
+    public fun takeDomainChanges(): List<DomainChange> = servers.takeDomainChanges()
+
+    /** Removes and returns the number of runs sent to another failure domain since the last call. */
+    public fun takeDomainFlows(): Map<DomainFlow, Int> = servers.takeDomainFlows()
+
     /** Applies a version of the manifest. */
     public fun onManifest(manifest: Manifest) {
         this.manifest = manifest
@@ -115,13 +124,15 @@
      *
      * [expected] is the number of VMs that may serve callers; [followers] are those that send their requests here.
      * [extraBurst] is the number of requests that each workspace may send at once beyond the followers' share of its
-     * burst.
+     * burst. [domains] are the failure domains of the followers, as far as known.
      */
     public fun onFollowers(
         followers: List<VmId>,
         expected: Int,
         extraBurst: Double = 0.0,
+        domains: Map<VmId, FailureDomainId> = emptyMap(),
     ) {
+        vmDomains = domains
         this.followers = followers
         expectedFollowers = expected
         val share = if (expected <= 0) 1.0 else minOf(1.0, followers.size.toDouble() / expected)
@@ -578,12 +589,13 @@
                 continue
             }
             if ((spareSlots[service] ?: 0) <= 0) continue
-            val load = servers.choose(service, emptySet(), now, isolation.servers(now))
+            val demand = PlacementDemand(origin = jobs.bodyHolder(ref)?.let { vmDomains[it] })
+            val load = servers.choose(service, emptySet(), now, isolation.servers(now), demand)
             if (load == null) {
                 spareSlots[service] = 0
                 continue
             }
-            val call = CallId(chooseVm(ref, vms), nextNumber++)
+            val call = CallId(chooseVm(ref, vms, load.server.entry.failureDomain), nextNumber++)
             spareSlots.merge(service, -1, Int::plus)
             occupySlot(call, load, isItem = true, now, route = route(ref, plan)?.name)
             jobs.onStarted(ref, call, now)
@@ -601,16 +613,19 @@
      * Returns the VM among [vms] that runs an item, one of [VMS_PER_JOB] for each job.
      *
      * Spreading a job limits how many of its runs are interrupted, with their slots still occupied, when a VM is lost.
-     * The number of VMs is small because each of them reads the job's bodies.
+     * The number of VMs is small because each of them reads the job's bodies. Among them, those in the [domain] of the
+     * item's server are preferred.
      */
     private fun chooseVm(
         ref: ItemRef,
         vms: List<VmId>,
+        domain: FailureDomainId,
     ): VmId {
         val holder = jobs.bodyHolder(ref)?.takeIf { it in vms }
         val others = (vms - setOfNotNull(holder)).sortedByDescending { rendezvousRank(ref.job.value, it.value) }
         val candidates = (listOfNotNull(holder) + others).take(VMS_PER_JOB)
-        return candidates[jobs.position(ref) % candidates.size]
+        val near = candidates.filter { policy.comparesServers && vmDomains[it] == domain }.ifEmpty { candidates }
+        return near[jobs.position(ref) % near.size]
     }
 
     /** Returns whether the known manifest is at least as new as the one under which the job was accepted. */
--- a/core/src/main/kotlin/org/agatestream/core/SchedulingPolicy.kt
+++ b/core/src/main/kotlin/org/agatestream/core/SchedulingPolicy.kt
@@ -1,5 +1,7 @@
 package org.agatestream.core
 
+import org.agatestream.core.placement.PlacementSettings
+
 /** What a [Dispatcher] considers beyond rank, arrival and free slots; a deployment's configuration decides. */
 public data class SchedulingPolicy(
     /** True if workspaces share the slots by weight under overload; otherwise rank and arrival alone decide. */
@@ -9,10 +11,13 @@
      * free slots is chosen.
      */
     val comparesServers: Boolean = true,
+    val placement: PlacementSettings = PlacementSettings(),
 ) {
     public companion object {
         /** Returns the policy of a deployment whose servers share their hosts with other work or don't. */
-        public fun forServers(areHostsShared: Boolean): SchedulingPolicy =
-            SchedulingPolicy(sharesSlots = areHostsShared, comparesServers = areHostsShared)
+        public fun forServers(
+            areHostsShared: Boolean,
+            placement: PlacementSettings = PlacementSettings(),
+        ): SchedulingPolicy = SchedulingPolicy(areHostsShared, areHostsShared, placement)
     }
 }
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -26,6 +26,7 @@
 import org.agatestream.core.ServerSuspicion
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
+import org.agatestream.core.placement.DomainFlow
 import org.agatestream.core.rollout.Rollout
 import org.agatestream.core.rollout.RolloutSituation
 import org.agatestream.core.rollout.Rollouts
@@ -56,6 +57,8 @@
     private val confirm: (Int) -> Unit,
     private val leaving: LeavingServerWatch = LeavingServerWatch(view),
     policy: SchedulingPolicy = SchedulingPolicy(),
+    /** Counts runs that were sent to another failure domain. */
+    private val onDomainFlow: (DomainFlow, Int) -> Unit = { _, _ -> },
 ) {
     /** The roll-outs that this VM carries out. */
     val rollouts = Rollouts(view.versions, writer = self.value)
@@ -326,6 +329,21 @@
         setResigning((isLeaving() || !view.isStoreReachable(now)) && others.any { it.isStoreReachable }, now)
         execute(dispatcher.tick(now))
         logSuspects()
+        reportDomains()
+    }
+
+    private fun reportDomains() {
+        for (change in dispatcher.takeDomainChanges()) {
+            EventLog.info(
+                if (change.isLeaving) "domain_left" else "domain_regained",
+                "domain" to change.origin,
+                "service" to change.service,
+                "reason" to change.reason,
+                "stay_ms" to change.stayMillis?.toInt(),
+                "leave_ms" to change.leaveMillis?.toInt(),
+            )
+        }
+        for ((flow, count) in dispatcher.takeDomainFlows()) onDomainFlow(flow, count)
     }
 
     private fun logSuspects() {
@@ -373,7 +391,8 @@
             liveVersion++
         }
         val serving = liveVms.map { it.id }
-        dispatcher.onFollowers(serving, maxOf(listedVms(), serving.size))
+        val domains = liveVms.associate { it.id to it.domain }
+        dispatcher.onFollowers(serving, maxOf(listedVms(), serving.size), domains = domains)
     }
 
     private fun execute(actions: List<DispatchAction>) {
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -50,7 +50,11 @@
     private val network = KtorPeerNetwork(self, secret, metrics.registry)
     private val client = HttpClient(eventLoops, CONNECT_TIMEOUT)
     private val buffers = BufferBudget(ANSWER_BUFFER_BYTES)
-    private val policy = SchedulingPolicy.forServers(PlatformContracts.areHostsShared(config.contracts))
+    private val policy =
+        SchedulingPolicy.forServers(
+            PlatformContracts.areHostsShared(config.contracts),
+            config.placement,
+        )
     private val store =
         PlatformStore(client, config.storeAddress, STORE_READ_TIMEOUT, STORE_WRITE_TIMEOUT, ::onStoreCall)
     private val view: PlatformView = PlatformView(store, ::onViewChanged)
@@ -370,6 +374,7 @@
                 confirm = ::confirmRole,
                 leaving = leaving,
                 policy = policy,
+                onDomainFlow = metrics::onDomainFlow,
             )
         role = started
         rolloutControl =
--- a/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
+++ b/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
@@ -23,6 +23,7 @@
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
 import org.agatestream.core.placement.ObservedLoad
+import org.agatestream.core.placement.PlacementSettings
 import org.agatestream.core.placement.PromptShape
 import org.agatestream.core.placement.ReportedLoad
 import kotlin.time.Duration
