--- a/core/src/main/kotlin/org/agatestream/core/rollout/Rollout.kt
+++ b/core/src/main/kotlin/org/agatestream/core/rollout/Rollout.kt
@@ -75,6 +75,9 @@
     private val requestsBefore = requests
     private var isProven = false
 
+    // True for the last runs before the verdict, which show a defect that began late.
+    private var isVerdictNear = false
+
     // False once another coordinator has been named; it gets the rest of the budget.
     private var isFenced = false
     private var isFilling = false
@@ -138,7 +141,7 @@
 
     private fun tokens(): Long {
         if (isFenced) return 0
-        val limit = ExposureBudget.limit(stage, requests.toDouble()).toLong()
+        val limit = ExposureBudget.limit(stage, requests.toDouble(), isVerdictNear).toLong()
         return minOf(limit, stored?.exposed ?: 0) - exposed
     }
 
@@ -226,6 +229,7 @@
             return if (situation.oldRuns > 0) apply(RolloutEvent.REFILLED, "run_at_old_server", null, now) else null
         }
         if (stage <= RolloutStage.LOADED) plan = planOf(order)
+        isVerdictNear = stage == RolloutStage.LOADED && now >= plan.moveAt - VERDICT_TIME
         val verdict = judge(now)
         if (verdict is Verdict.Bad) return apply(RolloutEvent.FOUND_BAD, verdict.reason, verdict, now)
         return when (stage) {
@@ -331,7 +335,7 @@
     /** Returns the runs that the target may have had until the next record, for what may arrive until then. */
     private fun reservation(stage: RolloutStage): Long {
         if (stage > RolloutStage.LOADED) return 0
-        return ExposureBudget.limit(stage, requests + EXPECTED_REQUESTS).toLong()
+        return ExposureBudget.limit(stage, requests + EXPECTED_REQUESTS, isVerdictNear).toLong()
     }
 
     /** Records that the store has [record]. */
@@ -422,6 +426,9 @@
         // The share that the budget grows by with each request.
         const val CANARY_RATE = 0.07
         const val USUAL_RUN_SECONDS = 0.7
+
+        // A write that raises the reservation, and two reports of first events.
+        val VERDICT_TIME: Duration = 1300.milliseconds
         val TURN: Duration = 1.seconds
         val RECORD_INTERVAL: Duration = 400.milliseconds
 
