--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -18,8 +18,10 @@
  * Scheduler of a coordinator: assigns requests and items to backend servers, or refuses them.
  *
  * Online requests take precedence over items; a running item is preempted for an online request that would otherwise
- * be late. Rate limits of workspaces and of cold servers are fleet-wide: VMs that do not follow this coordinator may
- * each use their share of a rate independently, so only the followers' share is granted here. Not thread-safe.
+ * be late. When requests wait, workspaces share the slots (see [FairQueue]).
+ *
+ * Rate limits of workspaces and of cold servers are fleet-wide: VMs that do not follow this coordinator may each use
+ * their share of a rate independently, so only the followers' share is granted here. Not thread-safe.
  */
 public class Dispatcher(
     /** The number of the first item run that this coordinator starts; higher than those of earlier coordinators. */
@@ -353,6 +355,7 @@
         return queue.expectedWait(request.workspace, capacityOf(request.service, now), now)
     }
 
+    /** Returns what the servers of [service] that may be used can do, as far as this dispatcher may use them. */
     private fun capacityOf(
         service: ServiceId,
         now: MonotonicTime,
--- a/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
@@ -52,8 +52,6 @@
                 else -> null
             }
 
-    fun stoppableItems(): List<CallId> = itemRuns.filter { it !in stopping }
-
     /** Returns whether [call] is an item's run that was not told to stop. */
     fun isStoppable(call: CallId): Boolean = call in itemRuns && call !in stopping
 
