--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -24,8 +24,10 @@
  * Scheduler of a coordinator: assigns requests and items to backend servers, or refuses them.
  *
  * Online requests take precedence over items; a running item is preempted for an online request that would otherwise
- * be late. Rate limits of workspaces and of cold servers are fleet-wide: VMs that do not follow this coordinator may
- * each use their share of a rate independently, so only the followers' share is granted here. Not thread-safe.
+ * be late. When requests wait, workspaces share the slots (see [FairQueue]).
+ *
+ * Rate limits of workspaces and of cold servers are fleet-wide: VMs that do not follow this coordinator may each use
+ * their share of a rate independently, so only the followers' share is granted here. Not thread-safe.
  */
 public class Dispatcher(
     /** The number of the first item run that this coordinator starts; higher than those of earlier coordinators. */
@@ -414,6 +416,7 @@
         return queue.expectedWait(request.workspace, capacityOf(request.service, now), now)
     }
 
+    /** Returns what the servers of [service] that may be used can do, as far as this dispatcher may use them. */
     private fun capacityOf(
         service: ServiceId,
         now: MonotonicTime,
@@ -471,7 +474,8 @@
                 continue
             }
             // An item that was stopped leaves room for a later request only.
-            if (actions.size == stopped && !mayServeOthers(next.request, service, now)) break
+            val isLast = passedOver.size >= MAX_PASSED_OVER || !mayServeOthers(next.request, service, now)
+            if (actions.size == stopped && isLast) break
             queue.detach(next)
             passedOver += next
         }
@@ -508,7 +512,11 @@
         service: ServiceId,
         now: MonotonicTime,
     ): Boolean {
-        val isRestricted = request.excluded.isNotEmpty() || suspects.judge(request.parts, now) !is PromptVerdict.Clear
+        // Where servers are compared, a request may wait for a slot in its failure domain or for memory.
+        val isRestricted =
+            policy.comparesServers ||
+                request.excluded.isNotEmpty() ||
+                suspects.judge(request.parts, now) !is PromptVerdict.Clear
         if (!isRestricted) return false
         return servers.choose(service, emptySet(), now) != null || heldSlots.itemsOf(service).isNotEmpty()
     }
@@ -731,6 +739,9 @@
         // The share of VMs that follow a dispatcher from which its view of the servers' slots is taken to be complete.
         const val MOST_RUNS = 0.5
         const val MAX_ITEMS_PER_PASS = 256
+
+        // Bounds the cost of a pass in which many requests wait for particular servers.
+        const val MAX_PASSED_OVER = 64
         const val HEADROOM_FRACTION = 0.04
 
         // Each VM of a job reads its bodies of about 200 kB; the loss of one of 11 VMs must not interrupt whole jobs.
--- a/core/src/main/kotlin/org/agatestream/core/rollout/VersionBook.kt
+++ b/core/src/main/kotlin/org/agatestream/core/rollout/VersionBook.kt
@@ -16,7 +16,10 @@
  * restricted unless an order is open. With an order, the version in use is that of most servers other than the target,
  * until the status says that the roll-out completed. Not thread-safe.
  */
-public class VersionBook : VersionGate {
+public class VersionBook(
+    /** True if a version that appears beside the one in use gets nothing until an order names it. */
+    private val withholdsUnordered: Boolean = true,
+) : VersionGate {
     private val orders = HashMap<ServiceId, RolloutOrder>()
     private val statuses = HashMap<ServiceId, RolloutStatus>()
     private val inUse = HashMap<ServiceId, VersionGroup>()
@@ -123,7 +126,7 @@
     private fun update(service: ServiceId) {
         val present = groups[service].orEmpty()
         findInUse(service, present)?.let { inUse[service] = it }
-        val hasChoice = present.size > 1 && inUse[service]?.version != null
+        val hasChoice = withholdsUnordered && present.size > 1 && inUse[service]?.version != null
         if (hasChoice || service in orders) restricted += service else restricted -= service
     }
 
--- a/server/src/main/kotlin/org/agatestream/server/PlatformView.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformView.kt
@@ -29,6 +29,8 @@
 /** The manifest and backend servers as this VM knows them, from the store or, while it is unreachable, from peers. */
 internal class PlatformView(
     private val store: RowStore,
+    /** True if a server version that no order names gets nothing beside the one in use. */
+    withholdsUnordered: Boolean = true,
     private val onViewChanged: (MonotonicTime) -> Unit,
 ) {
     var manifest: Manifest? = null
@@ -37,7 +39,7 @@
         private set
 
     /** Which versions of each service may get work. */
-    val versions = VersionBook()
+    val versions = VersionBook(withholdsUnordered)
     var operatorVersion = 0L
         private set
     var serverVersion = 0L
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -57,7 +57,8 @@
         )
     private val store =
         PlatformStore(client, config.storeAddress, STORE_READ_TIMEOUT, STORE_WRITE_TIMEOUT, ::onStoreCall)
-    private val view: PlatformView = PlatformView(store, ::onViewChanged)
+    private val view: PlatformView =
+        PlatformView(store, PlatformContracts.areVersionsOrdered(config.contracts), ::onViewChanged)
     private val relay =
         StoreRelay(
             direct = store,
