Test a leaving header in the answer to a resumed run

Cause: resumed runs had no test of their own.

Change: the stand-in can be leaving from a resumed run on.

--- a/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
@@ -105,6 +105,10 @@
     @Volatile
     var isLeaving: Boolean = false
 
+    /** True to be leaving from the next resumed run on. */
+    @Volatile
+    var isLeavingWhenResumed: Boolean = false
+
     /** Listens on loopback and returns the port; 0 selects a free one. */
     fun listen(port: Int): Int = server.listen(port)
 
@@ -112,6 +116,7 @@
 
     private suspend fun handle(call: StandInCall) {
         receivedRequests.incrementAndGet()
+        if (isLeavingWhenResumed && call.header("last-event-id") != null) isLeaving = true
         val expected = call.header("x-agatestream-expect-instance")
         val requestId = call.header("x-agatestream-attempt-id").orEmpty()
         if (expected != null && expected != id) {
--- a/standins/src/test/kotlin/org/agatestream/standin/LeavingServerTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/LeavingServerTest.kt
@@ -20,7 +20,8 @@
     MANIFEST.replace(
         """"Routes":[""",
         """"Routes":[{"Name":"whole","Hostname":"h.example","Prefix":"/whole/","Type":"safe","Service":"s","SloMs":300,
-        "TimeoutMs":2000,"MaxAttempts":2},""",
+        "TimeoutMs":2000,"MaxAttempts":2},{"Name":"more","Hostname":"h.example","Prefix":"/more/","Type":"stream",
+        "Service":"s","SloMs":300,"TimeoutMs":2000,"Resumable":true,"MaxAttempts":3},""",
     )
 
 /** The answers of a server that prove to be its own. */
@@ -120,6 +121,20 @@
             }
         }
 
+        test("a server that says in the answer to a resumed run that it is leaving gets no more work") {
+            withServers { fleet ->
+                val (server, broken) = fleet.servers
+                server.isLeavingWhenResumed = true
+                eventually(FLEET_TIMEOUT) {
+                    broken.nextFault.set(PlatformServerFault.UNNUMBERED_EVENT)
+                    fleet.send(0, "GET", "/more/1", id = "resumed").second shouldContain "resumed-4"
+                    server.isLeaving shouldBe true
+                }
+                broken.nextFault.set(null)
+                fleet.spread(listOf(0)) shouldBe (0 to REQUESTS)
+            }
+        }
+
         test("a server counts as leaving from the head of a stream on, which ends there") {
             val slow = List(2) { PlatformServerStandIn("i-$it", events = 30, interval = 100.milliseconds) }
             withServers(servers = slow) { fleet ->
