--- a/core/src/main/kotlin/org/agatestream/core/placement/DomainRouting.kt
+++ b/core/src/main/kotlin/org/agatestream/core/placement/DomainRouting.kt
@@ -116,8 +116,8 @@
     private companion object {
         // The share of the time to the due first event that a domain may be expected to need. The rest covers errors of
         // the estimate; the difference between the two keeps traffic from swinging.
-        const val LEAVE_SHARE = 0.25
-        const val RETURN_SHARE = 0.2
+        const val LEAVE_SHARE = 0.3
+        const val RETURN_SHARE = 0.25
 
         // Without a due time, as for items, a domain may take this many times as long as another.
         const val UNDUE_FACTOR = 2.0
