Hold requests for the coordinator after all VMs restart

The share of one of 64 VMs admits less than one request of most workspaces, and so does that of the first followers of a new coordinator.

Change: a request beyond its VM's own share waits for a coordinator for at most 2 s, unless none was there for longer; a coordinator may admit 4 requests beyond its followers' share of a burst, which the tolerance of 20 covers beside the 15 of VMs without one.

--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -392,7 +392,7 @@
         }
         val serving = liveVms.map { it.id }
         val domains = liveVms.associate { it.id to it.domain }
-        dispatcher.onFollowers(serving, maxOf(listedVms(), serving.size), domains = domains)
+        dispatcher.onFollowers(serving, maxOf(listedVms(), serving.size), SPARE_BURST_REQUESTS, domains)
     }
 
     private fun execute(actions: List<DispatchAction>) {
@@ -468,6 +468,10 @@
     private companion object {
         val TICK_INTERVAL = 50.milliseconds
 
+        // The rules tolerate 20 requests beyond rate and burst, of which VMs without a coordinator may use 15. The
+        // followers' share of a small burst admits nothing while they join one after the other.
+        const val SPARE_BURST_REQUESTS = 4.0
+
         // Every VM reports several times within this time, so that its running items are known before new ones start.
         val TAKEOVER_WAIT = 800.milliseconds
 
--- a/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
@@ -45,12 +45,15 @@
     /** Handles this VM's own status report while it is the coordinator. */
     private val onLocalStatus: (StatusReport) -> StatusResponse?,
     private val leaving: LeavingServerWatch = LeavingServerWatch(view),
+    /** Called when a coordinator answers that was not known or was silent before. */
+    private val onCoordinatorHeard: () -> Unit = {},
 ) {
     private var record: CoordinatorRecord? = null
     private var recordVersion = 0L
     private var recordedAt = MonotonicTime.now()
     private var unreachableSince: MonotonicTime? = null
     private var lastHeardAt: MonotonicTime? = null
+    private val createdAt = MonotonicTime.now()
     private var isResigning = false
     private var liveVms: List<LiveVm> = emptyList()
 
@@ -113,6 +116,12 @@
     fun reachableCoordinator(): VmId? =
         record?.vm?.takeIf { it == self || (lastHeardAt != null && unreachableSince == null) }
 
+    /** Returns for how long this VM has had no coordinator that responds; zero if it has one. */
+    fun coordinatorMissingFor(now: MonotonicTime): Duration {
+        if (reachableCoordinator() != null) return Duration.ZERO
+        return now - (unreachableSince ?: if (record == null) createdAt else recordedAt)
+    }
+
     /** The VMs that serve callers: as the coordinator lists them or, while it does not respond, the store. */
     val servingVms: List<LiveVm>
         get() {
@@ -238,11 +247,13 @@
         val answer = network.call(coordinator, report, REPORT_TIMEOUT)
         if (record?.vm != coordinator) return
         if (answer is StatusResponse) {
-            if (unreachableSince != null || lastHeardAt == null) {
-                EventLog.info("coordinator_heard", "coordinator" to coordinator)
-            }
+            val wasMissing = unreachableSince != null || lastHeardAt == null
             unreachableSince = null
             lastHeardAt = MonotonicTime.now()
+            if (wasMissing) {
+                EventLog.info("coordinator_heard", "coordinator" to coordinator)
+                onCoordinatorHeard()
+            }
             if (pauseCount == pausesBefore) isFollowing = true
             isResigning = answer.isResigning
             answer.live?.let { updateLiveVms(it, answer.liveVersion) }
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -85,6 +85,7 @@
             onRosterKnown = ::openGateIfRead,
             onLocalStatus = { role?.onStatusReport(self, it, MonotonicTime.now()) },
             leaving = leaving,
+            onCoordinatorHeard = { slots.onCoordinatorHeard() },
         )
     private val slots: SlotAllocator =
         SlotAllocator(self, config.failureDomain, network, view, scope, membership, parts, { role }, leaving, policy)
@@ -349,6 +350,7 @@
         slots.onCoordinatorChanged()
         if (vm == self && role == null) {
             startCoordinating()
+            slots.onCoordinatorHeard()
         } else if (vm != self && role != null) {
             stopCoordinating()
         }
--- a/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
+++ b/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
@@ -26,6 +26,8 @@
 import org.agatestream.core.placement.PlacementSettings
 import org.agatestream.core.placement.PromptShape
 import org.agatestream.core.placement.ReportedLoad
+import org.agatestream.core.startup.CoordinatorWait
+import org.agatestream.core.startup.holdTime
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -96,6 +98,8 @@
 
     // Run number to the time when it was sent, for runs without a first event.
     private val awaitingFirstEvent = HashMap<Long, MonotonicTime>()
+    private var coordinatorHeard = CompletableDeferred<Unit>()
+    private var heldRequests = 0
     private val loads = ReportedLoads()
     private val localDispatcher =
         Dispatcher(nextNumber = 0, suspects = parts.suspects, policy = policy, gate = view.versions)
@@ -216,6 +220,7 @@
 
                 is PlaceDecision.Refused -> {
                     val retryAfter = decision.retryAfterMillis.milliseconds
+                    if (coordinator == null && awaitCoordinator(decision.kind, retryAfter, requirements)) return@repeat
                     val failure = Failure(decision.kind, "no slot: ${decision.kind.code}", retryAfter)
                     return Placement.Refused(failure, decided.decidedBy)
                 }
@@ -229,6 +234,32 @@
         return refuseNoCapacity()
     }
 
+    /** Resumes the requests that wait for a coordinator. */
+    fun onCoordinatorHeard() {
+        coordinatorHeard.complete(Unit)
+        coordinatorHeard = CompletableDeferred()
+    }
+
+    /** Waits for a coordinator, or for this VM's own share; returns false if the request must be refused at once. */
+    private suspend fun awaitCoordinator(
+        refusal: ErrorKind,
+        retryAfter: Duration,
+        requirements: SlotRequirements,
+    ): Boolean {
+        val now = MonotonicTime.now()
+        val missingFor = membership.coordinatorMissingFor(now)
+        val wait = CoordinatorWait(refusal, retryAfter, requirements.queueDeadline - now, missingFor, heldRequests)
+        val atMost = wait.holdTime() ?: return false
+        val heard = coordinatorHeard
+        heldRequests++
+        try {
+            withTimeoutOrNull(atMost) { heard.await() }
+        } finally {
+            heldRequests--
+        }
+        return MonotonicTime.now() < requirements.queueDeadline
+    }
+
     /** Releases the slot. */
     fun release(
         slot: Slot,
