--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -159,6 +159,13 @@
         now: MonotonicTime,
     ): List<DispatchAction> {
         if (earlyReleases.remove(request.call) != null || request.call in queues) return emptyList()
+        return placeSized(if (policy.usesSizes) request else request.copy(prompt = PromptShape.UNKNOWN), now)
+    }
+
+    private fun placeSized(
+        request: PlaceRequest,
+        now: MonotonicTime,
+    ): List<DispatchAction> {
         findRefusal(request, now)?.let { return listOf(it) }
         request.meteredWorkspace?.let { rates.take(it) }
         val waiting = queues.add(request, now)
@@ -179,6 +186,7 @@
         isolation.onReleased(call, hasBegun = firstEvent != null || outcome == RunOutcome.ANSWERED, now)
         val held = removeHeld(call)
         if (held == null) {
+            forgetEarlyReleases(now)
             earlyReleases[call] = now
             return emptyList()
         }
@@ -336,11 +344,16 @@
         val refusals = expired.map { refuse(it, ErrorKind.NO_CAPACITY, retryAfter(it, now), now) }
         queues.services.values.forEach { it.forgetIdle(now) }
         val expiredItems = jobs.expiredItems(now).map { DispatchAction.GiveUpItem(it, "kept_too_long") }
-        earlyReleases.values.removeAll { now - it > EARLY_RELEASE_RETENTION }
+        forgetEarlyReleases(now)
         servers.all.forEach { it.expireOrphans(now) }
         return refusals + expiredItems + schedule(now)
     }
 
+    private fun forgetEarlyReleases(now: MonotonicTime) {
+        val releases = earlyReleases.values.iterator()
+        while (releases.hasNext() && now - releases.next() > EARLY_RELEASE_RETENTION) releases.remove()
+    }
+
     private fun hasAllReported(): Boolean = followers.size >= expectedFollowers && reported.containsAll(followers)
 
     private fun findRefusal(
@@ -350,8 +363,6 @@
         request.meteredWorkspace?.let { rates.timeToToken(it, now) }?.let { wait ->
             return DispatchAction.Refuse(request.call, ErrorKind.RATE_EXCEEDED, wait)
         }
-        queues.queueOf(request, now).onAsked(request, now)
-        paceOf(request.service).onAsked(RunWork.of(request.prompt))
         if (suspects.judge(request.parts, now) is PromptVerdict.Condemned) {
             return DispatchAction.Refuse(request.call, ErrorKind.PROMPT_REFUSED, Duration.ZERO)
         }
@@ -359,6 +370,8 @@
         if (servers.isTooLarge(request.service, demandOf(request, now))) {
             return DispatchAction.Refuse(request.call, ErrorKind.NO_CAPACITY, NO_SERVER_RETRY_AFTER)
         }
+        queues.queueOf(request, now).onAsked(request, now)
+        paceOf(request.service).onAsked(RunWork.of(request.prompt))
         if (slotCounts.total(request.service, request.excluded, now) == 0) {
             return DispatchAction.Refuse(request.call, ErrorKind.NO_CAPACITY, NO_SERVER_RETRY_AFTER)
         }
@@ -423,7 +436,7 @@
     ): Capacity {
         val slots = maxOf(1, slotCounts.usable(service, now)).toDouble()
         val known = Capacity(slots, slots * paceOf(service).workPerSecond, heldSlots.onlineOf(service))
-        return if (knowsMostRuns) known else observedOf(service, now).limit(known, now)
+        return if (knowsMostRuns || !policy.sharesSlots) known else observedOf(service, now).limit(known, now)
     }
 
     private fun observedOf(
@@ -474,8 +487,7 @@
                 continue
             }
             // An item that was stopped leaves room for a later request only.
-            val isLast = passedOver.size >= MAX_PASSED_OVER || !mayServeOthers(next.request, service, now)
-            if (actions.size == stopped && isLast) break
+            if (actions.size == stopped && !mayServeOthers(next.request, service, now)) break
             queue.detach(next)
             passedOver += next
         }
@@ -512,13 +524,12 @@
         service: ServiceId,
         now: MonotonicTime,
     ): Boolean {
-        // Where servers are compared, a request may wait for a slot in its failure domain or for memory.
-        val isRestricted =
-            policy.comparesServers ||
-                request.excluded.isNotEmpty() ||
-                suspects.judge(request.parts, now) !is PromptVerdict.Clear
-        if (!isRestricted) return false
-        return servers.choose(service, emptySet(), now) != null || heldSlots.itemsOf(service).isNotEmpty()
+        val isRestricted = request.excluded.isNotEmpty() || suspects.judge(request.parts, now) !is PromptVerdict.Clear
+        if (servers.choose(service, emptySet(), now) != null) {
+            // A request that finds no server where one is free lacks memory there.
+            return isRestricted || request.prompt.totalTokens > 0
+        }
+        return isRestricted && heldSlots.itemsOf(service).isNotEmpty()
     }
 
     private fun start(
@@ -739,9 +750,6 @@
         // The share of VMs that follow a dispatcher from which its view of the servers' slots is taken to be complete.
         const val MOST_RUNS = 0.5
         const val MAX_ITEMS_PER_PASS = 256
-
-        // Bounds the cost of a pass in which many requests wait for particular servers.
-        const val MAX_PASSED_OVER = 64
         const val HEADROOM_FRACTION = 0.04
 
         // Each VM of a job reads its bodies of about 200 kB; the loss of one of 11 VMs must not interrupt whole jobs.
--- a/core/src/main/kotlin/org/agatestream/core/SchedulingPolicy.kt
+++ b/core/src/main/kotlin/org/agatestream/core/SchedulingPolicy.kt
@@ -13,6 +13,9 @@
     val comparesServers: Boolean = true,
     val placement: PlacementSettings = PlacementSettings(),
 ) {
+    /** True if the sizes of prompts and answers play a part. */
+    internal val usesSizes: Boolean get() = sharesSlots || comparesServers
+
     public companion object {
         /** Returns the policy of a deployment whose servers share their hosts with other work or don't. */
         public fun forServers(
--- a/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
@@ -223,7 +223,9 @@
             }
 
             RunOutcome.NOT_RUN -> {
-                pausedUntil = now + REFUSAL_PAUSE * (1 shl minOf(refusals++, MAX_REFUSAL_DOUBLINGS))
+                // Runs that were sent before the pause began tell nothing about a later one.
+                if (now >= pausedUntil) refusals++
+                pausedUntil = now + REFUSAL_PAUSE * (1 shl minOf(refusals - 1, MAX_REFUSAL_DOUBLINGS).coerceAtLeast(0))
             }
 
             RunOutcome.LOST -> {
--- a/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
@@ -104,7 +104,7 @@
         now: MonotonicTime,
     ): List<ServerLoad> {
         if (gate === VersionGate.Open || available.isEmpty()) return available
-        val best = available.mapNotNull { gate.rank(it.server.entry, now) }.minOrNull()
+        val best = available.mapNotNull { gate.rank(it.server.entry, now) }.minOrNull() ?: return emptyList()
         return available.filter { gate.rank(it.server.entry, now) == best }
     }
 
@@ -122,7 +122,8 @@
         val servers = byService[service] ?: return 0.0
         var sum = 0.0
         for (load in servers.loads) {
-            if (load.id in excluded || !acceptsWork(load, now)) continue
+            // A rate of 0 leaves out the limit of cold servers, which ends after a second at most.
+            if (load.id in excluded || !load.acceptsWork(0.0, now) || !mayUse(load, now)) continue
             val slots = maxOf(0, load.server.entry.slots - load.orphaned)
             sum += if (servers.hasDistinctions) slots / factor(servers, load, now) else slots.toDouble()
         }
@@ -356,7 +357,7 @@
         val millis = firstEvent?.toDouble(DurationUnit.MILLISECONDS) ?: return
         val shown = servers.costs.onFirstEvent(run, millis, factor(servers, load, now))
         load.speed.onObserved(shown, percent, now)
-        servers.domainSpeed(load).record(shown, now)
+        servers.domainSpeed(load).record(shown.coerceIn(MIN_FACTOR, MAX_FACTOR), now)
     }
 
     /** Returns the server with the fewest runs; null if none is available. */
@@ -386,5 +387,9 @@
         // A coordinator is followed by nearly all VMs; a VM on its own has the share of one.
         const val SPREAD_BELOW_SHARE = 0.25
         const val UNCOORDINATED_SPREAD = 0.5
+
+        // A single late event must not make a whole domain look slow.
+        const val MIN_FACTOR = 0.2
+        const val MAX_FACTOR = 6.0
     }
 }
--- a/core/src/main/kotlin/org/agatestream/core/SlotCounts.kt
+++ b/core/src/main/kotlin/org/agatestream/core/SlotCounts.kt
@@ -1,5 +1,6 @@
 package org.agatestream.core
 
+import kotlin.math.roundToInt
 import kotlin.time.Duration.Companion.milliseconds
 
 /** The numbers of slots of the services, counted at most once in a short time. */
@@ -43,13 +44,7 @@
     ): Int {
         val known = usable[service]
         if (known != null && (now - known.countedAt).absoluteValue < VALIDITY) return known.slots
-        // A rate of 0 leaves out the limit of cold servers, which ends after a second at most.
-        val slots =
-            servers
-                .forService(service)
-                .filter {
-                    it.acceptsWork(0.0, now) && servers.mayUse(it, now)
-                }.sumOf { it.server.entry.slots }
+        val slots = servers.usableSlots(service, emptySet(), now).roundToInt()
         val counted = if (slots > 0) slots else total(service, emptySet(), now)
         usable[service] = Count(counted, now)
         return counted
--- a/core/src/main/kotlin/org/agatestream/core/fairness/ShareLevel.kt
+++ b/core/src/main/kotlin/org/agatestream/core/fairness/ShareLevel.kt
@@ -28,6 +28,6 @@
             remaining -= demand.workPerSecond
             weight -= demand.weight
         }
-        return remaining / weight
+        return if (weight > 0.0) remaining / weight else UNLIMITED
     }
 }
--- a/core/src/main/kotlin/org/agatestream/core/placement/DomainRouting.kt
+++ b/core/src/main/kotlin/org/agatestream/core/placement/DomainRouting.kt
@@ -17,7 +17,7 @@
 
 /** Whether a request stays in its failure domain. */
 internal sealed interface DomainDecision {
-    /** The request runs in its own domain, once a slot is free there. */
+    /** The request runs in its own domain. */
     data object Stay : DomainDecision
 
     /** The request runs in another domain. */
@@ -86,7 +86,7 @@
     ): LeaveReason? {
         if (own == null) return LeaveReason.ONLY_THERE
         val gain = own.costMillis + lateness(own, dueMillis) - other.costMillis - lateness(other, dueMillis)
-        if (isOwnFull) return LeaveReason.OWN_FULL.takeIf { gain > 0.0 }
+        if (isOwnFull) return LeaveReason.OWN_FULL
         if (other.tokensRead < own.tokensRead && gain > PROMPT_GAIN_MILLIS) return LeaveReason.PROMPT
         val usable = if (state.isLeaving) RETURN_SHARE else LEAVE_SHARE
         val limit = if (dueMillis != null) dueMillis * usable else other.firstEventMillis * UNDUE_FACTOR
--- a/core/src/main/kotlin/org/agatestream/core/rollout/Evidence.kt
+++ b/core/src/main/kotlin/org/agatestream/core/rollout/Evidence.kt
@@ -180,6 +180,8 @@
         val hits = slowRuns.size
         if (hits < MIN_SLOW || judged.size < MIN_JUDGED || slowRuns.episodes() < MIN_EPISODES) return null
         val oldRatios = old.mapNotNull { it.slowdown }
+        // A new coordinator has seen few runs of the old version, and slow hosts would be blamed on the new one.
+        if (oldRatios.size < MIN_OLD_RUNS) return null
         val oldHits = oldRatios.count { it >= slow }
         val usual = maxOf(USUAL_SLOW, OLD_TOLERANCE * (oldHits + 1) / (oldRatios.size + OLD_PRIOR_RUNS))
         val perEpisode = judged.size.toDouble() / judged.episodes()
--- a/core/src/main/kotlin/org/agatestream/core/rollout/Rollout.kt
+++ b/core/src/main/kotlin/org/agatestream/core/rollout/Rollout.kt
@@ -98,10 +98,22 @@
                 RolloutStage.ORDERED, RolloutStage.REJECTED, RolloutStage.ROLLED_BACK -> 0.0
             }
 
-    /** Applies all servers of the service, with those that are draining. */
-    internal fun onServers(entries: Collection<ServerEntry>) {
-        newServers = entries.filter { it.version == order.target.value && !it.isDraining }.sortedBy { it.id.value }
-        entries.filter { it.version != order.target.value }.forEach { oldServerIds += it.id }
+    /** Applies all servers of the service, with those that are [unusable]. */
+    internal fun onServers(
+        entries: Collection<ServerEntry>,
+        unusable: Set<BackendServerId>,
+    ) {
+        newServers =
+            entries.filter { it.version == order.target.value && it.id !in unusable }.sortedBy { it.id.value }
+        for (entry in entries) {
+            if (entry.version ==
+                order.target.value
+            ) {
+                oldServerIds -= entry.id
+            } else {
+                oldServerIds += entry.id
+            }
+        }
     }
 
     /** Applies a changed duration. */
--- a/core/src/main/kotlin/org/agatestream/core/rollout/Rollouts.kt
+++ b/core/src/main/kotlin/org/agatestream/core/rollout/Rollouts.kt
@@ -1,5 +1,6 @@
 package org.agatestream.core.rollout
 
+import org.agatestream.core.BackendServerId
 import org.agatestream.core.CallId
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.RunDetail
@@ -18,6 +19,7 @@
     private val open = HashMap<ServiceId, Rollout>()
     private val callServices = HashMap<CallId, ServiceId>()
     private var servers: Map<ServiceId, List<ServerEntry>> = emptyMap()
+    private var unusable: Set<BackendServerId> = emptySet()
 
     /** The roll-outs under way. */
     public val all: Map<ServiceId, Rollout> get() = open
@@ -26,10 +28,14 @@
     public val unloaded: List<RolloutOrder>
         get() = book.openOrders.filter { open[it.service]?.order?.target != it.target }
 
-    /** Applies all servers, with those that are draining. */
-    public fun onServers(entries: Collection<ServerEntry>) {
+    /** Applies all servers, with those that may get no work ([isUsable]). */
+    public fun onServers(
+        entries: Collection<ServerEntry>,
+        isUsable: (ServerEntry) -> Boolean = { !it.isDraining },
+    ) {
         servers = entries.groupBy { it.service }
-        for ((service, rollout) in open) rollout.onServers(servers[service].orEmpty())
+        unusable = entries.filterNot(isUsable).mapTo(HashSet()) { it.id }
+        for ((service, rollout) in open) rollout.onServers(servers[service].orEmpty(), unusable)
     }
 
     /** Applies changes of the orders in the book; returns the changes of stage. */
@@ -63,8 +69,10 @@
         if (status?.ends(order) == true) return
         val own = record?.takeIf { it.target == order.target && !it.stage.isFinal }
         own?.let { book.onRecordedBase(order.service, it.base) }
+        // Without the servers, the version in use is not known; the order is loaded again later.
+        if (own == null && servers[order.service].orEmpty().none { it.version != order.target.value }) return
         val rollout = Rollout(order, book.versionInUse(order.service), writer, own, storeTime, now)
-        rollout.onServers(servers[order.service].orEmpty())
+        rollout.onServers(servers[order.service].orEmpty(), unusable)
         open[order.service] = rollout
     }
 
--- a/core/src/main/kotlin/org/agatestream/core/rollout/VersionBook.kt
+++ b/core/src/main/kotlin/org/agatestream/core/rollout/VersionBook.kt
@@ -46,6 +46,9 @@
     /** Applies the operators' orders; there is at most one for a service. */
     public fun onOrders(current: Collection<RolloutOrder>) {
         val services = orders.keys + current.map { it.service }
+        val targets = current.associate { it.service to it.target }
+        // The state of an earlier order says nothing about a later one.
+        for ((service, order) in orders) if (targets[service] != order.target) statuses -= service
         orders.clear()
         current.forEach { orders[it.service] = it }
         services.forEach { update(it) }
@@ -144,8 +147,9 @@
         val known = inUse[service]
         val candidates = present.filterKeys { it.version == null || !isWithheld(it.version, order, status) }
         if (known != null && known in candidates) return known
-        // All servers have changed their version without an order.
-        val choice = if (candidates.isEmpty() && order == null) present else candidates
+        // Old servers stop when a roll-out completes; its status may not have been read yet.
+        val hasChanged = candidates.isEmpty() && (order == null || status == null)
+        val choice = if (hasChanged) present else candidates
         return choice.entries.minWithOrNull(MOST_SERVERS)?.key
     }
 
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -110,7 +110,7 @@
 
     fun start(now: MonotonicTime) {
         view.manifest?.let { dispatcher.onManifest(it) }
-        rollouts.onServers(view.registry.all())
+        rollouts.onServers(view.registry.all()) { view.registry.usable(it.id) != null }
         execute(dispatcher.onServers(view.registry.usable(), now))
         dispatcher.allowItems(now + TAKEOVER_WAIT)
         tickLoop =
@@ -161,7 +161,7 @@
     fun onViewChanged(now: MonotonicTime) {
         noticePause(now)
         view.manifest?.let { dispatcher.onManifest(it) }
-        rollouts.onServers(view.registry.all())
+        rollouts.onServers(view.registry.all()) { view.registry.usable(it.id) != null }
         execute(dispatcher.onServers(view.registry.usable(), now))
     }
 
--- a/server/src/main/kotlin/org/agatestream/server/KtorPeerNetwork.kt
+++ b/server/src/main/kotlin/org/agatestream/server/KtorPeerNetwork.kt
@@ -124,6 +124,7 @@
             replaced[expected] = address
             return null
         }
+        if (expected != null) replaced -= expected
         val left = timeout - (MonotonicTime.now() - startedAt)
         return if (left.isPositive()) connection.call(request, left) else null
     }
