--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -500,22 +500,13 @@
         actions: MutableList<DispatchAction>,
     ): ServerLoad? {
         if (suspects.judge(request.parts, now) is PromptVerdict.Clear) {
-            return servers.choose(
-                request.service,
-                request.excluded,
-                now,
-                isolation.servers(now),
-                demandOf(request, now),
-            )
+            val atRisk = isolation.servers(now)
+            return servers.choose(request.service, request.excluded, now, atRisk, demandOf(request, now))
                 ?: preemptItem(request, now, actions)
         }
         if (isolation.mustWait(request.parts, now)) return null
-        return servers.chooseIdlest(
-            request.service,
-            request.excluded + isolation.servers(now),
-            now,
-            demandOf(request, now),
-        )
+        val avoided = request.excluded + isolation.servers(now)
+        return servers.chooseIdlest(request.service, avoided, now, demandOf(request, now))
     }
 
     /** Returns whether a server may be available to other requests although there is none for [request]. */
--- a/core/src/main/kotlin/org/agatestream/core/fairness/FairQueue.kt
+++ b/core/src/main/kotlin/org/agatestream/core/fairness/FairQueue.kt
@@ -238,11 +238,8 @@
         capacity: Capacity,
         now: MonotonicTime,
     ): Boolean {
-        if (groups.size < 2 || capacity.used < capacity.slots * MIN_USE ||
-            !isOverShare(group, capacity, now)
-        ) {
-            return false
-        }
+        val isBusy = groups.size > 1 && capacity.used >= capacity.slots * MIN_USE
+        if (!isBusy || !isOverShare(group, capacity, now)) return false
         return group.running >= maxOf(1.0, slotsOf(group, capacity, now))
     }
 
--- a/core/src/main/kotlin/org/agatestream/core/rollout/Rollout.kt
+++ b/core/src/main/kotlin/org/agatestream/core/rollout/Rollout.kt
@@ -103,17 +103,11 @@
         entries: Collection<ServerEntry>,
         unusable: Set<BackendServerId>,
     ) {
-        newServers =
-            entries.filter { it.version == order.target.value && it.id !in unusable }.sortedBy { it.id.value }
-        for (entry in entries) {
-            if (entry.version ==
-                order.target.value
-            ) {
-                oldServerIds -= entry.id
-            } else {
-                oldServerIds += entry.id
-            }
-        }
+        val (new, old) = entries.partition { it.version == order.target.value }
+        newServers = new.filter { it.id !in unusable }.sortedBy { it.id.value }
+        // A server may come back with the new version under the id that it had.
+        oldServerIds -= new.mapTo(HashSet()) { it.id }
+        oldServerIds += old.map { it.id }
     }
 
     /** Applies a changed duration. */
@@ -270,13 +264,8 @@
     ): StageChange? {
         val halfTime = startedAt + (plan.loadBy - startedAt) / 2
         val isEnough = evidence.sample >= MIN_SAMPLE && now >= halfTime
-        return if (isEnough ||
-            now >= plan.loadBy
-        ) {
-            apply(RolloutEvent.CANARY_PASSED, "no_difference", verdict, now)
-        } else {
-            null
-        }
+        if (!isEnough && now < plan.loadBy) return null
+        return apply(RolloutEvent.CANARY_PASSED, "no_difference", verdict, now)
     }
 
     private fun prove(
--- a/core/src/main/kotlin/org/agatestream/core/rollout/VersionBook.kt
+++ b/core/src/main/kotlin/org/agatestream/core/rollout/VersionBook.kt
@@ -1,12 +1,8 @@
 package org.agatestream.core.rollout
 
-import org.agatestream.core.CallId
 import org.agatestream.core.MonotonicTime
-import org.agatestream.core.RunDetail
-import org.agatestream.core.RunOutcome
 import org.agatestream.core.ServerEntry
 import org.agatestream.core.ServiceId
-import kotlin.time.Duration
 
 /**
  * Which version of each service is in use, as far as a VM knows without a coordinator.
@@ -105,27 +101,6 @@
         now: MonotonicTime,
     ): Int? = if (admits(server)) 0 else null
 
-    override fun onStarted(
-        run: StartedRun,
-        now: MonotonicTime,
-    ): Unit = Unit
-
-    override fun onProgress(
-        call: CallId,
-        waitedMillis: Long,
-        hasBegun: Boolean,
-    ): Unit = Unit
-
-    override fun onEnded(
-        call: CallId,
-        outcome: RunOutcome,
-        firstEvent: Duration?,
-        detail: RunDetail,
-        now: MonotonicTime,
-    ): Unit = Unit
-
-    override fun onForgotten(call: CallId): Unit = Unit
-
     private fun update(service: ServiceId) {
         val present = groups[service].orEmpty()
         findInUse(service, present)?.let { inUse[service] = it }
--- a/core/src/main/kotlin/org/agatestream/core/rollout/VersionGate.kt
+++ b/core/src/main/kotlin/org/agatestream/core/rollout/VersionGate.kt
@@ -7,7 +7,7 @@
 import org.agatestream.core.ServerEntry
 import kotlin.time.Duration
 
-/** Decides which versions of a service may get a run, and hears what became of the runs. */
+/** Decides which versions of a service may get a run; a gate that judges runs overrides the callbacks on them. */
 public interface VersionGate {
     /**
      * Returns the rank of [server] for a run that starts now, or null if it must get none.
@@ -23,7 +23,7 @@
     public fun onStarted(
         run: StartedRun,
         now: MonotonicTime,
-    )
+    ): Unit = Unit
 
     /**
      * Records that a run had its first event after [waitedMillis], or has waited that long if not [hasBegun].
@@ -34,7 +34,7 @@
         call: CallId,
         waitedMillis: Long,
         hasBegun: Boolean,
-    )
+    ): Unit = Unit
 
     /** Records the end of a run. */
     public fun onEnded(
@@ -43,10 +43,10 @@
         firstEvent: Duration?,
         detail: RunDetail,
         now: MonotonicTime,
-    )
+    ): Unit = Unit
 
     /** Records that a run is no longer followed, so that its outcome stays unknown. */
-    public fun onForgotten(call: CallId)
+    public fun onForgotten(call: CallId): Unit = Unit
 
     /** A gate that admits every server equally. */
     public object Open : VersionGate {
@@ -54,27 +54,6 @@
             server: ServerEntry,
             now: MonotonicTime,
         ): Int = 0
-
-        override fun onStarted(
-            run: StartedRun,
-            now: MonotonicTime,
-        ): Unit = Unit
-
-        override fun onProgress(
-            call: CallId,
-            waitedMillis: Long,
-            hasBegun: Boolean,
-        ): Unit = Unit
-
-        override fun onEnded(
-            call: CallId,
-            outcome: RunOutcome,
-            firstEvent: Duration?,
-            detail: RunDetail,
-            now: MonotonicTime,
-        ): Unit = Unit
-
-        override fun onForgotten(call: CallId): Unit = Unit
     }
 }
 
--- a/server/src/main/kotlin/org/agatestream/server/RolloutControl.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RolloutControl.kt
@@ -68,11 +68,8 @@
         for ((service, rollout) in rollouts.all) {
             rollouts.advance(service, situation(rollout), now)?.let { log(it) }
             if (rollout.mustStopItems(now)) stopItems(rollout.oldServers)
-            if (service !in
-                inStoreCall
-            ) {
-                rollout.due(now)?.let { record -> callStore(service) { write(rollout, record) } }
-            }
+            val record = if (service in inStoreCall) null else rollout.due(now)
+            if (record != null) callStore(service) { write(rollout, record) }
         }
         rollouts.closeFinished()
     }
