--- a/core/src/main/kotlin/org/agatestream/core/rollout/VersionBook.kt
+++ b/core/src/main/kotlin/org/agatestream/core/rollout/VersionBook.kt
@@ -8,7 +8,7 @@
  * Which version of each service is in use, as far as a VM knows without a coordinator.
  *
  * Without an order, the version that most servers have when the service is first seen is in use for as long as a server
- * has it; a version that appears beside it gets nothing until an order names it. Servers without a version are not
+ * has it; a version that appears beside it gets nothing until an order names it, where operators order versions. Servers without a version are not
  * restricted unless an order is open. With an order, the version in use is that of most servers other than the target,
  * until the status says that the roll-out completed. Not thread-safe.
  */
