Log the priority and the timeout of a request

The log line of a refusal had no input of that decision, so a low priority and a short timeout could not be told apart. docs/incidents/refused-urgent-requests.md has the timeline and the hypotheses before any change of logic.

--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -383,6 +383,8 @@
                 "workspace" to admission.workspace?.id,
                 "outcome" to outcome,
                 "detail" to detail,
+                "priority" to admission.priority,
+                "timeout" to endAt - arrivedAt,
                 "manifest" to manifestVersion,
                 "server" to slot?.server?.id,
                 "decided_by" to decidedBy,
