Read on from the last complete version of the store's tables

Cause: a table read in several pages counted as that of the last page's version, and a page of changes that was cut off as complete. What changed between two pages, or stood behind the cut, was not read again until the next change of the same row.

Change: several pages count with the first page's version, and a cut page with that of its last row.

--- a/server/src/main/kotlin/org/agatestream/server/TableFeed.kt
+++ b/server/src/main/kotlin/org/agatestream/server/TableFeed.kt
@@ -58,9 +58,10 @@
         while (true) {
             when (val read = store.changes(table, version, LONG_POLL_TIMEOUT)) {
                 is StoreRead.Found -> {
-                    version = maxOf(version, read.value.version)
-                    if (read.value.rows.isNotEmpty()) {
-                        onChanges(read.value)
+                    val page = read.value.upToLastRow(version)
+                    version = maxOf(version, page.version)
+                    if (page.rows.isNotEmpty()) {
+                        onChanges(page)
                         delay(collectFor())
                     }
                 }
@@ -107,7 +108,17 @@
     }
 }
 
-/** Returns all rows of a partition, from key [from] until before [to], or null if the store does not answer. */
+/** Returns this page of changes after version [after] with the version up to which it has all of them. */
+private fun RowPage.upToLastRow(after: Long): RowPage {
+    val last = rows.lastOrNull()?.version ?: return this
+    return if (hasMore && last > after) RowPage(rows, last, hasMore, readAt) else this
+}
+
+/**
+ * Returns all rows of a partition, from key [from] until before [to], or null if the store does not answer.
+ *
+ * The version is that of the first page: the feed that follows it also has what changed between two pages.
+ */
 internal suspend fun RowStore.readAll(
     table: String,
     partition: String,
@@ -115,13 +126,16 @@
     to: String? = null,
 ): RowPage? {
     val rows = ArrayList<StoredRow>()
+    var version: Long? = null
     var readAt: StoreTime? = null
     var start = from
     while (true) {
         val page = (rows(table, partition, start, to) as? StoreRead.Found)?.value ?: return null
         rows += page.rows
+        val firstVersion = version ?: page.version
+        version = firstVersion
         readAt = readAt ?: page.readAt
-        if (!page.hasMore || page.rows.isEmpty()) return RowPage(rows, page.version, hasMore = false, readAt)
+        if (!page.hasMore || page.rows.isEmpty()) return RowPage(rows, firstVersion, hasMore = false, readAt)
         // The smallest key after the last one.
         start = rows.last().name.key + '\u0000'
     }
