Send a server no more requests than the limit that it names

A server in need names in its responses the requests per second that it takes from all VMs together (Server-Limit).

Change: the header is decoded with the other things that a server says of itself, of proven responses only. The coordinator spaces the requests to such a server by a token bucket; a VM without a coordinator uses its share. Runs tell the coordinator of limits and of their end; reports tell a new coordinator.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -7,6 +7,7 @@
 import org.agatestream.core.fairness.RunWork
 import org.agatestream.core.fairness.WaitingQueues
 import org.agatestream.core.fairness.WaitingRequest
+import org.agatestream.core.limit.ObservedLimit
 import org.agatestream.core.placement.DomainChange
 import org.agatestream.core.placement.DomainFlow
 import org.agatestream.core.placement.ObservedLoad
@@ -91,6 +92,10 @@
     public val suspectedServers: Map<BackendServerId, ServerSuspicion>
         get() = servers.all.mapNotNull { load -> load.suspicion?.let { load.id to it } }.toMap()
 
+    /** The requests per second that servers take at [now], of those that name a limit. */
+    public fun limitedServers(now: MonotonicTime): Map<BackendServerId, Double> =
+        servers.all.mapNotNull { load -> load.limiter.limitAt(now)?.let { load.id to it } }.toMap()
+
     /** Removes and returns the changes of traffic between failure domains since the last call. */
     public fun takeDomainChanges(): List<DomainChange> = servers.takeDomainChanges()
 
@@ -194,6 +199,7 @@
         val load = servers.find(held.server) ?: return schedule(now)
         val wasSilent = load.isSilent(call)
         servers.onRunEnding(load, call, firstEvent, now, detail)
+        detail.limit?.let { load.onReportedLimit(it, now) }
         load.remove(call)
         // A server that is leaving may end runs or refuse them on purpose.
         if (!detail.isServerLeaving) load.record(outcome, firstEvent, now, wasSilent, detail)
@@ -222,6 +228,14 @@
         loads.forEach { servers.onReportedLoad(it, now) }
     }
 
+    /** Applies limits that servers named to VMs. */
+    public fun onServerLimits(
+        limits: List<ObservedLimit>,
+        now: MonotonicTime,
+    ) {
+        limits.forEach { servers.onReportedLimit(it, now) }
+    }
+
     /** Applies the outcome of an item's run; its slot is freed by a separate [release]. */
     public fun onItem(
         ref: ItemRef,
@@ -435,7 +449,7 @@
         service: ServiceId,
         now: MonotonicTime,
     ): Capacity {
-        val slots = maxOf(1, slotCounts.usable(service, now)).toDouble()
+        val slots = maxOf(1, slotCounts.usable(service, now, paceOf(service).runTime)).toDouble()
         val known = Capacity(slots, slots * paceOf(service).workPerSecond, heldSlots.onlineOf(service))
         return if (knowsMostRuns || !policy.sharesSlots) known else observedOf(service, now).limit(known, now)
     }
--- a/core/src/main/kotlin/org/agatestream/core/RunDetail.kt
+++ b/core/src/main/kotlin/org/agatestream/core/RunDetail.kt
@@ -1,6 +1,7 @@
 package org.agatestream.core
 
 import kotlinx.serialization.Serializable
+import org.agatestream.core.limit.ReportedLimit
 import org.agatestream.core.placement.ReportedLoad
 
 /** What a VM observed of a run beyond its outcome. */
@@ -16,6 +17,8 @@
     val loadAgeMillis: Long = 0,
     /** True if the server announced that it is leaving. */
     val isServerLeaving: Boolean = false,
+    /** What the server said about the requests that it takes; null if no response is proven to be its own. */
+    val limit: ReportedLimit? = null,
 ) {
     public companion object {
         /** Nothing was observed. */
--- a/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
@@ -1,5 +1,7 @@
 package org.agatestream.core
 
+import org.agatestream.core.limit.ReportedLimit
+import org.agatestream.core.limit.RequestLimiter
 import org.agatestream.core.placement.PlacedRun
 import org.agatestream.core.placement.PlacementDemand
 import org.agatestream.core.placement.PromptCache
@@ -14,10 +16,13 @@
 internal class ServerLoad(
     server: UsableServer,
 ) {
-    /** The server's entry; nothing is cached at it after a restart. */
+    /** The server's entry; after a restart, nothing is cached at it and it has named no limit. */
     var server: UsableServer = server
         set(value) {
-            if (value.entry.startedAtMillis != field.entry.startedAtMillis) promptCache.clear()
+            if (value.entry.startedAtMillis != field.entry.startedAtMillis) {
+                promptCache.clear()
+                limiter = RequestLimiter()
+            }
             field = value
         }
     val id: BackendServerId get() = server.entry.id
@@ -57,6 +62,10 @@
     val speed = ServerSpeed()
     val promptCache = PromptCache()
 
+    /** Spaces the requests while the server names a limit. */
+    var limiter = RequestLimiter()
+        private set
+
     /** The tokens that runs occupy, as far as known. */
     var tokensInUse: Long = 0
         private set
@@ -117,6 +126,14 @@
         load.durationPercent?.let { speed.onReported(it, takenAt) }
     }
 
+    /** Applies what a response of the server said about the requests that it takes. */
+    fun onReportedLimit(
+        limit: ReportedLimit,
+        now: MonotonicTime,
+    ) {
+        limiter.onReported(limit.perSecond, now - limit.ageMillis.coerceAtLeast(0).milliseconds, now)
+    }
+
     /** Returns the runs at the server, including those of VMs without coordinator if its report at [now] is recent. */
     fun occupancy(now: MonotonicTime): Int {
         val known = running + orphaned
@@ -199,6 +216,7 @@
     ) {
         if (isItem) itemRuns += call else onlineRuns += call
         if (server.isCold(now)) coldStarts += now
+        limiter.onStarted(now)
         if (isProbing) probe = call
         val tokensRead = maxOf(0, demand.promptTokens - promptCache.heldTokens(demand.prompt.shared, now))
         placedRuns[call] = PlacedRun(running + orphaned, tokensRead, demand.tokens)
--- a/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerPool.kt
@@ -1,5 +1,6 @@
 package org.agatestream.core
 
+import org.agatestream.core.limit.ObservedLimit
 import org.agatestream.core.placement.CostModel
 import org.agatestream.core.placement.DomainChange
 import org.agatestream.core.placement.DomainDecision
@@ -112,12 +113,14 @@
      * Returns the slots of [service] that requests may use now, free or occupied, weighted by the speed of their server.
      *
      * A server whose work takes twice as long as that of a usual one counts half. Servers outside [excluded] count
-     * that accept work; slots of silent VMs' runs don't.
+     * that accept work; slots of silent VMs' runs don't. A server that names a limit counts with the slots that the
+     * requests it takes fill, each for [runTime].
      */
     fun usableSlots(
         service: ServiceId,
         excluded: Set<BackendServerId>,
         now: MonotonicTime,
+        runTime: Duration = Duration.ZERO,
     ): Double {
         val servers = byService[service] ?: return 0.0
         var sum = 0.0
@@ -125,7 +128,9 @@
             // A rate of 0 leaves out the limit of cold servers, which ends after a second at most.
             if (load.id in excluded || !load.acceptsWork(0.0, now) || !mayUse(load, now)) continue
             val slots = maxOf(0, load.server.entry.slots - load.orphaned)
-            sum += if (servers.hasDistinctions) slots / factor(servers, load, now) else slots.toDouble()
+            val filled = if (servers.hasDistinctions) slots / factor(servers, load, now) else slots.toDouble()
+            val limit = load.limiter.limitAt(now)
+            sum += if (limit == null) filled else minOf(filled, limit * share * runTime.toDouble(DurationUnit.SECONDS))
         }
         return sum
     }
@@ -172,7 +177,7 @@
     fun acceptsWork(
         load: ServerLoad,
         now: MonotonicTime,
-    ): Boolean = load.acceptsWork(coldRate(load), now) && mayUse(load, now)
+    ): Boolean = load.acceptsWork(coldRate(load), now) && load.limiter.allows(share, now) && mayUse(load, now)
 
     /**
      * Returns the server with the least expected cost for [demand]; null if none is available.
@@ -342,6 +347,15 @@
         servers.domainSpeed(load).record(load.speed.factor(now), now)
     }
 
+    /** Applies a limit that a server named to a VM. */
+    fun onReportedLimit(
+        observed: ObservedLimit,
+        now: MonotonicTime,
+    ) {
+        val load = loads[observed.server.server] ?: return
+        if (load.server.entry.incarnation == observed.server) load.onReportedLimit(observed.limit, now)
+    }
+
     /** Records the end of the run [call] at [load], before it is removed. */
     fun onRunEnding(
         load: ServerLoad,
--- a/core/src/main/kotlin/org/agatestream/core/SlotCounts.kt
+++ b/core/src/main/kotlin/org/agatestream/core/SlotCounts.kt
@@ -1,6 +1,7 @@
 package org.agatestream.core
 
 import kotlin.math.roundToInt
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** The numbers of slots of the services, counted at most once in a short time. */
@@ -36,15 +37,17 @@
     /**
      * Returns the number of slots, free or occupied, of the servers of [service] that may get work at [now].
      *
-     * If no server may, as all are paused or silent, all slots count: most such states end within a second.
+     * If no server may, as all are paused or silent, all slots count: most such states end within a second. [runTime] is
+     * the usual time of a run.
      */
     fun usable(
         service: ServiceId,
         now: MonotonicTime,
+        runTime: Duration,
     ): Int {
         val known = usable[service]
         if (known != null && (now - known.countedAt).absoluteValue < VALIDITY) return known.slots
-        val slots = servers.usableSlots(service, emptySet(), now).roundToInt()
+        val slots = servers.usableSlots(service, emptySet(), now, runTime).roundToInt()
         val counted = if (slots > 0) slots else total(service, emptySet(), now)
         usable[service] = Count(counted, now)
         return counted
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -105,6 +105,7 @@
         private set
 
     private var suspects: Map<BackendServerId, ServerSuspicion> = emptyMap()
+    private var limitedServers: Set<BackendServerId> = emptySet()
     private var liveVms: List<LiveVm> = emptyList()
     private var liveVersion = 0L
 
@@ -285,6 +286,7 @@
         updateFollowers()
         if (report.operatorVersion > view.operatorVersion) refreshManifest()
         dispatcher.onServerLoads(report.loads, now)
+        dispatcher.onServerLimits(report.limits, now)
         execute(dispatcher.onReport(from, report.running, report.unlisted, now))
         val snapshot =
             if (report.isStoreReachable) null else view.snapshotSince(report.operatorVersion, report.serverVersion)
@@ -329,6 +331,7 @@
         setResigning((isLeaving() || !view.isStoreReachable(now)) && others.any { it.isStoreReachable }, now)
         execute(dispatcher.tick(now))
         logSuspects()
+        logLimits(now)
         reportDomains()
     }
 
@@ -358,6 +361,15 @@
         suspects = now
     }
 
+    private fun logLimits(now: MonotonicTime) {
+        val limits = dispatcher.limitedServers(now)
+        for (server in limitedServers - limits.keys) EventLog.info("server_unlimited", "server" to server)
+        for (server in limits.keys - limitedServers) {
+            EventLog.info("server_limited", "server" to server, "per_second" to limits.getValue(server))
+        }
+        limitedServers = limits.keys
+    }
+
     private fun setResigning(
         shouldResign: Boolean,
         now: MonotonicTime,
--- a/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMembership.kt
@@ -47,6 +47,8 @@
     private val leaving: LeavingServerWatch = LeavingServerWatch(view),
     /** Called when a coordinator answers that was not known or was silent before. */
     private val onCoordinatorHeard: () -> Unit = {},
+    /** Called when the coordinator has answered a report. */
+    private val onReported: (StatusReport) -> Unit = {},
 ) {
     private var record: CoordinatorRecord? = null
     private var recordVersion = 0L
@@ -256,6 +258,7 @@
             }
             if (pauseCount == pausesBefore) isFollowing = true
             isResigning = answer.isResigning
+            onReported(report)
             answer.live?.let { updateLiveVms(it, answer.liveVersion) }
             parts.onAnswered(report.parts, answer.parts, MonotonicTime.now())
             leaving.onAnswered(answer.leaving, MonotonicTime.now())
--- a/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
@@ -18,6 +18,7 @@
 import org.agatestream.core.ServiceId
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
+import org.agatestream.core.limit.ObservedLimit
 import org.agatestream.core.placement.ObservedLoad
 import org.agatestream.core.placement.PromptShape
 import org.agatestream.core.rollout.RolloutOutcome
@@ -183,6 +184,8 @@
     val leaving: LeavingReport = LeavingReport.NONE,
     /** The loads that servers reported to this VM since its last report. */
     val loads: List<ObservedLoad> = emptyList(),
+    /** The limits that servers named to this VM, unless this coordinator was told. */
+    val limits: List<ObservedLimit> = emptyList(),
 ) : PeerRequest
 
 /** The coordinator's response to a [StatusReport]. */
--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -151,7 +151,7 @@
         try {
             earlierRuns.forEach { it.job.cancelAndJoin() }
             val startedAt = MonotonicTime.now()
-            observer = RunObserver(startedAt) { load, now -> slots.onReportedLoad(request.server, load, now) }
+            observer = RunObserver(startedAt) { report, now -> slots.onServerReport(request.server, report, now) }
             slots.onSent(request.number, startedAt)
             end = exchange(request, observer) { slots.onFirstEvent(request.number, it) }
             outcome = end.outcome
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -86,6 +86,7 @@
             onLocalStatus = { role?.onStatusReport(self, it, MonotonicTime.now()) },
             leaving = leaving,
             onCoordinatorHeard = { slots.onCoordinatorHeard() },
+            onReported = { slots.onLimitsReported(it.limits) },
         )
     private val slots: SlotAllocator =
         SlotAllocator(self, config.failureDomain, network, view, scope, membership, parts, { role }, leaving, policy)
@@ -171,6 +172,9 @@
                 ?: 0
         }
         metrics.gauge("agatestream.dispatch.refused.overshare") { role?.dispatcher?.refusedOverShare ?: 0 }
+        metrics.gauge("agatestream.dispatch.limited") {
+            role?.dispatcher?.limitedServers(MonotonicTime.now())?.size ?: 0
+        }
         metrics.gauge("agatestream.dispatch.jobs") { role?.dispatcher?.openJobs ?: 0 }
         metrics.gauge("agatestream.prompt.parts.condemned") { parts.suspects.condemned.size }
         metrics.gauge("agatestream.prompt.parts.suspected") { parts.suspects.suspectedCount }
@@ -302,6 +306,7 @@
             parts = parts.report(MonotonicTime.now()),
             leaving = leaving.report(MonotonicTime.now()),
             loads = slots.takeReportedLoads(MonotonicTime.now()),
+            limits = slots.unreportedLimits(MonotonicTime.now()),
         )
 
     private fun sendItemReport(report: ItemReport) {
--- a/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RouteForwarder.kt
@@ -174,7 +174,7 @@
         private suspend fun attempt(slot: Slot): Attempt {
             val sentAt = MonotonicTime.now()
             var outcome = RunOutcome.STOPPED
-            val observer = RunObserver(sentAt) { load, now -> slots.onReportedLoad(slot.server.id, load, now) }
+            val observer = RunObserver(sentAt) { report, now -> slots.onServerReport(slot.server.id, report, now) }
             if (isStream) slots.onSent(slot.number, sentAt)
             try {
                 val timeLeft = arrivedAt + callerTimeout - sentAt
--- a/server/src/main/kotlin/org/agatestream/server/RunObserver.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RunObserver.kt
@@ -2,7 +2,7 @@
 
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.RunDetail
-import org.agatestream.core.placement.ReportedLoad
+import org.agatestream.core.limit.ReportedLimit
 import org.agatestream.platform.BackendReply
 import org.agatestream.platform.ServerReport
 import kotlin.time.Duration
@@ -10,7 +10,7 @@
 /** Collects what a VM sees of one run, for the release of its slot. */
 internal class RunObserver(
     private val sentAt: MonotonicTime,
-    private val onLoad: (ReportedLoad, MonotonicTime) -> Unit = { _, _ -> },
+    private val onReport: (ServerReport, MonotonicTime) -> Unit = { _, _ -> },
 ) {
     private var report: ServerReport? = null
     private var reportedAt = sentAt
@@ -31,7 +31,7 @@
         if (report == null) return
         this.report = report
         reportedAt = now
-        report.load?.let { onLoad(it, now) }
+        onReport(report, now)
         if (reply is BackendReply.Ran && reply.status >= FIRST_SERVER_ERROR) isServerError = true
     }
 
@@ -45,12 +45,14 @@
 
     fun detail(now: MonotonicTime): RunDetail {
         val load = report?.load
+        val age = (now - reportedAt).inWholeMilliseconds
         return RunDetail(
             isServerError = isServerError,
             longestPauseMillis = longestPause?.inWholeMilliseconds,
             load = load,
-            loadAgeMillis = if (load == null) 0 else (now - reportedAt).inWholeMilliseconds,
+            loadAgeMillis = if (load == null) 0 else age,
             isServerLeaving = report?.isLeaving == true,
+            limit = report?.let { ReportedLimit(it.requestLimit, age) },
         )
     }
 
--- a/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
+++ b/server/src/main/kotlin/org/agatestream/server/SlotAllocator.kt
@@ -22,12 +22,16 @@
 import org.agatestream.core.ServiceId
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
+import org.agatestream.core.incarnation
+import org.agatestream.core.limit.NamedLimits
+import org.agatestream.core.limit.ObservedLimit
+import org.agatestream.core.limit.ReportedLimit
 import org.agatestream.core.placement.ObservedLoad
 import org.agatestream.core.placement.PlacementSettings
 import org.agatestream.core.placement.PromptShape
-import org.agatestream.core.placement.ReportedLoad
 import org.agatestream.core.startup.CoordinatorWait
 import org.agatestream.core.startup.holdTime
+import org.agatestream.platform.ServerReport
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -101,6 +105,7 @@
     private var coordinatorHeard = CompletableDeferred<Unit>()
     private var heldRequests = 0
     private val loads = ReportedLoads()
+    private val limits = NamedLimits()
     private val localDispatcher =
         Dispatcher(nextNumber = 0, suspects = parts.suspects, policy = policy, gate = view.versions)
     private var nextNumber = 1L
@@ -119,16 +124,27 @@
         if (number in runs) awaitingFirstEvent[number] = now
     }
 
-    /** Records the load that [server] reported. */
-    fun onReportedLoad(
+    /** Records what [server] said about itself in a response. */
+    fun onServerReport(
         server: BackendServerId,
-        load: ReportedLoad,
+        report: ServerReport,
         now: MonotonicTime,
     ) {
-        loads.add(server, load, now)
-        localDispatcher.onServerLoads(listOf(ObservedLoad(server, load, ageMillis = 0)), now)
+        report.load?.let { load ->
+            loads.add(server, load, now)
+            localDispatcher.onServerLoads(listOf(ObservedLoad(server, load, ageMillis = 0)), now)
+        }
+        val incarnation = view.registry.find(server)?.incarnation ?: return
+        limits.onResponse(incarnation, report.requestLimit, now)
+        localDispatcher.onServerLimits(listOf(ObservedLimit(incarnation, ReportedLimit(report.requestLimit))), now)
     }
 
+    /** Returns the limits that servers named to this VM and that the coordinator may not know. */
+    fun unreportedLimits(now: MonotonicTime): List<ObservedLimit> = limits.unreported(now)
+
+    /** Records that the coordinator has received [reported]. */
+    fun onLimitsReported(reported: List<ObservedLimit>) = limits.onReported(reported)
+
     /** Returns the loads that servers reported since the last call, for the coordinator. */
     fun takeReportedLoads(now: MonotonicTime): List<ObservedLoad> = loads.take(now)
 
@@ -175,6 +191,7 @@
 
     /** Requeues all waiting requests after a change of coordinator. */
     fun onCoordinatorChanged() {
+        limits.onCoordinatorChanged()
         val all = pendingDecisions.values.toList()
         pendingDecisions.clear()
         all.forEach { it.complete(PlaceDecision.Queued) }
--- a/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/PlatformServerStandIn.kt
@@ -105,6 +105,10 @@
     @Volatile
     var isLeaving: Boolean = false
 
+    /** The requests per second that this server says, in the head of every response, that it takes; null for none. */
+    @Volatile
+    var requestLimit: Double? = null
+
     /** True to be leaving from the next resumed run on. */
     @Volatile
     var isLeavingWhenResumed: Boolean = false
@@ -239,7 +243,11 @@
     }
 
     private fun headersOf(vararg headers: Pair<String, String>): Map<String, String> =
-        headers.toMap() + if (isLeaving) mapOf("server-leaving" to "1") else emptyMap()
+        buildMap {
+            putAll(headers)
+            if (isLeaving) put("server-leaving", "1")
+            requestLimit?.let { put("server-limit", it.toString()) }
+        }
 
     private suspend fun BodyWriter.writeFault(fault: PlatformServerFault?) {
         when (fault) {
