Refuse nothing for good by a manifest that may be outdated

Callers do not try again after 404 or 401.

Cause: nothing relates the age of what a VM knows to the finality of its refusal.

Change: the feed of the operators' rows tells up to which time it is current; an answer that was read late counts from when the store gave it. A VM that was not current within 2 s answers an unknown key or route with 503 and a Retry-After. Requests that it can serve are served as before, also while the store is away. The new cases of PlatformVmTest and TableFeedTest fail without the change (404 in place of 503).

--- a/server/src/main/kotlin/org/agatestream/server/CallerRoutes.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CallerRoutes.kt
@@ -48,7 +48,7 @@
         val admission =
             manifest
                 .admit(CallerProtocol.host(call), call.path, CallerProtocol.key(call))
-                .getOrElse { return refuse(call, it) }
+                .getOrElse { return refuse(call, unlessOutdated(call, it)) }
         val isOnline = admission.route.kind != RouteKind.BATCH
         val timeout = forwarder.timeoutOf(call, admission)
         if (isOnline && !shutdown.admits(now, timeout)) {
@@ -68,13 +68,24 @@
     ) {
         gate.await(CallerProtocol.callerTimeout(call), seedOf(call))
         val manifest = view.manifest ?: return call.respondNotServed(notReady(call))
-        val workspace = manifest.authenticate(CallerProtocol.key(call)).getOrElse { return refuse(call, it) }
+        val workspace =
+            manifest.authenticate(CallerProtocol.key(call)).getOrElse { return refuse(call, unlessOutdated(call, it)) }
         block(workspace?.id)
     }
 
     /** Returns a value that differs between callers; a request without an id gets a random one. */
     private fun seedOf(call: HttpCall): Int = CallerProtocol.requestId(call)?.hashCode() ?: Random.nextInt()
 
+    /** Returns [failure], or that this VM may not decide if its manifest may have been replaced. */
+    private fun unlessOutdated(
+        call: HttpCall,
+        failure: Failure,
+    ): Failure {
+        if (view.areOperatorsCurrent(MonotonicTime.now())) return failure
+        val retryAfter = gate.retryAfter(seedOf(call))
+        return Failure(ErrorKind.NOT_CURRENT, "the manifest of this VM may be outdated", retryAfter)
+    }
+
     private fun notReady(call: HttpCall): Failure =
         Failure(ErrorKind.NOT_CURRENT, "this VM knows no manifest yet", gate.retryAfter(seedOf(call)))
 
--- a/server/src/main/kotlin/org/agatestream/server/PlatformView.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformView.kt
@@ -25,6 +25,7 @@
 import org.agatestream.platform.parseServerEntry
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** The manifest and backend servers as this VM knows them, from the store or, while it is unreachable, from peers. */
 internal class PlatformView(
@@ -50,6 +51,7 @@
         private set
 
     private val operatorRows = HashMap<String, ByteArray>()
+    private var operatorsCurrentAt: MonotonicTime? = null
     private var rolloutOrders: Map<ServiceId, RolloutOrder> = emptyMap()
     private val serverRows = HashMap<String, ByteArray>()
 
@@ -66,6 +68,18 @@
         timeout: Duration = STORE_CONTACT_TIMEOUT,
     ): Boolean = lastContactAt?.let { now - it <= timeout } == true
 
+    /**
+     * Returns whether this VM knows what the operators ordered until shortly before [now].
+     *
+     * One that was paused, or does not reach the store, may not refuse a request for good by what it knows.
+     */
+    fun areOperatorsCurrent(now: MonotonicTime): Boolean =
+        operatorsCurrentAt?.let { now - it <= OPERATORS_CURRENT_FOR } == true
+
+    private fun onOperatorsCurrent(at: MonotonicTime) {
+        operatorsCurrentAt = at
+    }
+
     /** Records whether the store answered a call. */
     fun onStoreContact(
         answered: Boolean,
@@ -86,7 +100,14 @@
     }
 
     fun start(scope: CoroutineScope) {
-        val operators = TableFeed.of(store, PlatformNames.OPERATOR_TABLE, ::replaceOperatorRows, ::applyOperatorChanges)
+        val operators =
+            TableFeed.of(
+                store,
+                PlatformNames.OPERATOR_TABLE,
+                ::replaceOperatorRows,
+                ::applyOperatorChanges,
+                onCurrent = ::onOperatorsCurrent,
+            )
         val servers =
             TableFeed.of(
                 store,
@@ -368,6 +389,9 @@
         val STORE_CONTACT_TIMEOUT = 1600.milliseconds
         val EXPIRY_INTERVAL = 200.milliseconds
 
+        // The shortest time in which a change of the manifest must take effect; a feed is current at least once per second.
+        val OPERATORS_CURRENT_FOR = 2.seconds
+
         // A fortieth of the shortest time for which a leaving server still serves; whole zones change at once.
         val SERVER_COLLECT_TIME = 50.milliseconds
     }
--- a/server/src/main/kotlin/org/agatestream/server/TableFeed.kt
+++ b/server/src/main/kotlin/org/agatestream/server/TableFeed.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.delay
 import org.agatestream.core.Backoff
+import org.agatestream.core.MonotonicTime
 import org.agatestream.core.RowPage
 import org.agatestream.core.RowStore
 import org.agatestream.core.StoreRead
@@ -23,6 +24,8 @@
     private val onChanges: (RowPage) -> Unit,
     /** Returns how long to collect further changes after some have arrived, before asking for more. */
     private val collectFor: () -> Duration = { Duration.ZERO },
+    /** Called with a time up to which all changes have been passed on. */
+    private val onCurrent: (MonotonicTime) -> Unit = {},
     private val random: Random = Random.Default,
 ) {
     private var failures = 0
@@ -41,9 +44,11 @@
     }
 
     private suspend fun readAndFollow() {
+        val sentAt = MonotonicTime.now()
         val read = readSnapshot() ?: return awaitRetry()
         failures = 0
         onSnapshot(read.first, read.second)
+        onCurrent(sentAt)
         follow(read.second)
     }
 
@@ -56,13 +61,18 @@
     private suspend fun follow(from: Long) {
         var version = from
         while (true) {
+            val sentAt = MonotonicTime.now()
             when (val read = store.changes(table, version, LONG_POLL_TIMEOUT)) {
                 is StoreRead.Found -> {
                     val page = read.value.upToLastRow(version)
                     version = maxOf(version, page.version)
                     if (page.rows.isNotEmpty()) {
                         onChanges(page)
+                        onCurrent(sentAt)
                         delay(collectFor())
+                    } else {
+                        // An answer that waited for this VM to run is older than its receipt.
+                        onCurrent(sentAt + minOf(MonotonicTime.now() - sentAt, LONG_POLL_TIMEOUT))
                     }
                 }
 
@@ -94,6 +104,7 @@
             onSnapshot: (List<StoredRow>, Long) -> Unit,
             onChanges: (List<StoredRow>, Long) -> Unit,
             collectFor: () -> Duration = { Duration.ZERO },
+            onCurrent: (MonotonicTime) -> Unit = {},
         ): TableFeed<List<StoredRow>> {
             val readSnapshot = suspend { store.readAll(table, "")?.let { it.rows to it.version } }
             return TableFeed(
@@ -103,6 +114,7 @@
                 onSnapshot = onSnapshot,
                 onChanges = { onChanges(it.rows, it.version) },
                 collectFor = collectFor,
+                onCurrent = onCurrent,
             )
         }
     }
--- a/server/src/test/kotlin/org/agatestream/server/TableFeedTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/TableFeedTest.kt
@@ -2,11 +2,13 @@
 
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.agatestream.core.MonotonicTime
 import org.agatestream.core.RowChange
 import org.agatestream.core.RowName
 import org.agatestream.core.RowPage
@@ -89,6 +91,32 @@
             }
         }
 
+        // Guards against a VM that was paused and takes the answer that waited for it for the present state.
+        test("an answer that is read late tells the state of the time at which the store gave it") {
+            val late =
+                object : RowStore by FakeRowStore() {
+                    override suspend fun changes(
+                        table: String,
+                        after: Long,
+                        wait: Duration,
+                    ): StoreRead<RowPage> {
+                        delay(wait + 1.seconds)
+                        return StoreRead.Found(RowPage(emptyList(), after, hasMore = false))
+                    }
+                }
+            val current = CopyOnWriteArrayList<MonotonicTime>()
+            val feed = TableFeed.of(late, "table", { _, _ -> }, { _, _ -> }, onCurrent = { current += it })
+            coroutineScope {
+                val run = launch { feed.run() }
+                try {
+                    eventually(5.seconds) { current.size shouldBe 2 }
+                    (MonotonicTime.now() - current.last()) shouldBeGreaterThan 900.milliseconds
+                } finally {
+                    run.cancelAndJoin()
+                }
+            }
+        }
+
         // Guards against a row that ends the feed of its table for good.
         test("a feed goes on after rows that its reader fails on") {
             val store = FakeRowStore()
--- a/standins/src/test/kotlin/org/agatestream/standin/PlatformVmTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/PlatformVmTest.kt
@@ -53,6 +53,21 @@
             }
         }
 
+        // Guards against a VM that answers 404 for a route which others serve already: callers do not try again after that.
+        test("a VM that may have an outdated manifest refuses no key and no route for good") {
+            withFleet { fleet ->
+                fleet.store.isDown = true
+                delay(3.seconds)
+                fleet.send(0, "GET", "/none/1").first shouldBe 503
+                fleet.send(0, "GET", "/ask/1", key = "other").first shouldBe 503
+                fleet.send(0, "GET", "/-/lots/j?After=0", key = "other").first shouldBe 503
+                fleet.send(0, "GET", "/ask/1").first shouldBe 200
+                fleet.store.isDown = false
+                eventually(FLEET_TIMEOUT) { fleet.send(0, "GET", "/none/1").first shouldBe 404 }
+                fleet.send(0, "GET", "/ask/1", key = "other").first shouldBe 401
+            }
+        }
+
         test("a job accepted by one VM can be read at another, with one result per item") {
             withFleet { fleet ->
                 val items = (1..6).joinToString(",") { """{"Id":"i$it","Path":"/lot/$it","Body":"YQ==","Tokens":10}""" }
