Name another VM at once to callers of an outdated one

The Retry-After of a VM that may not decide was that of a VM that starts, up to 2 s; another VM most likely can decide now, so it is 0.1 s.

--- a/core/src/main/kotlin/org/agatestream/core/fairness/RankedWork.kt
+++ b/core/src/main/kotlin/org/agatestream/core/fairness/RankedWork.kt
@@ -35,7 +35,7 @@
         val sum = byRank[rank] ?: return
         sum.work -= work
         sum.requests--
-        // Sums of other requests keep no rounding error of those that left.
+        // Ends the rounding errors of the sum with its last request.
         if (sum.requests == 0) byRank -= rank
     }
 }
--- a/server/src/main/kotlin/org/agatestream/server/CallerRoutes.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CallerRoutes.kt
@@ -48,7 +48,7 @@
         val admission =
             manifest
                 .admit(CallerProtocol.host(call), call.path, CallerProtocol.key(call))
-                .getOrElse { return refuse(call, unlessOutdated(call, it)) }
+                .getOrElse { return refuse(call, unlessOutdated(it)) }
         val isOnline = admission.route.kind != RouteKind.BATCH
         val timeout = forwarder.timeoutOf(call, admission)
         if (isOnline && !shutdown.admits(now, timeout)) {
@@ -69,22 +69,16 @@
         gate.await(CallerProtocol.callerTimeout(call), seedOf(call))
         val manifest = view.manifest ?: return call.respondNotServed(notReady(call))
         val workspace =
-            manifest.authenticate(CallerProtocol.key(call)).getOrElse { return refuse(call, unlessOutdated(call, it)) }
+            manifest.authenticate(CallerProtocol.key(call)).getOrElse { return refuse(call, unlessOutdated(it)) }
         block(workspace?.id)
     }
 
     /** Returns a value that differs between callers; a request without an id gets a random one. */
     private fun seedOf(call: HttpCall): Int = CallerProtocol.requestId(call)?.hashCode() ?: Random.nextInt()
 
-    /** Returns [failure], or that this VM may not decide if its manifest may have been replaced. */
-    private fun unlessOutdated(
-        call: HttpCall,
-        failure: Failure,
-    ): Failure {
-        if (view.areOperatorsCurrent(MonotonicTime.now())) return failure
-        val retryAfter = gate.retryAfter(seedOf(call))
-        return Failure(ErrorKind.NOT_CURRENT, "the manifest of this VM may be outdated", retryAfter)
-    }
+    /** Returns [failure], or another one that callers repeat elsewhere if the manifest may have been replaced. */
+    private fun unlessOutdated(failure: Failure): Failure =
+        if (view.areOperatorsCurrent(MonotonicTime.now())) failure else OUTDATED
 
     private fun notReady(call: HttpCall): Failure =
         Failure(ErrorKind.NOT_CURRENT, "this VM knows no manifest yet", gate.retryAfter(seedOf(call)))
@@ -121,6 +115,10 @@
         const val STATUS_OK = 200
         const val JSON = "application/json"
         const val TEXT = "text/plain"
+
+        // Callers repeat the request at another VM, which most likely is current.
+        val OUTDATED =
+            Failure(ErrorKind.NOT_CURRENT, "the manifest of this VM may be outdated", 100.milliseconds)
     }
 }
 
