--- a/server/src/main/kotlin/org/agatestream/server/CallerRoutes.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CallerRoutes.kt
@@ -117,8 +117,9 @@
         const val TEXT = "text/plain"
 
         // Callers repeat the request at another VM, which most likely is current.
+        val OUTDATED_RETRY_AFTER = 100.milliseconds
         val OUTDATED =
-            Failure(ErrorKind.NOT_CURRENT, "the manifest of this VM may be outdated", 100.milliseconds)
+            Failure(ErrorKind.NOT_CURRENT, "the manifest of this VM may be outdated", OUTDATED_RETRY_AFTER)
     }
 }
 
