Refuse a request that missed its start as soon as that is known

Now the next tick refuses it. The new case of UrgentRequestTest fails without it (no refusal at 600 ms).

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -173,7 +173,10 @@
     ): List<DispatchAction> {
         findRefusal(request, now)?.let { return listOf(it) }
         request.meteredWorkspace?.let { rates.take(it) }
-        val waiting = queues.add(request, now)
+        val queue = queues[request.service]
+        val mustStartOnTime =
+            queue != null && queue.startable > 0 && queue.misses(request, capacityOf(request.service, now), now)
+        val waiting = queues.add(request, now, mustStartOnTime)
         if (isolation.mustWait(request.parts, now)) queues[request.service]?.hold(waiting, isHeld = true)
         return schedule(now)
     }
@@ -414,14 +417,19 @@
         if (queue.isOverShare(request.workspace, capacityOf(request.service, now), now)) refusedOverShare++
     }
 
-    /** Removes and returns the requests that their workspaces, which exceed their shares, can't get started in time. */
+    /**
+     * Removes and returns the requests that can't be started in time.
+     *
+     * These are requests of workspaces that exceed their shares, and those that could only have started on time.
+     */
     private fun removeExcess(now: MonotonicTime): List<PlaceRequest> {
         val excess =
             queues.services.filterValues { it.size > 0 }.flatMap { (service, queue) ->
-                queue.excess(capacityOf(service, now), now)
+                val capacity = capacityOf(service, now)
+                queue.excess(capacity, now) + queue.takeMissed(capacity, now)
             }
-        excess.forEach { queues.remove(it.request.call) }
-        return excess.map { it.request }
+        // A request may have started or be in both.
+        return excess.map { it.request }.filter { queues.remove(it.call) != null }
     }
 
     /** Returns when a slot is expected for a request that is refused although it was queued. */
--- a/core/src/main/kotlin/org/agatestream/core/fairness/FairQueue.kt
+++ b/core/src/main/kotlin/org/agatestream/core/fairness/FairQueue.kt
@@ -37,6 +37,9 @@
     // The requests of workspaces within their share that became late while waiting.
     private val delayedWithinShare = DecayedRate(startedAt, RESERVE_TIME)
 
+    // Requests that had to start on time and became late since the last call of [takeMissed].
+    private val missed = ArrayList<WaitingRequest>()
+
     /** The number of waiting requests that may start as soon as a slot is free. */
     var startable: Int = 0
         private set
@@ -64,9 +67,10 @@
         request: PlaceRequest,
         number: Long,
         now: MonotonicTime,
+        mustStartOnTime: Boolean = false,
     ): WaitingRequest {
         val group = groupOf(request.workspace)
-        val waiting = WaitingRequest(request, number, group)
+        val waiting = WaitingRequest(request, number, group, mustStartOnTime)
         waiting.isLate = waiting.isLateAt(now)
         // A workspace that had nothing waiting starts level with the others, without a backlog of work.
         if (group.lanes.isEmpty()) group.pass = maxOf(group.pass, virtualTime)
@@ -229,6 +233,25 @@
         return excess
     }
 
+    /** Removes and returns the requests that had to start on time, became late and would miss their deadline at [now]. */
+    fun takeMissed(
+        capacity: Capacity,
+        now: MonotonicTime,
+    ): List<WaitingRequest> {
+        markLate(capacity, now)
+        if (missed.isEmpty()) return emptyList()
+        val hopeless = missed.filter { misses(it.request, capacity, now) }
+        missed.clear()
+        return hopeless
+    }
+
+    /** Returns whether [request] would miss its deadline behind all that wait. */
+    fun misses(
+        request: PlaceRequest,
+        capacity: Capacity,
+        now: MonotonicTime,
+    ): Boolean = now + expectedWaitBehindAll(request.workspace, capacity, now, 0.0) >= request.queueDeadline
+
     /** Returns the number of workspaces that demand more than their share at [now]; 0 while the capacity suffices. */
     fun overShare(
         capacity: Capacity,
@@ -322,6 +345,7 @@
             waiting.isLate = true
             count(waiting, 1)
             insert(waiting)
+            if (waiting.mustStartOnTime) missed += waiting
             if (!isOverShare(waiting.group, capacity, now)) delayedWithinShare.add(1.0, now)
         }
     }
--- a/core/src/main/kotlin/org/agatestream/core/fairness/WaitingQueues.kt
+++ b/core/src/main/kotlin/org/agatestream/core/fairness/WaitingQueues.kt
@@ -37,12 +37,13 @@
         now: MonotonicTime,
     ): FairQueue = queues.getOrPut(request.service) { FairQueue(weightOf, now, sharesSlots) }
 
-    /** Adds a request that arrives at [now]. */
+    /** Adds a request that arrives at [now]; one that [mustStartOnTime] has no chance once it is late. */
     fun add(
         request: PlaceRequest,
         now: MonotonicTime,
+        mustStartOnTime: Boolean = false,
     ): WaitingRequest {
-        val waiting = queueOf(request, now).add(request, nextNumber++, now)
+        val waiting = queueOf(request, now).add(request, nextNumber++, now, mustStartOnTime)
         byCall[request.call] = waiting
         byDeadline += waiting
         return waiting
--- a/core/src/main/kotlin/org/agatestream/core/fairness/WaitingRequest.kt
+++ b/core/src/main/kotlin/org/agatestream/core/fairness/WaitingRequest.kt
@@ -9,6 +9,8 @@
     /** The position in the order of arrival. */
     val number: Long,
     val group: ShareGroup,
+    /** True if the request would miss its deadline behind all that waited when it came, and can only start on time. */
+    val mustStartOnTime: Boolean = false,
 ) {
     val work: Double = RunWork.of(request.prompt)
 
--- a/core/src/test/kotlin/org/agatestream/core/fairness/UrgentRequestTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/fairness/UrgentRequestTest.kt
@@ -12,8 +12,8 @@
 import org.agatestream.core.PlaceRequest
 import org.agatestream.core.RunOutcome
 import org.agatestream.core.START
+import org.agatestream.core.SchedulingPolicy
 import org.agatestream.core.VM_A
-import org.agatestream.core.dispatcherOf
 import org.agatestream.core.manifestOf
 import org.agatestream.core.requestOf
 import org.agatestream.core.serverOf
@@ -24,7 +24,10 @@
 
 /** Returns a dispatcher whose only slot is taken and for which requests of low [priority] wait since [START]. */
 private fun backlogged(priority: Int): Dispatcher {
-    val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 1))
+    val policy = SchedulingPolicy(sharesSlots = false, comparesServers = false)
+    val dispatcher = Dispatcher(nextNumber = 1_000, policy = policy)
+    dispatcher.onManifest(manifestOf())
+    dispatcher.onServers(listOf(serverOf("s1", slots = 1)), START)
     dispatcher.place(requestOf(0), START)
     repeat(BACKLOG) { dispatcher.place(requestOf(it + 1L, priority = priority), START) }
     dispatcher.waitingRequests shouldBe BACKLOG
@@ -56,6 +59,17 @@
             freed.filterIsInstance<DispatchAction.Place>().map { it.call.number } shouldContainExactly listOf(9L)
         }
 
+        // Guards against callers that wait in vain: an overtaken request was kept until its deadline.
+        test("a request that was accepted to start on time is refused as soon as it can't") {
+            val dispatcher = backlogged(priority = 0)
+            val later = START + 400.milliseconds
+            dispatcher.place(urgent(9, later), later).shouldBeEmpty()
+            dispatcher.tick(later + 100.milliseconds).shouldBeEmpty()
+            val refused = dispatcher.tick(later + 200.milliseconds).single()
+            refused.shouldBeInstanceOf<DispatchAction.Refuse>().call shouldBe CallId(VM_A, 9)
+            dispatcher.waitingRequests shouldBe BACKLOG
+        }
+
         // Guards against accepting what can't be served: it would wait in vain until its deadline.
         test("a request that can't start on time is refused at once if it would miss its deadline behind the others") {
             val dispatcher = backlogged(priority = 0)
