--- a/core/src/main/kotlin/org/agatestream/core/fairness/FairQueue.kt
+++ b/core/src/main/kotlin/org/agatestream/core/fairness/FairQueue.kt
@@ -233,7 +233,7 @@
         return excess
     }
 
-    /** Removes and returns the requests that had to start on time, became late and would miss their deadline at [now]. */
+    /** Returns, once each, the requests that had to start on time, became late and would miss their deadline at [now]. */
     fun takeMissed(
         capacity: Capacity,
         now: MonotonicTime,
