Drop a condition that the expected wait implies

From reading the whole change again: without waiting work the expected wait is zero, so the count of startable requests decided nothing in Dispatcher.placeSized. No behaviour changes; core's tests pass.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -173,9 +173,7 @@
     ): List<DispatchAction> {
         findRefusal(request, now)?.let { return listOf(it) }
         request.meteredWorkspace?.let { rates.take(it) }
-        val queue = queues[request.service]
-        val mustStartOnTime =
-            queue != null && queue.startable > 0 && queue.misses(request, capacityOf(request.service, now), now)
+        val mustStartOnTime = queues[request.service]?.misses(request, capacityOf(request.service, now), now) == true
         val waiting = queues.add(request, now, mustStartOnTime)
         if (isolation.mustWait(request.parts, now)) queues[request.service]?.hold(waiting, isHeld = true)
         return schedule(now)
--- a/core/src/main/kotlin/org/agatestream/core/fairness/FairQueue.kt
+++ b/core/src/main/kotlin/org/agatestream/core/fairness/FairQueue.kt
@@ -165,7 +165,7 @@
     /**
      * Returns how long the new [request] would wait.
      *
-     * One that can start on time goes before the late ones and those of lower priority, so their work does not count.
+     * One that can start on time goes before the late requests and those of lower priority, so their work does not count.
      */
     fun expectedWait(
         request: PlaceRequest,
