--- a/review/common-2/Batch.java
+++ b/review/common-2/Batch.java
@@ -42,20 +42,27 @@
 
     /** Makes a job of [items] items whose bodies have [bytes] bytes each. */
     Job job(int items, int bytes) {
+        int[] sizes = new int[items];
+        java.util.Arrays.fill(sizes, bytes);
+        return job(sizes);
+    }
+
+    /** Makes a job with an item for each of [sizes], the number of bytes of its body. */
+    Job job(int... sizes) {
         Job job = new Job(kit.newId());
-        byte[] prompt = new byte[bytes];
-        new Random().nextBytes(prompt);
-        byte[] encoded = Base64.getEncoder().encode(prompt);
+        Random random = new Random();
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         out.writeBytes("{\"Requests\":[".getBytes(StandardCharsets.ISO_8859_1));
-        for (int i = 0; i < items; i++) {
+        for (int i = 0; i < sizes.length; i++) {
             String id = kit.newId();
             job.items.add(id);
+            byte[] prompt = new byte[sizes[i]];
+            random.nextBytes(prompt);
             String head = (i > 0 ? "," : "") + "{\"Id\":\"" + id + "\",\"Path\":\"/pule252/3/91c4\",\"Headers\":{\"X-Agatestream-Model\":\"m\","
                 + "\"X-Agatestream-Token-Usage\":\"350,221\",\"X-Agatestream-Prompt-Prefix\":\"9c2e41:100," + id.substring(0, 8)
                 + ":250\"},\"Tokens\":571,\"Body\":\"";
             out.writeBytes(head.getBytes(StandardCharsets.ISO_8859_1));
-            out.writeBytes(encoded);
+            out.writeBytes(Base64.getEncoder().encode(prompt));
             out.writeBytes("\"}".getBytes(StandardCharsets.ISO_8859_1));
         }
         out.writeBytes("]}".getBytes(StandardCharsets.ISO_8859_1));
--- a/review/common-2/Http.java
+++ b/review/common-2/Http.java
@@ -1,5 +1,6 @@
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
+import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -74,6 +75,9 @@
         private final ServerSocket listener;
         private final Set<Socket> open = ConcurrentHashMap.newKeySet();
 
+        /** How many bytes a second are read on each connection; 0 for no limit. */
+        volatile int readBytesPerS;
+
         Server(String ip, int port, Handler handler) throws IOException {
             listener = new ServerSocket();
             listener.setReuseAddress(true);
@@ -98,7 +102,7 @@
 
         private void serve(Socket socket, Handler handler) {
             try (socket) {
-                InputStream in = new BufferedInputStream(socket.getInputStream());
+                InputStream in = new BufferedInputStream(throttled(socket.getInputStream()));
                 while (true) {
                     Message request = read(in, true, false);
                     if (request == null || !request.whole) return;
@@ -111,6 +115,19 @@
             }
         }
 
+        private InputStream throttled(InputStream in) {
+            return new FilterInputStream(in) {
+                @Override
+                public int read(byte[] buffer, int from, int length) throws IOException {
+                    int rate = readBytesPerS;
+                    if (rate == 0) return super.read(buffer, from, length);
+                    int read = super.read(buffer, from, Math.min(length, rate / 20));
+                    if (read > 0) Kit.sleep(read * 1000L / rate);
+                    return read;
+                }
+            };
+        }
+
         @Override
         public void close() {
             try {
--- a/review/common-2/Kit.java
+++ b/review/common-2/Kit.java
@@ -22,6 +22,9 @@
     static final String SERVICE = "huvo11a";
     static final String[] ZONES = {"bzh-rennes", "bzh-brest", "bzh-vannes"};
 
+    /** The parts of the rules in force, as the settings name them. */
+    String contracts = "[\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"batch\",\"stream\",\"engine\",\"tenants\",\"quota\",\"places\",\"platform\"]";
+
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     final Store store;
     final List<Vm> vms = new ArrayList<>();
@@ -81,6 +84,8 @@
         final String ip;
         final String zone;
         final int number;
+        /** The address at which the machine reaches the store. */
+        String storeAddress = "127.0.0.1:" + store.port();
         private Process process;
 
         Vm(int number) {
@@ -194,14 +199,14 @@
         values.put("Listen.Directory|json", quote(vm.directory()));
         values.put("Ip", vm.ip);
         values.put("Seeds|json", Json.write(seeds.stream().limit(3).map(Vm::control).toList()));
-        values.put("Platform.Address|json", quote("127.0.0.1:" + store.port()));
+        values.put("Platform.Address|json", quote(vm.storeAddress));
         values.put("Limits.CpuShare|json", "0.75");
         values.put("Limits.Cores|json", "2");
         values.put("Platform.RowBytes|json", "65536");
         values.put("Bounds.GraceS|json", "8");
         values.put("Bounds.ttl_max_s|json", "5");
         values.put("Bounds.StatusS|json", "120");
-        values.put("Contracts|json", "[\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"batch\",\"stream\",\"engine\",\"tenants\",\"quota\",\"places\",\"platform\"]");
+        values.put("Contracts|json", contracts);
         for (Map.Entry<String, String> value : values.entrySet()) text = text.replace("{{" + value.getKey() + "}}", value.getValue());
         if (text.contains("{{")) throw new IOException("a placeholder was not filled in");
         return text;
@@ -213,7 +218,16 @@
 
     /** Starts [count] machines and waits until all are ready; exits with 2 if they are not. */
     void startFleet(int count) throws IOException {
+        addMachines(count);
+        startFleet();
+    }
+
+    void addMachines(int count) {
         for (int i = 0; i < count; i++) vms.add(new Vm(i));
+    }
+
+    /** Starts all machines and waits until they are ready; exits with 2 if they are not. */
+    void startFleet() throws IOException {
         for (Vm vm : vms) vm.start(vms);
         for (int wait = 0; wait < 150; wait++) {
             if (vms.stream().allMatch(Vm::isReady)) {
--- a/review/common-2/Store.java
+++ b/review/common-2/Store.java
@@ -80,6 +80,17 @@
         notifyAll();
     }
 
+    /** The number of rows of [table] in all parts. */
+    synchronized int count(String table) {
+        return (int) rows.keySet().stream().filter(it -> it.table.equals(table)).count();
+    }
+
+    /** The text of a row with an empty part; null if there is none. */
+    synchronized String value(String table, String key) {
+        Row row = rows.get(new Name(table, "", key));
+        return row == null ? null : new String(java.util.Base64.getDecoder().decode(row.value), StandardCharsets.UTF_8);
+    }
+
     /** The number of objects and their bytes. */
     synchronized String blobSummary() {
         return blobs.size() + " objects, " + blobs.values().stream().mapToLong(it -> it.length).sum() + " bytes";
--- a/review/common-2/Worker.java
+++ b/review/common-2/Worker.java
@@ -16,6 +16,13 @@
         final String tenant;
         final long from = System.nanoTime();
         volatile boolean complete;
+        private volatile long endedAt;
+
+        /** Whether it went on at [since] or later and lasted for a second or longer. */
+        boolean isHadSince(long since) {
+            long end = endedAt == 0 ? System.nanoTime() : endedAt;
+            return end >= since && end - from >= 1_000_000_000L;
+        }
 
         Run(Http.Message request) {
             id = String.valueOf(request.header("x-agatestream-attempt-id"));
@@ -47,10 +54,20 @@
         server = new Http.Server(ip, 0, this::serve);
     }
 
+    /** Makes the worker read at most [bytesPerS] bytes a second on each channel. */
+    void readSlowly(int bytesPerS) {
+        server.readBytesPerS = bytesPerS;
+    }
+
     String address() {
         return ip + ":" + server.port();
     }
 
+    /** Whether the worker had a run of [item] at [since] or later; one that ends within a second does not count. */
+    boolean had(String item, long since) {
+        return runs.stream().anyMatch(it -> it.id.equals(item) && it.isHadSince(since));
+    }
+
     /** Registers in the store, and again each 1.2 s. */
     Worker register(Store store, String service, String zone) {
         Http.thread("beat", () -> {
@@ -108,6 +125,7 @@
         try {
             return run(run, request, socket);
         } finally {
+            run.endedAt = System.nanoTime();
             active.decrementAndGet();
         }
     }
