--- a/review/7/SlowMachine.java
+++ b/review/7/SlowMachine.java
@@ -25,6 +25,11 @@
         kit.addMachines(3);
         for (Kit.Vm vm : kit.vms) {
             boolean isSmall = kit.trouble && vm.number == 2;
+            if (isSmall) {
+                // The machines of the sheet with the smallest link have 0.27 cores.
+                vm.cpuShare = "0.27";
+                vm.cores = "1";
+            }
             vm.storeAddress = new SlowLink("127.0.0.1", "127.0.0.1:" + kit.store.port(), isSmall ? SMALLEST_LINK : LARGEST_LINK).address();
         }
         kit.startFleet();
--- a/review/common-2/Kit.java
+++ b/review/common-2/Kit.java
@@ -86,6 +86,9 @@
         final int number;
         /** The address at which the machine reaches the store. */
         String storeAddress = "127.0.0.1:" + store.port();
+        /** The settings' `CpuShare` and `Cores`. */
+        String cpuShare = "0.75";
+        String cores = "2";
         private Process process;
 
         Vm(int number) {
@@ -200,8 +203,8 @@
         values.put("Ip", vm.ip);
         values.put("Seeds|json", Json.write(seeds.stream().limit(3).map(Vm::control).toList()));
         values.put("Platform.Address|json", quote(vm.storeAddress));
-        values.put("Limits.CpuShare|json", "0.75");
-        values.put("Limits.Cores|json", "2");
+        values.put("Limits.CpuShare|json", vm.cpuShare);
+        values.put("Limits.Cores|json", vm.cores);
         values.put("Platform.RowBytes|json", "65536");
         values.put("Bounds.GraceS|json", "8");
         values.put("Bounds.ttl_max_s|json", "5");
--- a/review/common-2/SlowLink.java
+++ b/review/common-2/SlowLink.java
@@ -14,7 +14,7 @@
     private final ServerSocket listener;
     private final String target;
     /** The rate in each direction. */
-    volatile long bytesPerS;
+    private final long bytesPerS;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final Lane toTarget = new Lane();
     private final Lane fromTarget = new Lane();
