--- a/review/common-2/Kit.java
+++ b/review/common-2/Kit.java
@@ -28,6 +28,14 @@
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     final Store store;
     final List<Vm> vms = new ArrayList<>();
+    static {
+        // A case that fails for another reason could not run.
+        Thread.currentThread().setUncaughtExceptionHandler((thread, cause) -> {
+            cause.printStackTrace();
+            System.exit(2);
+        });
+    }
+
     private final PrintWriter record;
     private final Path work;
     private final long startedAt = System.nanoTime();
