--- a/review/common-2/Kit.java
+++ b/review/common-2/Kit.java
@@ -167,11 +167,18 @@
             }
         }
 
+        /** Ends the process; goes by its id if the runtime takes it for ended although it is not. */
         void kill() {
-            if (process == null || !process.isAlive()) return;
+            if (process == null) return;
             process.destroyForcibly();
             try {
                 process.waitFor(5, TimeUnit.SECONDS);
+                for (int tries = 0; tries < 3 && Files.exists(Path.of("/proc/" + process.pid())); tries++) {
+                    new ProcessBuilder("kill", "-KILL", "" + process.pid()).start().waitFor(2, TimeUnit.SECONDS);
+                    sleep(100);
+                }
+            } catch (IOException e) {
+                note("could not end " + name);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
--- a/review/common-2/SlowLink.java
+++ b/review/common-2/SlowLink.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A machine's link to one address: passes bytes on at a rate that all connections share, the same for each of them. */
 final class SlowLink implements AutoCloseable {
@@ -37,8 +38,9 @@
                     socket.setTcpNoDelay(true);
                     open.add(socket);
                     open.add(other);
-                    Http.thread("to", () -> pass(socket, other, toTarget));
-                    Http.thread("from", () -> pass(other, socket, fromTarget));
+                    AtomicInteger ended = new AtomicInteger();
+                    Http.thread("to", () -> pass(socket, other, toTarget, ended));
+                    Http.thread("from", () -> pass(other, socket, fromTarget, ended));
                 } catch (IOException e) {
                     if (listener.isClosed()) return;
                 }
@@ -50,7 +52,7 @@
         return listener.getInetAddress().getHostAddress() + ":" + listener.getLocalPort();
     }
 
-    private void pass(Socket from, Socket to, Lane lane) {
+    private void pass(Socket from, Socket to, Lane lane, AtomicInteger ended) {
         byte[] buffer = new byte[PIECE];
         try {
             InputStream in = from.getInputStream();
@@ -67,13 +69,20 @@
                 out.flush();
             }
             to.shutdownOutput();
+            if (ended.incrementAndGet() == 2) closeBoth(from, to);
         } catch (IOException e) {
-            try {
-                from.close();
-                to.close();
-            } catch (IOException ignored) {
-                // Closed already.
-            }
+            closeBoth(from, to);
+        }
+    }
+
+    private void closeBoth(Socket one, Socket other) {
+        open.remove(one);
+        open.remove(other);
+        try {
+            one.close();
+            other.close();
+        } catch (IOException e) {
+            // Closed already.
         }
     }
 
