Share the fleet of CutAnswerTest with other tests of raw answers

Moves the manifest, the servers' responses and the reading of results into CutFleet.kt, and lets PlatformFleet return a response with its headers.

--- a/standins/src/test/kotlin/org/agatestream/standin/CutAnswerTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/CutAnswerTest.kt
@@ -8,44 +8,12 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
 import kotlinx.coroutines.delay
-import kotlinx.serialization.json.Json
-import kotlinx.serialization.json.jsonArray
-import kotlinx.serialization.json.jsonObject
-import kotlinx.serialization.json.jsonPrimitive
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-private const val EVENTS = 5
-private const val SERVERS = 6
-private const val STATUS_LINE = "HTTP/1.1 200 OK\r\n"
 private const val INTERIM = "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"
-private const val CHUNKED = "Transfer-Encoding: chunked\r\n\r\n"
 
-private const val CUT_MANIFEST =
-    """{"Version":1,"Routes":[
-    {"Name":"ask","Hostname":"h.example","Prefix":"/ask/","Type":"stream","Service":"s","TimeoutMs":5000},
-    {"Name":"once","Hostname":"h.example","Prefix":"/once/","Type":"unsafe","Service":"c","TimeoutMs":5000},
-    {"Name":"safe","Hostname":"h.example","Prefix":"/safe/","Type":"safe","Service":"c","TimeoutMs":5000,
-     "MaxAttempts":3},
-    {"Name":"stream","Hostname":"h.example","Prefix":"/stream/","Type":"stream","Service":"c","TimeoutMs":5000},
-    {"Name":"resumed","Hostname":"h.example","Prefix":"/resumed/","Type":"stream","Service":"c","TimeoutMs":5000,
-     "Resumable":true,"MaxAttempts":3},
-    {"Name":"lot","Hostname":"h.example","Prefix":"/lot/","Type":"batch","Service":"c","CompletionTargetMs":9000,
-     "KeepS":60,"MaxAttempts":3}],
-    "Services":[{"Name":"s"},{"Name":"c"}],"Tenants":[{"Name":"team","ApiKeys":["secret-key"]}]}"""
-
-private fun headers(id: String): String =
-    "X-Agatestream-Attempt-Id: $id\r\nX-Agatestream-Response-Signature: signed\r\n" +
-        "Content-Type: text/event-stream\r\n"
-
-private fun event(
-    id: String,
-    number: Int,
-): String = "id: $number\ndata: $id-$number\n\n"
-
-private fun wholeStream(id: String): String = (0 until EVENTS).joinToString("") { event(id, it) }
-
-private fun chunk(text: String): String = "${text.length.toString(radix = 16)}\r\n$text\r\n"
+private fun wholeStream(id: String): String = (0 until CUT_EVENTS).joinToString("") { numberedEvent(id, it) }
 
 /** A place at which a server stops within the response to a request with the events from [CutRequest.firstEvent]. */
 private class Cut(
@@ -59,7 +27,7 @@
 
     /** True if all events precede the cut. */
     val holdsAllEvents: Boolean get() = lastEvent in bytes("id", wholeStream("id"))
-    private val lastEvent: String get() = event("id", EVENTS - 1)
+    private val lastEvent: String get() = numberedEvent("id", CUT_EVENTS - 1)
 }
 
 private val CUTS: List<Cut> =
@@ -81,12 +49,12 @@
         "before the last byte of a body with a length" to { id, body -> withLength(id, body).dropLast(1) },
         "before a body that ends with the connection" to { id, _ -> "$STATUS_LINE${headers(id)}\r\n" },
         "before the first chunk" to { id, _ -> STATUS_LINE + headers(id) + CHUNKED },
-        "within a chunk" to { id, body -> STATUS_LINE + headers(id) + CHUNKED + chunk(body).take(body.length / 2) },
+        "within a chunk" to { id, body -> STATUS_LINE + headers(id) + CHUNKED + chunkOf(body).take(body.length / 2) },
         "after an event in a chunk" to { id, body ->
-            STATUS_LINE + headers(id) + CHUNKED + chunk(body.substringBefore("\n\n") + "\n\n")
+            STATUS_LINE + headers(id) + CHUNKED + chunkOf(body.substringBefore("\n\n") + "\n\n")
         },
-        "before the last chunk" to { id, body -> STATUS_LINE + headers(id) + CHUNKED + chunk(body) },
-        "within the last chunk" to { id, body -> STATUS_LINE + headers(id) + CHUNKED + chunk(body) + "0\r\n" },
+        "before the last chunk" to { id, body -> STATUS_LINE + headers(id) + CHUNKED + chunkOf(body) },
+        "within the last chunk" to { id, body -> STATUS_LINE + headers(id) + CHUNKED + chunkOf(body) + "0\r\n" },
         "after an interim response" to { _, _ -> INTERIM },
         "within the head after an interim response" to { id, body ->
             "$INTERIM$STATUS_LINE${headers(id)}Content-Length: ${body.length}\r\n"
@@ -95,45 +63,10 @@
         listOf(ConnectionEnd.CLOSE, ConnectionEnd.RESET).map { Cut("$what, $it", it, bytes) }
     }
 
-private fun withLength(
-    id: String,
-    body: String,
-): String = "$STATUS_LINE${headers(id)}Content-Length: ${body.length}\r\n\r\n$body"
-
 private fun cutOf(id: String): Cut = CUTS[id.substringAfterLast('c').toInt()]
 
-private val CutRequest.body: String get() = (firstEvent until EVENTS).joinToString("") { event(id, it) }
-
 private fun CutRequest.cutResponse(): CutResponse = cutOf(id).let { CutResponse(it.bytes(id, body), it.end) }
 
-private fun CutRequest.wholeResponse(): CutResponse = CutResponse(withLength(id, body), ConnectionEnd.KEEP)
-
-/** A response with the first two events that breaks off after them. */
-private fun CutRequest.brokenResponse(): CutResponse {
-    val events = chunk(event(id, 0)) + chunk(event(id, 1))
-    return CutResponse(STATUS_LINE + headers(id) + CHUNKED + events, ConnectionEnd.CLOSE)
-}
-
-/** Runs [block] with VMs and servers that answer as [script] says. */
-private suspend fun withCutServers(
-    script: (CutRequest) -> CutResponse,
-    block: suspend (PlatformFleet, CutRuns) -> Unit,
-) {
-    val runs = CutRuns()
-    val servers = List(SERVERS) { CutServer(runs, script) }
-    PlatformFleet(manifest = CUT_MANIFEST).use { fleet ->
-        fleet.start()
-        servers.forEachIndexed { number, server ->
-            val entry = """{"Service":"c","Address":"${server.address}","Zone":"d","Slots":8,"State":"ready"}"""
-            fleet.store.put("servers", "c-$number", entry)
-        }
-        eventually(FLEET_TIMEOUT) { fleet.send(1, "POST", "/once/1", id = "ready").first shouldBe 200 }
-        block(fleet, runs)
-        fleet.vms.forEach { it.stop() }
-    }
-    servers.forEach { it.close() }
-}
-
 /** Sends the request of each cut under [prefix], again while it is refused as not run, and checks the responses. */
 private suspend fun PlatformFleet.forEachCut(
     prefix: String,
@@ -158,10 +91,6 @@
     }
 }
 
-/** Answers requests to find whether the servers are known as a whole, others by [others]. */
-private fun scriptOf(others: (CutRequest) -> CutResponse): (CutRequest) -> CutResponse =
-    { request -> if (request.id == "ready") request.wholeResponse() else others(request) }
-
 class CutAnswerTest :
     FunSpec({
         timeout = 60_000
@@ -245,38 +174,15 @@
                     status shouldBe 202
                     var results = emptyMap<String, String>()
                     eventually(30.seconds) {
-                        results = fleet.results("job")
+                        results = fleet.itemResults("job")
                         results.size shouldBe ids.size
                     }
                     val whole =
                         ids.associateWith { id ->
-                            "completed: ${(0 until EVENTS).joinToString("\n") { "$id-$it" }}"
+                            "completed: ${(0 until CUT_EVENTS).joinToString("\n") { "$id-$it" }}"
                         }
                     results shouldContainExactly whole
                 }
             }
         }
     })
-
-/** Reads state and output of each listed item of [job], in pages. */
-private suspend fun PlatformFleet.results(job: String): Map<String, String> {
-    val results = HashMap<String, String>()
-    while (true) {
-        val page = resultsOf(send(1, "GET", "/-/lots/$job?After=${results.size}").second)
-        if (page.isEmpty()) return results
-        results += page
-    }
-}
-
-/** Returns state and output of each item in a response with results. */
-private fun resultsOf(body: String): Map<String, String> =
-    Json
-        .parseToJsonElement(body)
-        .jsonObject
-        .getValue("Results")
-        .jsonArray
-        .map { it.jsonObject }
-        .associate { result ->
-            fun text(name: String) = result.getValue(name).jsonPrimitive.content
-            text("Id") to "${text("State")}: ${text("Output")}"
-        }
--- /dev/null
+++ b/standins/src/test/kotlin/org/agatestream/standin/CutFleet.kt
@@ -0,0 +1,106 @@
+package org.agatestream.standin
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.matchers.shouldBe
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+
+/** The number of events in a whole response. */
+internal const val CUT_EVENTS = 5
+
+/** The number of servers in the fleet of [withCutServers]. */
+internal const val CUT_SERVERS = 6
+internal const val STATUS_LINE = "HTTP/1.1 200 OK\r\n"
+internal const val CHUNKED = "Transfer-Encoding: chunked\r\n\r\n"
+
+private const val CUT_MANIFEST =
+    """{"Version":1,"Routes":[
+    {"Name":"ask","Hostname":"h.example","Prefix":"/ask/","Type":"stream","Service":"s","TimeoutMs":5000},
+    {"Name":"once","Hostname":"h.example","Prefix":"/once/","Type":"unsafe","Service":"c","TimeoutMs":5000},
+    {"Name":"safe","Hostname":"h.example","Prefix":"/safe/","Type":"safe","Service":"c","TimeoutMs":5000,
+     "MaxAttempts":3},
+    {"Name":"stream","Hostname":"h.example","Prefix":"/stream/","Type":"stream","Service":"c","TimeoutMs":5000},
+    {"Name":"resumed","Hostname":"h.example","Prefix":"/resumed/","Type":"stream","Service":"c","TimeoutMs":5000,
+     "Resumable":true,"MaxAttempts":3},
+    {"Name":"lot","Hostname":"h.example","Prefix":"/lot/","Type":"batch","Service":"c","CompletionTargetMs":9000,
+     "KeepS":60,"MaxAttempts":3}],
+    "Services":[{"Name":"s"},{"Name":"c"}],"Tenants":[{"Name":"team","ApiKeys":["secret-key"]}]}"""
+
+/** The header fields of a response that proves its origin. */
+internal fun headers(id: String): String =
+    "X-Agatestream-Attempt-Id: $id\r\nX-Agatestream-Response-Signature: signed\r\n" +
+        "Content-Type: text/event-stream\r\n"
+
+internal fun numberedEvent(
+    id: String,
+    number: Int,
+): String = "id: $number\ndata: $id-$number\n\n"
+
+/** One chunk of a body in chunks. */
+internal fun chunkOf(text: String): String = "${text.length.toString(radix = 16)}\r\n$text\r\n"
+
+/** A sound response with a length. */
+internal fun withLength(
+    id: String,
+    body: String,
+): String = "$STATUS_LINE${headers(id)}Content-Length: ${body.length}\r\n\r\n$body"
+
+/** The events of a whole response from the first that is awaited. */
+internal val CutRequest.body: String get() = (firstEvent until CUT_EVENTS).joinToString("") { numberedEvent(id, it) }
+
+internal fun CutRequest.wholeResponse(): CutResponse = CutResponse(withLength(id, body), ConnectionEnd.KEEP)
+
+/** A response with the first two events that breaks off after them. */
+internal fun CutRequest.brokenResponse(): CutResponse {
+    val events = chunkOf(numberedEvent(id, 0)) + chunkOf(numberedEvent(id, 1))
+    return CutResponse(STATUS_LINE + headers(id) + CHUNKED + events, ConnectionEnd.CLOSE)
+}
+
+/** Runs [block] with VMs and [CUT_SERVERS] servers that answer as [script] says. */
+internal suspend fun withCutServers(
+    script: (CutRequest) -> CutResponse,
+    block: suspend (PlatformFleet, CutRuns) -> Unit,
+) {
+    val runs = CutRuns()
+    val servers = List(CUT_SERVERS) { CutServer(runs, script) }
+    PlatformFleet(manifest = CUT_MANIFEST).use { fleet ->
+        fleet.start()
+        servers.forEachIndexed { number, server ->
+            val entry = """{"Service":"c","Address":"${server.address}","Zone":"d","Slots":8,"State":"ready"}"""
+            fleet.store.put("servers", "c-$number", entry)
+        }
+        eventually(FLEET_TIMEOUT) { fleet.send(1, "POST", "/once/1", id = "ready").first shouldBe 200 }
+        block(fleet, runs)
+        fleet.vms.forEach { it.stop() }
+    }
+    servers.forEach { it.close() }
+}
+
+/** Answers requests to find whether the servers are known as a whole, others by [others]. */
+internal fun scriptOf(others: (CutRequest) -> CutResponse): (CutRequest) -> CutResponse =
+    { request -> if (request.id == "ready") request.wholeResponse() else others(request) }
+
+/** Reads state and output of each listed item of [job], in pages. */
+internal suspend fun PlatformFleet.itemResults(job: String): Map<String, String> {
+    val results = HashMap<String, String>()
+    while (true) {
+        val page = resultsOf(send(1, "GET", "/-/lots/$job?After=${results.size}").second)
+        if (page.isEmpty()) return results
+        results += page
+    }
+}
+
+/** Returns state and output of each item in a response with results. */
+private fun resultsOf(body: String): Map<String, String> =
+    Json
+        .parseToJsonElement(body)
+        .jsonObject
+        .getValue("Results")
+        .jsonArray
+        .map { it.jsonObject }
+        .associate { result ->
+            fun text(name: String) = result.getValue(name).jsonPrimitive.content
+            text("Id") to "${text("State")}: ${text("Output")}"
+        }
--- a/standins/src/test/kotlin/org/agatestream/standin/PlatformFleet.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/PlatformFleet.kt
@@ -26,6 +26,13 @@
 internal val CHANGED_MANIFEST =
     MANIFEST.replace("\"Version\":1", "\"Version\":2").replace("\"/ask/\"", "\"/later/\"")
 
+/** A response that a caller received to its end. */
+internal class WholeResponse(
+    val status: Int,
+    val headers: List<Pair<String, String>>,
+    val body: String,
+)
+
 /** VMs, a store and backend servers; the first VM coordinates, and the store can refuse the [restricted] VMs. */
 internal class PlatformFleet(
     names: List<String> = listOf("a", "b"),
@@ -89,20 +96,25 @@
         body: String = "",
         headers: List<Pair<String, String>> = emptyList(),
     ): Pair<Int, String> =
+        sendWhole(vm, method, target, key, id, body, headers)?.let { it.status to it.body } ?: (0 to "")
+
+    /** Sends a request to the VM with index [vm] and returns its response; null if there was no whole one. */
+    suspend fun sendWhole(
+        vm: Int,
+        method: String,
+        target: String,
+        key: String? = "secret-key",
+        id: String = "r1",
+        body: String = "",
+        headers: List<Pair<String, String>> = emptyList(),
+    ): WholeResponse? =
         withTimeout(FLEET_TIMEOUT) {
             val usual = listOf("host" to "h.example", "x-agatestream-attempt-id" to id, "x-custom" to "kept")
             val all = usual + headers + listOfNotNull(key?.let { "api-key" to it })
             val spec = HttpRequestSpec(configs[vm].callerAddress, method, target, all, body.encodeToByteArray())
-            when (val result = client.exchange(spec)) {
-                is ExchangeResult.Answered -> {
-                    val content = (result.response.readBody(1_000_000) as? Outcome.Ok)?.value
-                    (if (content == null) 0 else result.response.status) to content?.decodeToString().orEmpty()
-                }
-
-                is ExchangeResult.NotSent, is ExchangeResult.Lost -> {
-                    0 to ""
-                }
-            }
+            val response = (client.exchange(spec) as? ExchangeResult.Answered)?.response
+            val content = (response?.readBody(1_000_000) as? Outcome.Ok)?.value
+            if (content == null) null else WholeResponse(response.status, response.headers(), content.decodeToString())
         }
 
     override fun close() {
