Treat a response whose status is not one of 100 to 599 as lost

Callers received answers with the statuses 000, 099, 600, 20 and 2000, with the server's signature, and +200 and 0200 as 200. Items so answered ran again without a pause, as the server counted as one that answers. A write that the store answered so counted as certainly not done, so that a job could be refused as not accepted and yet be stored. An interim response with such a status took the response after it as its body.

Cause: Netty's response decoder parses the status with Integer.parseInt and accepts any number that is not negative. Nothing after it checked the range.

Why this works: the decoder is the one place where all responses are read (backend servers, store, platform, peers of the command line). It now rejects a status line for which Netty's HttpStatusClass, read from the text, is UNKNOWN: anything but three digits that begin with 1 to 5 (RFC 9110, 15). The response then takes the path of any malformed head: the exchange is lost, the connection closed, the server counted as one that lost a run.

--- a/http/src/main/kotlin/org/agatestream/http/ResponseDecoder.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ResponseDecoder.kt
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpStatusClass
 
 /** Follows the last message of a connection that the server has closed. */
 internal object EndOfInput
@@ -36,6 +37,14 @@
         ctx.fireChannelReadComplete()
     }
 
+    /** Rejects what the superclass reads as a number but is no status, such as `000`, `2000` and `+200`. */
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        // As a String, it would be taken for the name of an enum constant.
+        val status: CharSequence = initialLine[1]
+        require(HttpStatusClass.valueOf(status) != HttpStatusClass.UNKNOWN) { "$status is no status" }
+        return super.createMessage(initialLine)
+    }
+
     override fun isContentAlwaysEmpty(msg: HttpMessage): Boolean =
         super.isContentAlwaysEmpty(msg) || (msg is HttpResponse && answersHead(msg))
 }
--- /dev/null
+++ b/standins/src/test/kotlin/org/agatestream/standin/MalformedAnswerTest.kt
@@ -0,0 +1,252 @@
+package org.agatestream.standin
+
+import io.kotest.assertions.assertSoftly
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.ints.shouldBeInRange
+import io.kotest.matchers.maps.shouldContainExactly
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.delay
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private const val ITEMS = 6
+private val MALFORMED_TIME = 2.5.seconds
+
+// A server may get all items at first; after two failures in a row it is tried every 400 ms, later more seldom.
+private const val MAX_RUNS = CUT_SERVERS * (ITEMS + 7)
+private const val SIGNATURE = "x-agatestream-response-signature"
+
+/** The statuses that promise that a request did not run. */
+private val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
+
+/** A change to a sound answer after which it is none by HTTP. */
+private class Flaw(
+    val what: String,
+    private val change: (String) -> String,
+) {
+    fun of(answer: String): String = change(answer)
+}
+
+/** Statuses that are no three-digit number from 100 to 599. */
+private val STATUS_FLAWS =
+    listOf("000", "099", "600", "999", "20", "2000", "+200", "0200").map { status ->
+        Flaw("the status $status") { it.replaceFirst("200 OK", "$status Unknown") }
+    }
+
+private val FLAWS: List<Flaw> = STATUS_FLAWS
+
+/** A rare but sound answer to a request with this id and whole body, and the status with which it is passed on. */
+private class SoundAnswer(
+    val what: String,
+    val status: Int = 200,
+    val end: ConnectionEnd = ConnectionEnd.KEEP,
+    val bytes: (String, String) -> String,
+)
+
+private const val FIELD = "!#$%&'*+-.^_`|~09: one : two"
+
+private val SOUND_ANSWERS: List<SoundAnswer> =
+    listOf(299, 499, 599).map { status ->
+        SoundAnswer("the unknown status $status", status) { id, body ->
+            withLength(id, body).replaceFirst("200 OK", "$status Unusual")
+        }
+    } +
+        listOf(
+            SoundAnswer("an empty reason") { id, body -> withLength(id, body).replaceFirst("200 OK", "200 ") },
+            SoundAnswer("no reason") { id, body -> withLength(id, body).replaceFirst("200 OK", "200") },
+            SoundAnswer("any legal field name") { id, body -> withField(id, body, FIELD) },
+            SoundAnswer("obs-text in a value") { id, body -> withField(id, body, "x-note: d\u00e9j\u00e0") },
+            SoundAnswer("the version 1.0") { id, body -> withLength(id, body).replaceFirst("1.1", "1.0") },
+            SoundAnswer("a body that ends with the connection", end = ConnectionEnd.CLOSE) { id, body ->
+                "$STATUS_LINE${headers(id)}\r\n$body"
+            },
+            SoundAnswer("a trailer") { id, body ->
+                "$STATUS_LINE${headers(id)}$CHUNKED${chunkOf(body)}0\r\n!x|~: v\r\n\r\n"
+            },
+        )
+
+private fun withField(
+    id: String,
+    body: String,
+    field: String,
+): String = withLength(id, body).replaceFirst(STATUS_LINE, "$STATUS_LINE$field\r\n")
+
+private val CutRequest.flaw: Flaw get() = FLAWS[caseOf(id)]
+
+private fun caseOf(id: String): Int = id.substringAfterLast('c').toInt()
+
+private fun CutRequest.flawedResponse(): CutResponse = CutResponse(flaw.of(withLength(id, body)), ConnectionEnd.KEEP)
+
+private fun CutRequest.soundResponse(): CutResponse =
+    SOUND_ANSWERS[caseOf(id)].let { CutResponse(it.bytes(id, body), it.end) }
+
+private fun wholeBody(id: String): String = (0 until CUT_EVENTS).joinToString("") { numberedEvent(id, it) }
+
+/** Sends one request under [prefix] for each of [cases], again while it is refused and did not run, and checks it. */
+private suspend fun PlatformFleet.forEachCase(
+    prefix: String,
+    cases: List<String>,
+    runs: CutRuns,
+    check: (String, WholeResponse?) -> Unit,
+) {
+    val responses =
+        cases.mapIndexed { number, what ->
+            val id = "${prefix}c$number"
+            var response: WholeResponse?
+            do {
+                response = sendWhole(number % 2, "POST", "/$prefix/x", id = id, body = "hello")
+                val isRefused = response?.status in NOT_RUN_STATUSES && runs.of(id) == 0
+                if (isRefused) delay(20.milliseconds)
+            } while (isRefused)
+            Triple(what, id, response)
+        }
+    assertSoftly {
+        for ((what, id, response) in responses) {
+            withClue("$what, ${runs.of(id)} runs, status ${response?.status}") { check(id, response) }
+        }
+    }
+}
+
+private suspend fun PlatformFleet.submitItems(ids: List<String>) {
+    val items = ids.joinToString(",") { """{"Id":"$it","Path":"/lot/1","Body":"YQ==","Tokens":10}""" }
+    send(0, "POST", "/lot/j", id = "job", body = """{"Requests":[$items]}""").first shouldBe 202
+}
+
+/** Submits one item for each id and returns all results. */
+private suspend fun PlatformFleet.runItems(ids: List<String>): Map<String, String> {
+    submitItems(ids)
+    var results = emptyMap<String, String>()
+    eventually(30.seconds) {
+        results = itemResults("job")
+        results.size shouldBe ids.size
+    }
+    return results
+}
+
+private fun completed(id: String): String = "completed: ${(0 until CUT_EVENTS).joinToString("\n") { "$id-$it" }}"
+
+class MalformedAnswerTest :
+    FunSpec({
+        timeout = 60_000
+        val flaws = FLAWS.map { it.what }
+
+        // Guards against bytes that are no answer by HTTP and that a caller gets as its server's answer.
+        test("a request whose answer is malformed fails without a signature, and runs once") {
+            withCutServers(scriptOf { it.flawedResponse() }) { fleet, runs ->
+                fleet.forEachCase("once", flaws, runs) { id, response ->
+                    response?.status shouldBe 502
+                    response
+                        ?.headers
+                        .orEmpty()
+                        .filter { it.first == SIGNATURE }
+                        .shouldBeEmpty()
+                    runs.of(id) shouldBe 1
+                }
+            }
+        }
+
+        test("a request that may be repeated gets the whole answer of another server") {
+            val script = scriptOf { if (it.earlierRuns < 2) it.flawedResponse() else it.wholeResponse() }
+            withCutServers(script) { fleet, runs ->
+                fleet.forEachCase("safe", flaws, runs) { id, response ->
+                    response?.status shouldBe 200
+                    response?.body shouldBe wholeBody(id)
+                    runs.of(id) shouldBe 3
+                }
+            }
+        }
+
+        test("a stream whose answer is malformed fails without a signature, and runs once") {
+            withCutServers(scriptOf { it.flawedResponse() }) { fleet, runs ->
+                fleet.forEachCase("stream", flaws, runs) { id, response ->
+                    if (response != null) response.status shouldBe 502
+                    response
+                        ?.headers
+                        .orEmpty()
+                        .filter { it.first == SIGNATURE }
+                        .shouldBeEmpty()
+                    runs.of(id) shouldBe 1
+                }
+            }
+        }
+
+        test("a stream whose first resumption is malformed is whole after the second") {
+            val script =
+                scriptOf {
+                    when (it.earlierRuns) {
+                        0 -> it.brokenResponse()
+                        1 -> it.flawedResponse()
+                        else -> it.wholeResponse()
+                    }
+                }
+            withCutServers(script) { fleet, runs ->
+                fleet.forEachCase("resumed", flaws, runs) { id, response ->
+                    response?.status shouldBe 200
+                    response?.body shouldBe wholeBody(id)
+                    runs.of(id) shouldBe 3
+                }
+            }
+        }
+
+        test("an item whose answers are malformed is listed with its whole output") {
+            val script = scriptOf { if (it.earlierRuns < 2) it.flawedResponse() else it.wholeResponse() }
+            withCutServers(script) { fleet, _ ->
+                val ids = FLAWS.indices.map { "itemc$it" }
+                fleet.runItems(ids) shouldContainExactly ids.associateWith { completed(it) }
+            }
+        }
+
+        // Guards against a server that is not counted as one in trouble, so that its items run again without a pause.
+        test("an item whose answers are all malformed does not run again without a pause") {
+            val script = scriptOf { it.flawedResponse() }
+            withCutServers(script) { fleet, runs ->
+                val ids = List(ITEMS) { "item${it}c0" }
+                fleet.submitItems(ids)
+                delay(MALFORMED_TIME)
+                ids.sumOf { runs.of(it) } shouldBeInRange 1..MAX_RUNS
+            }
+        }
+
+        // Guards against a check that takes a sound answer for a malformed one.
+        test("a rare but sound answer is passed on as it is") {
+            withCutServers(scriptOf { it.soundResponse() }) { fleet, runs ->
+                fleet.forEachCase("once", SOUND_ANSWERS.map { it.what }, runs) { id, response ->
+                    val answer = SOUND_ANSWERS[caseOf(id)]
+                    response?.status shouldBe answer.status
+                    response?.body shouldBe wholeBody(id)
+                    response?.headers.shouldNotBeNull() shouldContain (SIGNATURE to "signed")
+                    runs.of(id) shouldBe 1
+                }
+            }
+        }
+
+        test("a stream in a rare but sound answer, begun or resumed, is passed on whole") {
+            for (isResumed in listOf(false, true)) {
+                val script =
+                    scriptOf {
+                        if (isResumed && it.earlierRuns == 0) it.brokenResponse() else it.soundResponse()
+                    }
+                withCutServers(script) { fleet, runs ->
+                    val cases = SOUND_ANSWERS.map { it.what }
+                    fleet.forEachCase("resumed", cases, runs) { id, response ->
+                        val answer = SOUND_ANSWERS[caseOf(id)]
+                        if (answer.status == 200) response?.body shouldBe wholeBody(id)
+                        if (answer.status != 200 && isResumed) response shouldBe null
+                        if (answer.status != 200 && !isResumed) response?.status shouldBe answer.status
+                    }
+                }
+            }
+        }
+
+        test("an item gets its output from rare but sound answers") {
+            withCutServers(scriptOf { it.soundResponse() }) { fleet, _ ->
+                val ids = SOUND_ANSWERS.indices.filter { SOUND_ANSWERS[it].status == 200 }.map { "itemc$it" }
+                fleet.runItems(ids) shouldContainExactly ids.associateWith { completed(it) }
+            }
+        }
+    })
