Treat a response with a blank in the name of a field as lost

Callers received answers in whose head or trailer a blank or tab stood in a field's name or before its colon, with the field under the part of its name before the blank: `X Note: v` as `x: v`, and a line of words without a colon as a field without a value. `Content Length: 5` left the answer without a length, so that its body went on to the end of the connection and its caller waited for it until 504. A refusal whose mark stood before a blank counted as proof that the request had not run, and it ran again. The store's responses were read in the same way.

Cause: in responses, Netty's decoder ends a name at the first blank and skips what follows up to the next colon, or to the end of the line; only then is the name checked. Names with control bytes, delimiters or obs-text, and values with control bytes, were refused already; their tests are kept.

Why this works: the name passes through splitHeaderName for heads, interim responses and trailers alike, so that the byte that ended it is checked there and Netty's own validation sees the whole name in all other cases. RFC 9112, 5.1 has a proxy remove a blank before the colon; it is refused here, as the same server may have put the blank anywhere, and the receiver can't tell.

--- a/http/src/main/kotlin/org/agatestream/http/ResponseDecoder.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ResponseDecoder.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.util.AsciiString
 
 /** Follows the last message of a connection that the server has closed. */
 internal object EndOfInput
@@ -45,6 +46,24 @@
         return super.createMessage(initialLine)
     }
 
+    /**
+     * Rejects a field, also of a trailer, whose name is not followed by a colon.
+     *
+     * The superclass ends a name at the first blank and skips all bytes up to the next colon.
+     */
+    override fun splitHeaderName(
+        sb: ByteArray,
+        start: Int,
+        length: Int,
+    ): AsciiString {
+        require(sb[start + length] == COLON) { "a field name is followed by a blank" }
+        return super.splitHeaderName(sb, start, length)
+    }
+
     override fun isContentAlwaysEmpty(msg: HttpMessage): Boolean =
         super.isContentAlwaysEmpty(msg) || (msg is HttpResponse && answersHead(msg))
+
+    private companion object {
+        const val COLON = ':'.code.toByte()
+    }
 }
--- a/http/src/test/kotlin/org/agatestream/http/MalformedResponseTest.kt
+++ b/http/src/test/kotlin/org/agatestream/http/MalformedResponseTest.kt
@@ -22,8 +22,37 @@
 private val INVALID_STATUSES =
     listOf("000", "099", "600", "999", "0", "20", "1000", "2000", "+200", "-20", "+20", "0200", "020", "2x0", "0x20")
 
+/** Lines of a head or a trailer that are no field (RFC 9112, section 5). */
+private val INVALID_FIELDS =
+    mapOf(
+        "a blank before a colon" to "x-note : value",
+        "a tab before a colon" to "x-note\t: value",
+        "a blank in a name" to "x note: value",
+        "a tab in a name" to "x\tnote: value",
+        "a blank before the first name" to " x-note: value",
+        "a line without a colon" to "note",
+        "words without a colon" to "x note",
+        "a status line" to "HTTP/1.1 500 No",
+        "no name" to ": value",
+        "a zero byte in a name" to "x-no\u0000te: value",
+        "a control byte in a name" to "x-no\u0001te: value",
+        "DEL in a name" to "x-no\u007fte: value",
+        "obs-text in a name" to "x-n\u00f6te: value",
+        "a delimiter in a name" to "x(note): value",
+        "a zero byte in a value" to "x-note: va\u0000lue",
+        "a control byte in a value" to "x-note: va\u0001lue",
+        "a carriage return in a value" to "x-note: va\rlue",
+    )
+
+private const val CHUNKS = "$STATUS_LINE\r\nx-id: own\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n"
+
 private val MALFORMED_HEADS: Map<String, String> =
-    INVALID_STATUSES.associate { "the status $it" to response("HTTP/1.1 $it Unknown") }
+    INVALID_STATUSES.associate { "the status $it" to response("HTTP/1.1 $it Unknown") } +
+        INVALID_FIELDS.map { (what, field) -> what to response(field = field) } +
+        mapOf(
+            "a blank after the name of its length" to response(length = "content-length : 5"),
+            "a blank in the name of its length" to response(length = "content length: 5"),
+        )
 
 /** Responses that are rare but sound, and what the client makes of them. */
 private val SOUND: Map<String, Pair<String, String>> =
@@ -112,6 +141,20 @@
             }
         }
 
+        for ((what, field) in INVALID_FIELDS) {
+            test("no response is taken after an interim one with $what") {
+                val interim = "HTTP/1.1 103 Early Hints\r\n$field\r\n\r\n"
+                loops.forEachExchange(interim + response()) { it.shouldBeInstanceOf<ExchangeResult.Lost>() }
+            }
+
+            // Guards against a body that counts as whole although the lines at its end can't be read.
+            test("a body with $what in its trailer is broken") {
+                loops.forEachExchange("${CHUNKS}0\r\n$field\r\n\r\n") {
+                    it.shouldBeInstanceOf<ExchangeResult.Answered>().response.readText() shouldBe null
+                }
+            }
+        }
+
         for ((what, case) in SOUND) {
             // Guards against a check that refuses what HTTP allows.
             test("a response with $what arrives") {
--- a/standins/src/test/kotlin/org/agatestream/standin/MalformedAnswerTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/MalformedAnswerTest.kt
@@ -21,6 +21,16 @@
 private const val MAX_RUNS = CUT_SERVERS * (ITEMS + 7)
 private const val SIGNATURE = "x-agatestream-response-signature"
 
+private const val MARK = "X-Agatestream-Not-Executed"
+
+/** Lines of a refusal that do not say that the request did not run, as they are no fields. */
+private val MALFORMED_MARKS = listOf("$MARK : 1", "$MARK\t: 1", "$MARK 1")
+
+private fun refusal(
+    id: String,
+    mark: String,
+): String = "HTTP/1.1 503 Service Unavailable\r\nX-Agatestream-Attempt-Id: $id\r\n$mark\r\nContent-Length: 0\r\n\r\n"
+
 /** The statuses that promise that a request did not run. */
 private val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
 
@@ -38,7 +48,35 @@
         Flaw("the status $status") { it.replaceFirst("200 OK", "$status Unknown") }
     }
 
-private val FLAWS: List<Flaw> = STATUS_FLAWS
+private val FIELD_FLAWS =
+    mapOf(
+        "a blank before a colon" to "X-Note : value",
+        "a blank in a name" to "X Note: value",
+        "a control byte in a name" to "X-No\u0001te: value",
+        "a line without a colon" to "x note",
+    ).map { (what, field) -> Flaw(what) { it.replaceFirst(STATUS_LINE, "$STATUS_LINE$field\r\n") } }
+
+private val LENGTH_FLAWS =
+    listOf(
+        Flaw("a blank after the name of its length") { it.replaceFirst("Length:", "Length :") },
+        Flaw("a blank in the name of its length") { it.replaceFirst("Content-Length", "Content Length") },
+    )
+
+private val HEAD_FLAWS = STATUS_FLAWS + FIELD_FLAWS + LENGTH_FLAWS
+
+/** Flaws behind the whole body. */
+private val TRAILER_FLAWS =
+    listOf("X-Sum : 1", "X Sum: 1", "x sum").map { field ->
+        Flaw("'$field' in its trailer") { "${it.inChunks()}$field\r\n\r\n" }
+    }
+
+private val FLAWS: List<Flaw> = HEAD_FLAWS + TRAILER_FLAWS
+
+/** Returns this answer in chunks up to its trailer. */
+private fun String.inChunks(): String {
+    val head = substringBefore("Content-Length")
+    return "$head$CHUNKED${chunkOf(substringAfter("\r\n\r\n"))}0\r\n"
+}
 
 /** A rare but sound answer to a request with this id and whole body, and the status with which it is passed on. */
 private class SoundAnswer(
@@ -134,6 +172,7 @@
     FunSpec({
         timeout = 60_000
         val flaws = FLAWS.map { it.what }
+        val headFlaws = HEAD_FLAWS.map { it.what }
 
         // Guards against bytes that are no answer by HTTP and that a caller gets as its server's answer.
         test("a request whose answer is malformed fails without a signature, and runs once") {
@@ -185,7 +224,7 @@
                     }
                 }
             withCutServers(script) { fleet, runs ->
-                fleet.forEachCase("resumed", flaws, runs) { id, response ->
+                fleet.forEachCase("resumed", headFlaws, runs) { id, response ->
                     response?.status shouldBe 200
                     response?.body shouldBe wholeBody(id)
                     runs.of(id) shouldBe 3
@@ -212,6 +251,24 @@
             }
         }
 
+        // Guards against a request that runs twice, as a refusal counts whose mark can't be read.
+        test("a refusal proves that a request did not run only if it is well-formed") {
+            val script =
+                scriptOf {
+                    when {
+                        it.earlierRuns > 0 -> it.wholeResponse()
+                        caseOf(it.id) == 0 -> CutResponse(refusal(it.id, "$MARK: 1"), ConnectionEnd.KEEP)
+                        else -> CutResponse(refusal(it.id, MALFORMED_MARKS[caseOf(it.id) - 1]), ConnectionEnd.KEEP)
+                    }
+                }
+            withCutServers(script) { fleet, runs ->
+                fleet.forEachCase("once", listOf("sound") + MALFORMED_MARKS, runs) { id, response ->
+                    response?.status shouldBe if (caseOf(id) == 0) 200 else 502
+                    runs.of(id) shouldBe if (caseOf(id) == 0) 2 else 1
+                }
+            }
+        }
+
         // Guards against a check that takes a sound answer for a malformed one.
         test("a rare but sound answer is passed on as it is") {
             withCutServers(scriptOf { it.soundResponse() }) { fleet, runs ->
