Test reset uploads, and malformed responses at the other readers

Reset uploads: a server answers an upload at once with a success that has no length, sends a part of its body and resets the connection while the upload is still being written. This is handled already, so nothing else changes: callers get 502 or a cut stream, or the whole answer of another server, and items their whole output.

Messages between VMs are no HTTP; they are frames with a length, read by KtorPeerNetwork.

The uploads need larger bodies and a server that answers before it has read the request; CutFleet and CutServer offer both.

--- a/server/src/test/kotlin/org/agatestream/server/EngineOrdersTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/EngineOrdersTest.kt
@@ -17,7 +17,7 @@
 
 private const val WHOLE = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}"
 
-private val CUT_RESPONSES =
+private val LOST_RESPONSES =
     listOf(
         "HTTP/1.1 200 OK\r\n",
         "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n",
@@ -26,6 +26,10 @@
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\n{}\r\n",
         "HTTP/1.1 409 Conflict\r\ncontent-length: 2\r\n\r\n{",
+        "HTTP/1.1 000 Unknown\r\ncontent-length: 2\r\n\r\n{}",
+        "HTTP/1.1 0200 OK\r\ncontent-length: 2\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\nx note: value\r\ncontent-length: 2\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\ncontent-length : 2\r\n\r\n{}",
     )
 
 class EngineOrdersTest :
@@ -34,10 +38,10 @@
         val loops = EventLoops(2)
         afterSpec { loops.close() }
 
-        // Guards against an order that counts as carried out, or as refused, by a response that broke off.
-        test("an order whose response is cut is sent again after the backoff, and one with a whole response is not") {
-            for (cut in CUT_RESPONSES) {
-                ClosingServer(listOf(cut, WHOLE)).use { engine ->
+        // Guards against an order that counts as carried out, or as refused, by a response that broke off or is malformed.
+        test("an order whose response is lost is sent again after the backoff, and one with a whole response is not") {
+            for (lost in LOST_RESPONSES) {
+                ClosingServer(listOf(lost, WHOLE)).use { engine ->
                     val setting =
                         BackendServerSetting(
                             engine.address,
@@ -49,7 +53,7 @@
                     var now = MonotonicTime.now()
                     val context = EngineOrderContext({ _, _ -> true }, { fleet }, { FencingNumber(1) }, clock = { now })
                     val orders = EngineOrders(HttpClient(loops), context)
-                    withClue(cut) {
+                    withClue(lost) {
                         orders.runOnce()
                         engine.requests shouldBe 1
                         repeat(2) {
--- a/server/src/test/kotlin/org/agatestream/server/HttpPlatformTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/HttpPlatformTest.kt
@@ -12,6 +12,10 @@
 
 private const val ROWS = """[{"key":"k","value":"1","version":1}]"""
 
+/** Status lines, without the version, and fields that HTTP does not allow. */
+private val MALFORMED_HEADS =
+    listOf("000 Unknown", "0200 OK", "200 OK\r\nx note: value", "200 OK\r\nx-note : value", "404 No\r\nx note")
+
 /** Framings of a body that ends after the given one. */
 private val FRAMINGS: Map<String, (String) -> String> =
     mapOf(
@@ -50,6 +54,21 @@
             }
         }
 
+        // Guards against rows, objects or VMs that are taken from a response that is none by HTTP.
+        test("a malformed response says nothing about the platform") {
+            for (head in MALFORMED_HEADS) {
+                val response = "$head\r\ncontent-length: ${ROWS.length}\r\n\r\n$ROWS"
+                withClue(head) {
+                    answering(response) { it.scan("k") } shouldBe ReadResult.Unavailable
+                    answering(response) { it.get("o") } shouldBe ReadResult.Unavailable
+                    answering(response) { it.list() } shouldBe ReadResult.Unavailable
+                    answering(response) { it.put("o", ByteArray(1)) } shouldBe false
+                    answering(response) { it.commit(Transaction(emptyList(), emptyList())) } shouldBe
+                        CommitResult.Unknown
+                }
+            }
+        }
+
         // Guards against an input of a batch job that is taken for whole where the platform broke off.
         test("an object whose response does not say where it ends is not read") {
             answering("200 OK\r\n\r\ninp") { it.get("o") } shouldBe ReadResult.Unavailable
--- a/standins/src/test/kotlin/org/agatestream/standin/CutAnswerTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/CutAnswerTest.kt
@@ -13,8 +13,6 @@
 
 private const val INTERIM = "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"
 
-private fun wholeStream(id: String): String = (0 until CUT_EVENTS).joinToString("") { numberedEvent(id, it) }
-
 /** A place at which a server stops within the response to a request with the events from [CutRequest.firstEvent]. */
 private class Cut(
     val what: String,
@@ -23,10 +21,10 @@
     val bytes: (String, String) -> String,
 ) {
     /** True if events precede the cut. */
-    val holdsEvents: Boolean get() = "data:" in bytes("id", wholeStream("id"))
+    val holdsEvents: Boolean get() = "data:" in bytes("id", wholeBody("id"))
 
     /** True if all events precede the cut. */
-    val holdsAllEvents: Boolean get() = lastEvent in bytes("id", wholeStream("id"))
+    val holdsAllEvents: Boolean get() = lastEvent in bytes("id", wholeBody("id"))
     private val lastEvent: String get() = numberedEvent("id", CUT_EVENTS - 1)
 }
 
@@ -108,7 +106,7 @@
         test("a request that may be repeated gets the whole answer of another server") {
             val script = scriptOf { if (it.earlierRuns < 2) it.cutResponse() else it.wholeResponse() }
             withCutServers(script) { fleet, runs ->
-                fleet.forEachCut("safe", runs) { id, response -> response shouldBe (200 to wholeStream(id)) }
+                fleet.forEachCut("safe", runs) { id, response -> response shouldBe (200 to wholeBody(id)) }
             }
         }
 
@@ -140,7 +138,7 @@
                     val isBroken = response.first == 0
                     if (cut.holdsAllEvents && cut.end == ConnectionEnd.CLOSE) isBroken shouldBe true
                     // A reset may take events with it that were not read yet.
-                    if (!isBroken || !cut.holdsAllEvents) response shouldBe (200 to wholeStream(id))
+                    if (!isBroken || !cut.holdsAllEvents) response shouldBe (200 to wholeBody(id))
                     runs.of(id) shouldBe 3
                 }
             }
@@ -150,7 +148,7 @@
             val script = scriptOf { if (it.earlierRuns == 0) it.brokenResponse() else it.cutResponse() }
             withCutServers(script) { fleet, runs ->
                 fleet.forEachCut("resumed", runs) { id, response ->
-                    if (response.first == 200) response.second shouldBe wholeStream(id)
+                    if (response.first == 200) response.second shouldBe wholeBody(id)
                     if (!cutOf(id).holdsEvents) response.first shouldNotBe 200
                 }
             }
--- a/standins/src/test/kotlin/org/agatestream/standin/CutFleet.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/CutFleet.kt
@@ -6,6 +6,7 @@
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
+import kotlin.time.Duration.Companion.seconds
 
 /** The number of events in a whole response. */
 internal const val CUT_EVENTS = 5
@@ -26,7 +27,8 @@
      "Resumable":true,"MaxAttempts":3},
     {"Name":"lot","Hostname":"h.example","Prefix":"/lot/","Type":"batch","Service":"c","CompletionTargetMs":9000,
      "KeepS":60,"MaxAttempts":3}],
-    "Services":[{"Name":"s"},{"Name":"c"}],"Tenants":[{"Name":"team","ApiKeys":["secret-key"]}]}"""
+    "Services":[{"Name":"s"},{"Name":"c"}],"Tenants":[{"Name":"team","ApiKeys":["secret-key"]}],
+    "Limits":{"MaxBodyBytes":16777216}}"""
 
 /** The header fields of a response that proves its origin. */
 internal fun headers(id: String): String =
@@ -50,6 +52,12 @@
 /** The events of a whole response from the first that is awaited. */
 internal val CutRequest.body: String get() = (firstEvent until CUT_EVENTS).joinToString("") { numberedEvent(id, it) }
 
+/** The body of a whole response to this request. */
+internal fun wholeBody(id: String): String = (0 until CUT_EVENTS).joinToString("") { numberedEvent(id, it) }
+
+/** The number of the case at the end of this id. */
+internal fun caseOf(id: String): Int = id.substringAfterLast('c').toInt()
+
 internal fun CutRequest.wholeResponse(): CutResponse = CutResponse(withLength(id, body), ConnectionEnd.KEEP)
 
 /** A response with the first two events that breaks off after them. */
@@ -82,6 +90,34 @@
 internal fun scriptOf(others: (CutRequest) -> CutResponse): (CutRequest) -> CutResponse =
     { request -> if (request.id == "ready") request.wholeResponse() else others(request) }
 
+/** Submits [job] with one item for each id. */
+internal suspend fun PlatformFleet.submitItems(
+    ids: List<String>,
+    job: String = "job",
+    body: String = "YQ==",
+) {
+    val items = ids.joinToString(",") { """{"Id":"$it","Path":"/lot/1","Body":"$body","Tokens":10}""" }
+    send(0, "POST", "/lot/j", id = job, body = """{"Requests":[$items]}""").first shouldBe 202
+}
+
+/** Submits [job] with one item for each id and returns all results. */
+internal suspend fun PlatformFleet.runItems(
+    ids: List<String>,
+    job: String = "job",
+    body: String = "YQ==",
+): Map<String, String> {
+    submitItems(ids, job, body)
+    var results = emptyMap<String, String>()
+    eventually(30.seconds) {
+        results = itemResults(job)
+        results.size shouldBe ids.size
+    }
+    return results
+}
+
+/** The result of an item with its whole output. */
+internal fun completed(id: String): String = "completed: ${(0 until CUT_EVENTS).joinToString("\n") { "$id-$it" }}"
+
 /** Reads state and output of each listed item of [job], in pages. */
 internal suspend fun PlatformFleet.itemResults(job: String): Map<String, String> {
     val results = HashMap<String, String>()
--- a/standins/src/test/kotlin/org/agatestream/standin/CutServer.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/CutServer.kt
@@ -1,5 +1,7 @@
 package org.agatestream.standin
 
+import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.ConcurrentHashMap
@@ -28,6 +30,8 @@
 internal class CutResponse(
     val bytes: String,
     val end: ConnectionEnd,
+    /** True to respond before the body of the request is read; only for responses that end the connection. */
+    val isEarly: Boolean = false,
 )
 
 /** What a [CutServer] does with a connection after a response. */
@@ -52,10 +56,14 @@
     private val runs: CutRuns,
     private val script: (CutRequest) -> CutResponse,
 ) : AutoCloseable {
-    private val listener = ServerSocket(0)
-    val address = "127.0.0.1:${listener.localPort}"
+    private val listener = ServerSocket()
+    val address: String
 
     init {
+        // Bounds what a client can write of a body that is not read.
+        listener.receiveBufferSize = RECEIVE_BUFFER_BYTES
+        listener.bind(InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+        address = "127.0.0.1:${listener.localPort}"
         thread(isDaemon = true) {
             while (true) {
                 val socket = runCatching { listener.accept() }.getOrNull() ?: break
@@ -70,6 +78,7 @@
             val head = socket.readRequestHead() ?: return
             val id = CutRequest(head, 0).id
             val response = script(CutRequest(head, runs.next(id)))
+            if (!response.isEarly) socket.skipBody(head)
             socket.getOutputStream().write(response.bytes.encodeToByteArray())
             if (response.end == ConnectionEnd.RESET) {
                 // Lets the client read the bytes, as a reset discards those that it has not read.
@@ -80,7 +89,7 @@
         }
     }
 
-    /** Reads a request and returns its head; null if the client has closed the connection. */
+    /** Reads the head of a request; returns null if the client has closed the connection. */
     private fun Socket.readRequestHead(): String? {
         val head = StringBuilder()
         while (!head.endsWith("\r\n\r\n")) {
@@ -88,14 +97,18 @@
             if (byte < 0) return null
             head.append(byte.toChar())
         }
-        val length = Regex("(?i)content-length: *(\\d+)").find(head)?.groupValues?.get(1)
-        getInputStream().readNBytes(length?.toInt() ?: 0)
         return head.toString()
     }
 
+    private fun Socket.skipBody(head: String) {
+        val length = Regex("(?i)content-length: *(\\d+)").find(head)?.groupValues?.get(1)
+        getInputStream().skipNBytes(length?.toLong() ?: 0)
+    }
+
     override fun close() = listener.close()
 
     private companion object {
         const val RESET_DELAY_MILLIS = 5L
+        const val RECEIVE_BUFFER_BYTES = 65_536
     }
 }
--- a/standins/src/test/kotlin/org/agatestream/standin/MalformedAnswerTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/MalformedAnswerTest.kt
@@ -116,15 +116,15 @@
 
 private val CutRequest.flaw: Flaw get() = FLAWS[caseOf(id)]
 
-private fun caseOf(id: String): Int = id.substringAfterLast('c').toInt()
+private const val LEAVING = "Server-Leaving: 1\r\n"
 
-private fun CutRequest.flawedResponse(): CutResponse = CutResponse(flaw.of(withLength(id, body)), ConnectionEnd.KEEP)
+/** A flawed response that has [field] as its first one. */
+private fun CutRequest.flawedResponse(field: String = ""): CutResponse =
+    CutResponse(flaw.of(withLength(id, body)).replaceFirst("\r\n", "\r\n$field"), ConnectionEnd.KEEP)
 
 private fun CutRequest.soundResponse(): CutResponse =
     SOUND_ANSWERS[caseOf(id)].let { CutResponse(it.bytes(id, body), it.end) }
 
-private fun wholeBody(id: String): String = (0 until CUT_EVENTS).joinToString("") { numberedEvent(id, it) }
-
 /** Sends one request under [prefix] for each of [cases], again while it is refused and did not run, and checks it. */
 private suspend fun PlatformFleet.forEachCase(
     prefix: String,
@@ -150,24 +150,6 @@
     }
 }
 
-private suspend fun PlatformFleet.submitItems(ids: List<String>) {
-    val items = ids.joinToString(",") { """{"Id":"$it","Path":"/lot/1","Body":"YQ==","Tokens":10}""" }
-    send(0, "POST", "/lot/j", id = "job", body = """{"Requests":[$items]}""").first shouldBe 202
-}
-
-/** Submits one item for each id and returns all results. */
-private suspend fun PlatformFleet.runItems(ids: List<String>): Map<String, String> {
-    submitItems(ids)
-    var results = emptyMap<String, String>()
-    eventually(30.seconds) {
-        results = itemResults("job")
-        results.size shouldBe ids.size
-    }
-    return results
-}
-
-private fun completed(id: String): String = "completed: ${(0 until CUT_EVENTS).joinToString("\n") { "$id-$it" }}"
-
 class MalformedAnswerTest :
     FunSpec({
         timeout = 60_000
@@ -269,6 +251,20 @@
             }
         }
 
+        // Guards against a server that is given no more requests because of what a malformed answer says of it.
+        test("a malformed answer says nothing about its server") {
+            val script =
+                scriptOf { if (it.id.startsWith("last")) it.wholeResponse() else it.flawedResponse(LEAVING) }
+            withCutServers(script) { fleet, runs ->
+                fleet.forEachCase("once", headFlaws, runs) { _, _ -> }
+                repeat(CUT_SERVERS) { number ->
+                    eventually(FLEET_TIMEOUT) {
+                        fleet.send(number % 2, "POST", "/once/x", id = "last$number").first shouldBe 200
+                    }
+                }
+            }
+        }
+
         // Guards against a check that takes a sound answer for a malformed one.
         test("a rare but sound answer is passed on as it is") {
             withCutServers(scriptOf { it.soundResponse() }) { fleet, runs ->
