Treat a response with a transfer coding other than chunks as lost

Callers received a 200 with the server's signature and a body that was not its body: with `Transfer-Encoding: gzip, chunked` the compressed bytes, without the field that says so; with `gzip`, `identity`, `xchunked` or `chunked;q=1` all bytes up to the end of the connection, lines of chunks included.

Cause: Netty's decoder takes away chunks and leaves other codings to a later handler, and for requests only it insists on chunks as the last one. There is no such handler here, and the field is not passed on, as it holds for a single connection. No request sends TE, so that a server may use chunks only (RFC 9110, 10.1.4). Repeated chunks, chunks that are not last, and a length beside a coding were refused already.

Why this works: the check stands where each head is judged, so that the exchange is lost as with any malformed head. Empty elements of the list and other cases of letters are sound and pass as before.

--- a/http/src/main/kotlin/org/agatestream/http/ResponseValidation.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ResponseValidation.kt
@@ -1,5 +1,7 @@
 package org.agatestream.http
 
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpResponse
 
 private val STATUS_LINE = Regex("HTTP/1\\.\\d \\d{3}")
@@ -12,5 +14,14 @@
  */
 internal fun HttpResponse.isValidHead(): Boolean =
     decoderResult().isSuccess &&
+        isTransferCodingSupported() &&
         STATUS_LINE !in status().reasonPhrase() &&
         headers().none { STATUS_LINE in it.value }
+
+/** Returns whether the body has no transfer coding but chunks; no request allows another (RFC 9110, section 10.1.4). */
+private fun HttpResponse.isTransferCodingSupported(): Boolean =
+    headers()
+        .getAll(HttpHeaderNames.TRANSFER_ENCODING)
+        .flatMap { it.split(',') }
+        .map { it.trim() }
+        .all { it.isEmpty() || HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(it) }
--- a/http/src/test/kotlin/org/agatestream/http/MalformedResponseTest.kt
+++ b/http/src/test/kotlin/org/agatestream/http/MalformedResponseTest.kt
@@ -46,9 +46,14 @@
 
 private const val CHUNKS = "$STATUS_LINE\r\nx-id: own\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n"
 
+/** Transfer codings with which the body is not what its server means once the chunks are taken away. */
+private val FOREIGN_CODINGS =
+    listOf("gzip", "gzip, chunked", "identity", "xchunked", "\"chunked\"", "chunked;q=1", "chunked, chunked")
+
 private val MALFORMED_HEADS: Map<String, String> =
     INVALID_STATUSES.associate { "the status $it" to response("HTTP/1.1 $it Unknown") } +
         INVALID_FIELDS.map { (what, field) -> what to response(field = field) } +
+        FOREIGN_CODINGS.associate { "the transfer coding $it" to response(length = "transfer-encoding: $it") } +
         mapOf(
             "a blank after the name of its length" to response(length = "content-length : 5"),
             "a blank in the name of its length" to response(length = "content length: 5"),
--- a/standins/src/test/kotlin/org/agatestream/standin/MalformedAnswerTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/MalformedAnswerTest.kt
@@ -62,7 +62,10 @@
         Flaw("a blank in the name of its length") { it.replaceFirst("Content-Length", "Content Length") },
     )
 
-private val HEAD_FLAWS = STATUS_FLAWS + FIELD_FLAWS + LENGTH_FLAWS
+private val CODING_FLAW =
+    Flaw("a transfer coding that was not asked for") { "${it.inChunks()}\r\n".replaceFirst("chunked", "gzip, chunked") }
+
+private val HEAD_FLAWS = STATUS_FLAWS + FIELD_FLAWS + LENGTH_FLAWS + CODING_FLAW
 
 /** Flaws behind the whole body. */
 private val TRAILER_FLAWS =
