Treat a response of another major version as lost

Callers received the answer of a server whose status line says HTTP/2.0 or HTTP/0.9, read as HTTP/1.1 and with its signature.

Cause: Netty's decoder accepts any version of the form HTTP/x.y. A request of another major version was refused already, a response was not.

Why this works: the check stands where each head is judged.

--- a/http/src/main/kotlin/org/agatestream/http/ResponseValidation.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ResponseValidation.kt
@@ -14,6 +14,7 @@
  */
 internal fun HttpResponse.isValidHead(): Boolean =
     decoderResult().isSuccess &&
+        protocolVersion().majorVersion() == 1 &&
         isTransferCodingSupported() &&
         STATUS_LINE !in status().reasonPhrase() &&
         headers().none { STATUS_LINE in it.value }
--- a/http/src/test/kotlin/org/agatestream/http/MalformedResponseTest.kt
+++ b/http/src/test/kotlin/org/agatestream/http/MalformedResponseTest.kt
@@ -55,6 +55,8 @@
         INVALID_FIELDS.map { (what, field) -> what to response(field = field) } +
         FOREIGN_CODINGS.associate { "the transfer coding $it" to response(length = "transfer-encoding: $it") } +
         mapOf(
+            "the version 2.0" to response("HTTP/2.0 200 OK"),
+            "the version 0.9" to response("HTTP/0.9 200 OK"),
             "a blank after the name of its length" to response(length = "content-length : 5"),
             "a blank in the name of its length" to response(length = "content length: 5"),
         )
--- a/standins/src/test/kotlin/org/agatestream/standin/MalformedAnswerTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/MalformedAnswerTest.kt
@@ -65,7 +65,9 @@
 private val CODING_FLAW =
     Flaw("a transfer coding that was not asked for") { "${it.inChunks()}\r\n".replaceFirst("chunked", "gzip, chunked") }
 
-private val HEAD_FLAWS = STATUS_FLAWS + FIELD_FLAWS + LENGTH_FLAWS + CODING_FLAW
+private val VERSION_FLAW = Flaw("the version 2.0") { it.replaceFirst("HTTP/1.1", "HTTP/2.0") }
+
+private val HEAD_FLAWS = STATUS_FLAWS + FIELD_FLAWS + LENGTH_FLAWS + CODING_FLAW + VERSION_FLAW
 
 /** Flaws behind the whole body. */
 private val TRAILER_FLAWS =
