--- a/http/src/test/kotlin/org/agatestream/http/MalformedResponseTest.kt
+++ b/http/src/test/kotlin/org/agatestream/http/MalformedResponseTest.kt
@@ -57,6 +57,9 @@
         mapOf(
             "the version 2.0" to response("HTTP/2.0 200 OK"),
             "the version 0.9" to response("HTTP/0.9 200 OK"),
+            "the status 101" to response("HTTP/1.1 101 Switching Protocols"),
+            "the status 101 and a protocol" to response("HTTP/1.1 101 Switching Protocols", "upgrade: websocket"),
+            "the status 101 and HTTP/1.1" to response("HTTP/1.1 101 Switching Protocols", "upgrade: HTTP/1.1"),
             "a blank after the name of its length" to response(length = "content-length : 5"),
             "a blank in the name of its length" to response(length = "content length: 5"),
         )
--- a/standins/src/test/kotlin/org/agatestream/standin/MalformedAnswerTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/MalformedAnswerTest.kt
@@ -67,7 +67,10 @@
 
 private val VERSION_FLAW = Flaw("the version 2.0") { it.replaceFirst("HTTP/1.1", "HTTP/2.0") }
 
-private val HEAD_FLAWS = STATUS_FLAWS + FIELD_FLAWS + LENGTH_FLAWS + CODING_FLAW + VERSION_FLAW
+private val UPGRADE_FLAW =
+    Flaw("the status 101") { it.replaceFirst("200 OK", "101 Switching Protocols\r\nUpgrade: websocket") }
+
+private val HEAD_FLAWS = STATUS_FLAWS + FIELD_FLAWS + LENGTH_FLAWS + CODING_FLAW + VERSION_FLAW + UPGRADE_FLAW
 
 /** Flaws behind the whole body. */
 private val TRAILER_FLAWS =
