--- a/http/src/test/kotlin/org/agatestream/http/BodyEndTest.kt
+++ b/http/src/test/kotlin/org/agatestream/http/BodyEndTest.kt
@@ -109,6 +109,26 @@
             }
         }
 
+        // Guards against a check that takes an early response for one that a reset has cut.
+        test("a body delimited by the close is whole if the server ends it in order before it has read the request") {
+            RawServer { socket ->
+                socket.readHead()
+                socket.send("$HEAD\r\nwhole")
+                socket.socket.shutdownOutput()
+                // A close with unread input would reset the connection.
+                socket.readAll()
+            }.use { server ->
+                repeat(20) {
+                    val spec = HttpRequestSpec(server.address, "POST", "/", body = ByteArray(64 * 1_048_576))
+                    val response =
+                        HttpClient(
+                            loops,
+                        ).exchange(spec).shouldBeInstanceOf<ExchangeResult.Answered>().response
+                    withClue("round $it") { response.readText() shouldBe "whole" }
+                }
+            }
+        }
+
         // Guards against a body that counts as whole because this side closes its connection.
         test("a body delimited by the close is broken if the client shuts down") {
             val own = EventLoops(1)
