--- a/standins/src/test/kotlin/org/agatestream/standin/CutFleet.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/CutFleet.kt
@@ -2,10 +2,12 @@
 
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.delay
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** The number of events in a whole response. */
@@ -90,6 +92,23 @@
 internal fun scriptOf(others: (CutRequest) -> CutResponse): (CutRequest) -> CutResponse =
     { request -> if (request.id == "ready") request.wholeResponse() else others(request) }
 
+/** The statuses that promise that a request did not run. */
+private val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
+
+/** Sends a request to a VM, again while it is refused and did not run; returns null if its response was cut. */
+internal suspend fun PlatformFleet.sendUntilRun(
+    target: String,
+    id: String,
+    runs: CutRuns,
+    body: String = "hello",
+): WholeResponse? {
+    while (true) {
+        val response = sendWhole(caseOf(id) % 2, "POST", target, id = id, body = body)
+        if (response?.status !in NOT_RUN_STATUSES || runs.of(id) > 0) return response
+        delay(20.milliseconds)
+    }
+}
+
 /** Submits [job] with one item for each id. */
 internal suspend fun PlatformFleet.submitItems(
     ids: List<String>,
