Log how far each read of a job's bodies came

The log said "bodies_unavailable" 91 times and no more, so that four causes could not be told apart: a stalled store, a link that is too slow for the time limit, the detour through another VM, an object that can't be parsed.

The line bodies_read has the bytes, the time and the number of reads at once; the end of a run has the reason; the gauge agatestream.jobs.body.reads counts the reads in progress. No decision changes.

--- a/http/src/main/kotlin/org/agatestream/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientExchange.kt
@@ -45,6 +45,10 @@
     @Volatile
     private var isComplete = false
 
+    @Volatile
+    override var receivedBytes: Long = 0
+        private set
+
     override val status: Int
         get() = response.status().code()
 
@@ -91,7 +95,10 @@
             connection.close(this)
             return
         }
-        if (bytes.isNotEmpty()) parts.trySend(BodyPart.Chunk(bytes))
+        if (bytes.isNotEmpty()) {
+            receivedBytes += bytes.size
+            parts.trySend(BodyPart.Chunk(bytes))
+        }
         if (content is LastHttpContent && !isBodyDelimited && !connection.isEndedByServer) {
             onConnectionLost("the connection was not closed in order")
         } else if (content is LastHttpContent) {
--- a/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
@@ -61,6 +61,9 @@
     /** True if the head says where the body ends; else the body ends with the connection, and may have been cut. */
     public val isBodyDelimited: Boolean
 
+    /** The number of bytes of the body that have arrived. */
+    public val receivedBytes: Long get() = 0
+
     /** Returns the first value of the header [name], or null. */
     public fun header(name: String): String?
 
--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -232,7 +232,7 @@
         val item =
             when (val items = jobs.items(request.workspace, request.item.job)) {
                 is Outcome.Ok -> items.value[request.item.item] ?: return ItemEnd.Impossible("no such item")
-                is Outcome.Failed -> return ItemEnd.Interrupted("bodies_unavailable")
+                is Outcome.Failed -> return ItemEnd.Interrupted("bodies_unavailable: ${items.failure.message}")
             }
         val host =
             when (val row = jobs.find(request.workspace, request.item.job)) {
--- a/server/src/main/kotlin/org/agatestream/server/JobStore.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobStore.kt
@@ -9,6 +9,7 @@
 import org.agatestream.core.ItemId
 import org.agatestream.core.ItemRef
 import org.agatestream.core.JobId
+import org.agatestream.core.MonotonicTime
 import org.agatestream.core.Outcome
 import org.agatestream.core.RowChange
 import org.agatestream.core.RowStore
@@ -37,6 +38,10 @@
     private val nextPositions = LruMap<String, Int>(MAX_CACHED_JOBS)
     private val bodies = LruMap<String, Map<ItemId, SubmittedItem>>(MAX_CACHED_BODIES)
 
+    /** The number of objects with the bodies of jobs that are being read. */
+    var bodyReads: Int = 0
+        private set
+
     /** Stores a job, at most once: a repeated submission succeeds without a second write. */
     suspend fun accept(
         row: JobRow,
@@ -176,7 +181,12 @@
     ): Outcome<Map<ItemId, SubmittedItem>> {
         val name = FleetTables.bodies(FleetTables.partitionOf(workspace), job)
         bodies[name]?.let { return it.toOk() }
-        val content = (store.getObject(name) as? StoreRead.Found)?.value ?: return unavailable()
+        val content =
+            when (val read = readBodies(name)) {
+                is StoreRead.Found -> read.value
+                is StoreRead.Gone -> return unavailable("the bodies are gone")
+                is StoreRead.Unavailable -> return unavailable(read.reason)
+            }
         return when (val parsed = parseJob(content)) {
             is Outcome.Ok -> {
                 parsed.value
@@ -191,6 +201,25 @@
         }
     }
 
+    private suspend fun readBodies(name: String): StoreRead<ByteArray> {
+        val startedAt = MonotonicTime.now()
+        bodyReads++
+        var read: StoreRead<ByteArray>? = null
+        try {
+            return store.getObject(name).also { read = it }
+        } finally {
+            EventLog.info(
+                "bodies_read",
+                "object" to name,
+                "bytes" to (read as? StoreRead.Found)?.value?.size,
+                "reason" to (read?.let { (it as? StoreRead.Unavailable)?.reason } ?: "cancelled".takeIf { read == null }),
+                "took_ms" to (MonotonicTime.now() - startedAt).inWholeMilliseconds,
+                "at_once" to bodyReads,
+            )
+            bodyReads--
+        }
+    }
+
     /** Marks a job as ended; idempotent. */
     suspend fun end(
         workspace: WorkspaceId?,
@@ -285,8 +314,8 @@
 
     private fun encode(row: ResultRow): ByteArray = FleetTables.encode(ResultRow.serializer(), row)
 
-    private fun <T> unavailable(): Outcome<T> =
-        Outcome.Failed(Failure(ErrorKind.PLATFORM_UNAVAILABLE, "the store does not answer", UNAVAILABLE_RETRY_DELAY))
+    private fun <T> unavailable(reason: String = "the store does not answer"): Outcome<T> =
+        Outcome.Failed(Failure(ErrorKind.PLATFORM_UNAVAILABLE, reason, UNAVAILABLE_RETRY_DELAY))
 
     private companion object {
         const val MAX_CACHED_JOBS = 500
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -163,6 +163,7 @@
 
     private fun startMetrics() {
         metrics.gauge("agatestream.calls") { calls.size }
+        metrics.gauge("agatestream.jobs.body.reads") { jobStore.bodyReads }
         metrics.gauge("agatestream.dispatch.running") { role?.dispatcher?.runningCalls ?: 0 }
         metrics.gauge("agatestream.dispatch.waiting") { role?.dispatcher?.waitingRequests ?: 0 }
         metrics.gauge("agatestream.dispatch.orphaned") { role?.dispatcher?.orphanedRuns ?: 0 }
