Cut a transfer when its bytes stop, not after a fixed time

Callers saw: items of accepted jobs that are never listed. A read of the store, a write, an object, the request that carries an item to its server and a call of the product's own platform each had a fixed time for the whole transfer (0.8, 3, 3, 2 and 2 s). On a slow link, or with a slow reader, what had come by then was thrown away and the transfer began anew with the same time.

An exchange now has a stall timeout: the longest time for which no byte may move. One place in the client knows it; large requests are written in parts, and the send buffer of a connection is 64 KiB, so that a server's progress in reading is seen. A transfer that a byte now and then keeps open ends after 60 s, when nobody waits for its bodies any more.

--- a/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientConnection.kt
@@ -1,9 +1,13 @@
 package org.agatestream.http
 
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
@@ -14,6 +18,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CancellationException
+import org.agatestream.core.MonotonicTime
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -59,7 +64,7 @@
         try {
             val message = request.toMessage()
             ctx.executor().execute { start(exchange, message) }
-            return exchange.head.await()
+            return exchange.awaitHead()
         } catch (e: CancellationException) {
             close(exchange)
             throw e
@@ -133,10 +138,27 @@
         }
         current = exchange
         unansweredBytes.onRequest()
-        ctx.writeAndFlush(message).addListener { exchange.isRequestSent = it.isSuccess }
+        send(exchange, message).addListener { exchange.isRequestSent = it.isSuccess }
         demand.request(ctx)
     }
 
+    /** Writes [message], a large body in parts whose progress is recorded; returns the write of the last one. */
+    private fun send(
+        exchange: ClientExchange,
+        message: DefaultFullHttpRequest,
+    ): ChannelFuture {
+        val body = message.content()
+        if (body.readableBytes() <= MAX_PART_BYTES) return ctx.writeAndFlush(message).recordIn(exchange)
+        ctx.write(DefaultHttpRequest(message.protocolVersion(), message.method(), message.uri(), message.headers()))
+        while (body.readableBytes() > MAX_PART_BYTES) {
+            ctx.write(DefaultHttpContent(body.readRetainedSlice(MAX_PART_BYTES))).recordIn(exchange)
+        }
+        return ctx.writeAndFlush(DefaultLastHttpContent(body)).recordIn(exchange)
+    }
+
+    private fun ChannelFuture.recordIn(exchange: ClientExchange): ChannelFuture =
+        addListener { if (it.isSuccess) exchange.onPartSent(MonotonicTime.now()) }
+
     /** Releases the connection after a complete response, or closes it if it must not carry another exchange. */
     private fun onResponseComplete(
         exchange: ClientExchange,
@@ -237,5 +259,8 @@
     private companion object {
         // A request in flight when the server's idle timeout expires is lost; one hop takes a few milliseconds.
         val IDLE_MARGIN = 500.milliseconds
+
+        // The size of a part of a request's body; a link of 1 Mbit/s carries it in 0.13 s.
+        const val MAX_PART_BYTES = 16 * 1024
     }
 }
--- a/http/src/main/kotlin/org/agatestream/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/agatestream/http/ClientExchange.kt
@@ -6,6 +6,9 @@
 import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.withTimeoutOrNull
+import org.agatestream.core.MonotonicTime
+import kotlin.time.Duration
 
 /** The request that a response answers. */
 internal enum class ResponseOrigin {
@@ -28,6 +31,7 @@
     private val onResponseComplete: (ClientExchange) -> Unit,
 ) : HttpClientResponse {
     private val echoedHeader = request.echoedHeader
+    private val stallTimeout = request.stallTimeout
 
     /** True if the response has no body, whatever its headers say. */
     val isHead: Boolean = request.method == "HEAD"
@@ -36,6 +40,9 @@
     /** True once the whole request has been written to the socket. */
     var isRequestSent: Boolean = false
 
+    @Volatile
+    private var lastSentAt = MonotonicTime.now()
+
     private lateinit var response: HttpResponse
 
     // Bounded by read demand: each requested read adds at most one part.
@@ -45,9 +52,9 @@
     @Volatile
     private var isComplete = false
 
+    /** The number of bytes of the body that have arrived. */
     @Volatile
-    override var receivedBytes: Long = 0
-        private set
+    private var receivedBytes = 0L
 
     override val status: Int
         get() = response.status().code()
@@ -82,6 +89,25 @@
 
     private fun isBodyless(): Boolean = isHead || status in BODYLESS_STATUSES
 
+    /** Records that a part of the request has been written to the socket. */
+    fun onPartSent(now: MonotonicTime) {
+        lastSentAt = now
+    }
+
+    /** Waits for the head of the response; gives up once no byte of the request has moved for the stall timeout. */
+    suspend fun awaitHead(): ExchangeResult {
+        val timeout = stallTimeout ?: return head.await()
+        while (!head.isCompleted) {
+            val left = lastSentAt + timeout - MonotonicTime.now()
+            if (!left.isPositive()) {
+                connection.close(this)
+                return ExchangeResult.Lost("no byte of the request or its response in $timeout")
+            }
+            withTimeoutOrNull(left) { head.await() }
+        }
+        return head.await()
+    }
+
     fun onHead(message: HttpResponse) {
         response = message
         head.complete(ExchangeResult.Answered(this))
@@ -131,7 +157,14 @@
 
     private suspend fun receivePart(): BodyPart {
         if (!isComplete) connection.requestBody()
-        return parts.receive()
+        val timeout = stallTimeout ?: return parts.receive()
+        // A part that arrives as the time runs out may be lost, so the body can't be read on.
+        return withTimeoutOrNull(timeout) { parts.receive() } ?: stalledAfter(timeout)
+    }
+
+    private fun stalledAfter(timeout: Duration): BodyPart {
+        connection.close(this)
+        return BodyPart.Broken("no byte in $timeout after $receivedBytes bytes")
     }
 
     override fun close() {
--- a/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/agatestream/http/HttpClient.kt
@@ -34,6 +34,12 @@
      * the exchange is lost if such a response does not say where it ends.
      */
     public val echoedHeader: Pair<String, String>? = null,
+    /**
+     * The longest time for which no byte may move: none of the request, of the body of the response while it is read,
+     * or none in between while the server prepares the response. A transfer that goes on is not cut, however long it
+     * takes. Null if the caller alone bounds the exchange.
+     */
+    public val stallTimeout: Duration? = null,
 )
 
 /** The outcome of sending a request. */
@@ -61,9 +67,6 @@
     /** True if the head says where the body ends; else the body ends with the connection, and may have been cut. */
     public val isBodyDelimited: Boolean
 
-    /** The number of bytes of the body that have arrived. */
-    public val receivedBytes: Long get() = 0
-
     /** Returns the first value of the header [name], or null. */
     public fun header(name: String): String?
 
@@ -95,6 +98,7 @@
             // Tells an orderly close by the server from any other end, and delivers what came before it.
             .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
             .option(ChannelOption.ALLOCATOR, loops.allocator)
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
@@ -176,6 +180,11 @@
             }
         }
     }
+
+    private companion object {
+        // A server's progress in reading a request is seen only once the buffer is full.
+        const val SEND_BUFFER_BYTES = 64 * 1024
+    }
 }
 
 /**
--- a/server/src/main/kotlin/org/agatestream/server/HttpPlatform.kt
+++ b/server/src/main/kotlin/org/agatestream/server/HttpPlatform.kt
@@ -22,12 +22,13 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** A client of the platform's table service, object store and VM list over HTTP; [timeout] is per call. */
+/** A client of the platform's table service, object store and VM list over HTTP. */
 public class HttpPlatform(
     private val client: HttpClient,
     private val address: String,
     private val vm: VmId,
-    private val timeout: Duration = 2.seconds,
+    /** The longest time without a byte in a call. */
+    private val stallTimeout: Duration = 2.seconds,
 ) : TableService,
     ObjectStore,
     VmList {
@@ -80,8 +81,8 @@
         body: ByteArray = ByteArray(0),
     ): CallResult {
         val headers = listOf("x-agatestream-vm" to vm.value)
-        val request = HttpRequestSpec(address, method, target, headers, body)
-        return withTimeoutOrNull(timeout) { exchange(request) } ?: CallResult.Lost
+        val request = HttpRequestSpec(address, method, target, headers, body, stallTimeout = stallTimeout)
+        return withTimeoutOrNull(CALL_TIMEOUT) { exchange(request) } ?: CallResult.Lost
     }
 
     private suspend fun exchange(request: HttpRequestSpec): CallResult =
@@ -161,6 +162,9 @@
         const val STATUS_UNAVAILABLE = 503
         const val MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
+        // Time for the largest object on a link of 2 Mbit/s.
+        val CALL_TIMEOUT = 60.seconds
+
         fun <T> encode(
             serializer: KSerializer<T>,
             value: T,
--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -268,10 +268,10 @@
         if (parts.judge(shared, sentAt) is PromptVerdict.Condemned) return ItemEnd.Withheld
         slots.onItemParts(request.number, shared, PromptHeader.shape(call.headers).totalTokens)
         output.progress.startRun()
-        val spec = BackendProtocol.request(call, server.id, server.address, RUN_TIMEOUT, output.lastEvent)
+        val spec = BackendProtocol.request(call, server.id, server.address, RUN_TIMEOUT, output.lastEvent, IDLE_TIMEOUT)
         var answered: HttpClientResponse? = null
         val result =
-            withTimeoutOrNull(IDLE_TIMEOUT) {
+            withTimeoutOrNull(RUN_TIMEOUT) {
                 client.exchange(spec).also { answered = (it as? ExchangeResult.Answered)?.response }
             }
         // The response may have arrived as the time ran out.
@@ -455,7 +455,8 @@
         // A coordinator that does not know that the server is leaving would assign it again at once, without an end.
         val UNUSABLE_DELAY = 50.milliseconds
 
-        // Five times the longest pause between events that the users' specification allows.
+        // Five times the longest pause between events that the users' specification allows; also the longest time for
+        // which no byte of the item may move on its way to the server.
         val IDLE_TIMEOUT = 2.seconds
     }
 }
--- a/server/src/main/kotlin/org/agatestream/server/JobStore.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobStore.kt
@@ -212,7 +212,7 @@
                 "bodies_read",
                 "object" to name,
                 "bytes" to (read as? StoreRead.Found)?.value?.size,
-                "reason" to (read?.let { (it as? StoreRead.Unavailable)?.reason } ?: "cancelled".takeIf { read == null }),
+                "outcome" to (read?.outcome() ?: "cancelled"),
                 "took_ms" to (MonotonicTime.now() - startedAt).inWholeMilliseconds,
                 "at_once" to bodyReads,
             )
@@ -314,6 +314,13 @@
 
     private fun encode(row: ResultRow): ByteArray = FleetTables.encode(ResultRow.serializer(), row)
 
+    private fun StoreRead<*>.outcome(): String =
+        when (this) {
+            is StoreRead.Found -> "found"
+            is StoreRead.Gone -> "gone"
+            is StoreRead.Unavailable -> reason
+        }
+
     private fun <T> unavailable(reason: String = "the store does not answer"): Outcome<T> =
         Outcome.Failed(Failure(ErrorKind.PLATFORM_UNAVAILABLE, reason, UNAVAILABLE_RETRY_DELAY))
 
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -56,7 +56,14 @@
             config.placement,
         )
     private val store =
-        PlatformStore(client, config.storeAddress, STORE_READ_TIMEOUT, STORE_WRITE_TIMEOUT, ::onStoreCall)
+        PlatformStore(
+            client,
+            config.storeAddress,
+            STORE_READ_STALL_TIMEOUT,
+            STORE_WRITE_STALL_TIMEOUT,
+            STORE_CALL_TIMEOUT,
+            ::onStoreCall,
+        )
     private val view: PlatformView =
         PlatformView(store, PlatformContracts.areVersionsOrdered(config.contracts), ::onViewChanged)
     private val relay =
@@ -469,10 +476,13 @@
         val CONNECT_TIMEOUT = 150.milliseconds
 
         // A read takes 4 ms, and up to a hundred times as long while the store is slow.
-        val STORE_READ_TIMEOUT = 800.milliseconds
+        val STORE_READ_STALL_TIMEOUT = 800.milliseconds
 
         // Writing an object takes 25 ms, and up to a hundred times as long while the store is slow.
-        val STORE_WRITE_TIMEOUT = 3.seconds
+        val STORE_WRITE_STALL_TIMEOUT = 3.seconds
+
+        // The retention time of the items of a job, after which nobody waits for its bodies.
+        val STORE_CALL_TIMEOUT = 60.seconds
         val ITEM_REPORT_TIMEOUT = 500.milliseconds
         val CONFIRM_RETRY_INTERVAL = 100.milliseconds
 
