Read a job's bodies once a VM, whatever number of its items waits for them

Each item that started read the whole object of its job and dropped what had come when it was stopped; up to sixteen reads of 4 MB shared a link of 15.4 Mbit/s, some 33 s of it, and each held its own copy in memory.

All that wait for the items of a job now share one read, which goes on when the run that began it is stopped, and two objects are read at once at most. What a VM keeps of the bodies for later runs is bounded in bytes (16 MiB) as well as in jobs (40).

--- a/server/src/main/kotlin/org/agatestream/server/JobStore.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobStore.kt
@@ -1,5 +1,6 @@
 package org.agatestream.server
 
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -31,16 +32,21 @@
 internal class JobStore(
     private val store: RowStore,
     private val rowBytes: Int,
+    /** Runs the reads of bodies, which go on when the run that needed them first is stopped. */
+    scope: CoroutineScope,
 ) {
     private val jobs = LruMap<String, JobRow>(MAX_CACHED_JOBS)
 
     // A guess at each job's next free result position, as other VMs may have added results.
     private val nextPositions = LruMap<String, Int>(MAX_CACHED_JOBS)
-    private val bodies = LruMap<String, Map<ItemId, SubmittedItem>>(MAX_CACHED_BODIES)
+    private val bodies = BodyCache(MAX_CACHED_BODIES, BODY_CACHE_BYTES)
+    private val reads = SharedReads<Outcome<Map<ItemId, SubmittedItem>>>(scope, MAX_CONCURRENT_BODY_READS)
 
     /** The number of objects with the bodies of jobs that are being read. */
-    var bodyReads: Int = 0
-        private set
+    val bodyReads: Int get() = reads.pending
+
+    /** The bytes of the bodies that this VM holds for runs to come. */
+    val cachedBodyBytes: Long get() = bodies.bytes
 
     /** Stores a job, at most once: a repeated submission succeeds without a second write. */
     suspend fun accept(
@@ -174,19 +180,27 @@
         return ListedResult(stored.item, output.decodeToString())
     }
 
-    /** Returns the items of a job with their bodies. */
+    /** Returns the items of a job with their bodies; all that ask at the same time share one read of its object. */
     suspend fun items(
         workspace: WorkspaceId?,
         job: JobId,
     ): Outcome<Map<ItemId, SubmittedItem>> {
         val name = FleetTables.bodies(FleetTables.partitionOf(workspace), job)
-        bodies[name]?.let { return it.toOk() }
-        val content =
-            when (val read = readBodies(name)) {
-                is StoreRead.Found -> read.value
-                is StoreRead.Gone -> return unavailable("the bodies are gone")
-                is StoreRead.Unavailable -> return unavailable(read.reason)
-            }
+        return bodies[name]?.toOk() ?: reads.await(name) { readItems(name) }
+    }
+
+    private suspend fun readItems(name: String): Outcome<Map<ItemId, SubmittedItem>> {
+        val startedAt = MonotonicTime.now()
+        val read = store.getObject(name)
+        EventLog.info(
+            "bodies_read",
+            "object" to name,
+            "bytes" to (read as? StoreRead.Found)?.value?.size,
+            "outcome" to read.outcome(),
+            "took_ms" to (MonotonicTime.now() - startedAt).inWholeMilliseconds,
+            "pending" to reads.pending,
+        )
+        val content = (read as? StoreRead.Found)?.value ?: return unavailable(read.outcome())
         return when (val parsed = parseJob(content)) {
             is Outcome.Ok -> {
                 parsed.value
@@ -201,25 +215,6 @@
         }
     }
 
-    private suspend fun readBodies(name: String): StoreRead<ByteArray> {
-        val startedAt = MonotonicTime.now()
-        bodyReads++
-        var read: StoreRead<ByteArray>? = null
-        try {
-            return store.getObject(name).also { read = it }
-        } finally {
-            EventLog.info(
-                "bodies_read",
-                "object" to name,
-                "bytes" to (read as? StoreRead.Found)?.value?.size,
-                "outcome" to (read?.outcome() ?: "cancelled"),
-                "took_ms" to (MonotonicTime.now() - startedAt).inWholeMilliseconds,
-                "at_once" to bodyReads,
-            )
-            bodyReads--
-        }
-    }
-
     /** Marks a job as ended; idempotent. */
     suspend fun end(
         workspace: WorkspaceId?,
@@ -327,8 +322,13 @@
     private companion object {
         const val MAX_CACHED_JOBS = 500
 
-        // About 200 kB each.
         const val MAX_CACHED_BODIES = 40
+
+        // An eighth of a VM's heap of 128 MB.
+        const val BODY_CACHE_BYTES = 16L * 1024 * 1024
+
+        // One read after the other has the first of them done soonest; the second one goes on if the first stalls.
+        const val MAX_CONCURRENT_BODY_READS = 2
         const val MAX_RESULTS_READ = 40
 
         // The store's limit for one transaction.
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -73,7 +73,7 @@
             isStoreReachable = { view.isStoreReachable(MonotonicTime.now()) },
             relays = { membership.storeRelayCandidates() },
         )
-    private val jobStore = JobStore(relay, config.rowBytes)
+    private val jobStore = JobStore(relay, config.rowBytes, scope)
     private val parts = PromptPartWatch(view, client::isRefused)
     private val leaving = LeavingServerWatch(view) { membership.reportNow() }
     private val roster = VmRoster(config, self, store)
@@ -171,6 +171,7 @@
     private fun startMetrics() {
         metrics.gauge("agatestream.calls") { calls.size }
         metrics.gauge("agatestream.jobs.body.reads") { jobStore.bodyReads }
+        metrics.gauge("agatestream.jobs.body.bytes") { jobStore.cachedBodyBytes }
         metrics.gauge("agatestream.dispatch.running") { role?.dispatcher?.runningCalls ?: 0 }
         metrics.gauge("agatestream.dispatch.waiting") { role?.dispatcher?.waitingRequests ?: 0 }
         metrics.gauge("agatestream.dispatch.orphaned") { role?.dispatcher?.orphanedRuns ?: 0 }
--- a/server/src/test/kotlin/org/agatestream/server/FakeRowStore.kt
+++ b/server/src/test/kotlin/org/agatestream/server/FakeRowStore.kt
@@ -1,5 +1,8 @@
 package org.agatestream.server
 
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
 import org.agatestream.core.RowChange
 import org.agatestream.core.RowName
 import org.agatestream.core.RowPage
@@ -10,6 +13,9 @@
 import org.agatestream.core.WriteResult
 import kotlin.time.Duration
 
+/** Runs what a store's user leaves behind, on the thread that continues it. */
+internal val UNCONFINED = CoroutineScope(Dispatchers.Unconfined)
+
 /** A fault of one write to a [FakeRowStore]. */
 internal enum class StoreFault {
     /** The write takes effect, but its answer is lost. */
@@ -29,6 +35,12 @@
     val faults = ArrayDeque<StoreFault>()
     var isDown = false
 
+    /** The objects that were asked for, in order. */
+    val objectReads = ArrayList<String>()
+
+    /** Completes the reads of objects; null if they need not wait. */
+    var objectsArrive: CompletableDeferred<Unit>? = null
+
     /** The store's clock; null if its answers do not tell the time. */
     var now: StoreTime? = null
     private var version = 0L
@@ -94,8 +106,16 @@
         return WriteResult.Written
     }
 
-    override suspend fun getObject(name: String): StoreRead<ByteArray> =
-        if (isDown) StoreRead.Unavailable("down") else objects[name]?.let { StoreRead.Found(it) } ?: StoreRead.Gone
+    override suspend fun getObject(name: String): StoreRead<ByteArray> {
+        objectReads += name
+        objectsArrive?.await()
+        return if (isDown) {
+            StoreRead.Unavailable("down")
+        } else {
+            objects[name]?.let { StoreRead.Found(it) }
+                ?: StoreRead.Gone
+        }
+    }
 
     override suspend fun deleteObject(name: String): WriteResult {
         objects -= name
--- a/server/src/test/kotlin/org/agatestream/server/JobClockTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/JobClockTest.kt
@@ -43,7 +43,7 @@
     val jobItems = listOf(JobRowItem(ItemId("i1"), "/b/1", 60))
     val row = JobRow(JOB, TEAM, "h", "r", receivedAt, VmId("v"), jobItems, rules = rules)
     val items = (parseJob(CONTENT) as Outcome.Ok).value
-    JobStore(this, 65_536).accept(row, CONTENT, items, 0).shouldBeInstanceOf<Outcome.Ok<JobRow>>()
+    JobStore(this, 65_536, UNCONFINED).accept(row, CONTENT, items, 0).shouldBeInstanceOf<Outcome.Ok<JobRow>>()
 }
 
 /** Returns the job as a coordinator plans it that starts now. */
@@ -83,7 +83,7 @@
 
             test("a finished job accepted by a VM whose time of day is off by $clockError is deleted in time") {
                 val store = FakeRowStore()
-                val jobs = JobStore(store, 65_536)
+                val jobs = JobStore(store, 65_536, UNCONFINED)
                 store.now = START
                 store.acceptJob(clockError)
                 jobs.appendResult(TEAM, ItemRef(JOB, ItemId("i1")), "done")
@@ -118,7 +118,7 @@
                 .plan()
                 .lifetime.expiresAt
                 .shouldBeNull()
-            val jobs = JobStore(store, 65_536)
+            val jobs = JobStore(store, 65_536, UNCONFINED)
             jobs.appendResult(TEAM, ItemRef(JOB, ItemId("i1")), "done")
             JobCleaner(store, jobs, retention = 120.seconds).clean()
             store.rows.keys.filter { it.table == FleetTables.JOBS } shouldHaveSize 1
--- a/server/src/test/kotlin/org/agatestream/server/JobStoreTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/JobStoreTest.kt
@@ -4,11 +4,15 @@
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.longs.shouldBeInRange
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.ItemId
 import org.agatestream.core.ItemRef
@@ -19,6 +23,7 @@
 import org.agatestream.core.WorkspaceId
 import org.agatestream.platform.ListedResult
 import org.agatestream.platform.parseJob
+import java.util.Base64
 import kotlin.time.Duration.Companion.seconds
 
 private val TEAM = WorkspaceId("team")
@@ -47,41 +52,88 @@
     FunSpec({
         test("every VM finds an accepted job with its bodies") {
             val store = FakeRowStore()
-            JobStore(store, 65_536).submit().shouldBeInstanceOf<Outcome.Ok<JobRow>>()
-            val other = JobStore(store, 65_536)
+            JobStore(store, 65_536, UNCONFINED).submit().shouldBeInstanceOf<Outcome.Ok<JobRow>>()
+            val other = JobStore(store, 65_536, UNCONFINED)
             other.find(TEAM, JOB).shouldBeInstanceOf<Outcome.Ok<JobRow>>()
             val items = other.items(TEAM, JOB).shouldBeInstanceOf<Outcome.Ok<Map<ItemId, Any>>>().value
             items.keys.map { it.value } shouldContainExactlyInAnyOrder listOf("i1", "i2")
         }
 
+        // Guards against a link that is too slow for the same object many times, so that no item gets its body.
+        test("the items of a job that start at the same time share one read of its object") {
+            val store = FakeRowStore()
+            JobStore(store, 65_536, UNCONFINED).submit()
+            store.objectsArrive = CompletableDeferred()
+            val jobs = JobStore(store, 65_536, UNCONFINED)
+            val items = List(10) { UNCONFINED.async { jobs.items(TEAM, JOB) } }
+            store.objectsArrive?.complete(Unit)
+            items.awaitAll().forEach { it.shouldBeInstanceOf<Outcome.Ok<*>>() }
+            store.objectReads shouldHaveSize 1
+        }
+
+        // Guards against a read that begins anew each time an online request takes the slot of its item.
+        test("a read of bodies goes on if the run that began it is stopped") {
+            val store = FakeRowStore()
+            JobStore(store, 65_536, UNCONFINED).submit()
+            store.objectsArrive = CompletableDeferred()
+            val jobs = JobStore(store, 65_536, UNCONFINED)
+            UNCONFINED.launch { jobs.items(TEAM, JOB) }.cancelAndJoin()
+            jobs.bodyReads shouldBe 1
+            val next = UNCONFINED.async { jobs.items(TEAM, JOB) }
+            store.objectsArrive?.complete(Unit)
+            next.await().shouldBeInstanceOf<Outcome.Ok<*>>()
+            store.objectReads shouldHaveSize 1
+        }
+
+        test("a read that failed is made again by the next run") {
+            val store = FakeRowStore()
+            JobStore(store, 65_536, UNCONFINED).submit()
+            store.isDown = true
+            val jobs = JobStore(store, 65_536, UNCONFINED)
+            jobs.items(TEAM, JOB).kind() shouldBe ErrorKind.PLATFORM_UNAVAILABLE
+            store.isDown = false
+            jobs.items(TEAM, JOB).shouldBeInstanceOf<Outcome.Ok<*>>()
+        }
+
+        // Guards against a heap that is full of the bodies of large jobs.
+        test("a VM holds a bounded number of bytes of bodies") {
+            val body = Base64.getEncoder().encodeToString(ByteArray(3_000_000))
+            val content = """{"Requests":[{"Id":"i1","Path":"/b/1","Body":"$body","Tokens":60}]}""".encodeToByteArray()
+            val items = (parseJob(content) as Outcome.Ok).value
+            val jobs = JobStore(FakeRowStore(), 65_536, UNCONFINED)
+            repeat(20) { jobs.accept(rowOf(JobId("job-$it")), content, items, 0) }
+            jobs.cachedBodyBytes shouldBeInRange 12_000_000L..16L * 1024 * 1024
+            jobs.items(TEAM, JobId("job-0")).shouldBeInstanceOf<Outcome.Ok<*>>()
+        }
+
         test("a repeated submission of a job is accepted and stored once") {
             val store = FakeRowStore()
-            repeat(2) { JobStore(store, 65_536).submit().shouldBeInstanceOf<Outcome.Ok<JobRow>>() }
+            repeat(2) { JobStore(store, 65_536, UNCONFINED).submit().shouldBeInstanceOf<Outcome.Ok<JobRow>>() }
             store.rows.keys.filter { it.table == FleetTables.JOBS } shouldHaveSize 1
         }
 
         test("a job whose confirmation was lost is accepted if the store has it") {
             val store = FakeRowStore()
             store.faults += StoreFault.ANSWER_LOST
-            JobStore(store, 65_536).submit().shouldBeInstanceOf<Outcome.Ok<JobRow>>()
+            JobStore(store, 65_536, UNCONFINED).submit().shouldBeInstanceOf<Outcome.Ok<JobRow>>()
         }
 
         test("a job that the store may still write fails with an unknown outcome") {
             val store = FakeRowStore()
             store.faults += StoreFault.SILENT
-            JobStore(store, 65_536).submit().kind() shouldBe ErrorKind.OUTCOME_UNKNOWN
+            JobStore(store, 65_536, UNCONFINED).submit().kind() shouldBe ErrorKind.OUTCOME_UNKNOWN
         }
 
         test("a job that the store refused fails as unavailable") {
             val store = FakeRowStore()
             store.faults += StoreFault.REFUSED
-            JobStore(store, 65_536).submit().kind() shouldBe ErrorKind.PLATFORM_UNAVAILABLE
+            JobStore(store, 65_536, UNCONFINED).submit().kind() shouldBe ErrorKind.PLATFORM_UNAVAILABLE
             store.rows.keys.filter { it.table == FleetTables.JOBS } shouldHaveSize 0
         }
 
         test("a workspace has no more tokens waiting than its route allows, and finished items release tokens") {
             val store = FakeRowStore()
-            val jobs = JobStore(store, 65_536)
+            val jobs = JobStore(store, 65_536, UNCONFINED)
             jobs.submit(maxTokens = 150).shouldBeInstanceOf<Outcome.Ok<JobRow>>()
             jobs.submit(rowOf(JobId("second")), maxTokens = 150).kind() shouldBe ErrorKind.RATE_EXCEEDED
             jobs.appendResult(TEAM, ItemRef(JOB, ItemId("i1")), "text")
@@ -89,7 +141,7 @@
         }
 
         test("an ended job releases its tokens") {
-            val jobs = JobStore(FakeRowStore(), 65_536)
+            val jobs = JobStore(FakeRowStore(), 65_536, UNCONFINED)
             jobs.submit(maxTokens = 150)
             jobs.end(TEAM, JOB)
             jobs.submit(rowOf(JobId("second")), maxTokens = 150).shouldBeInstanceOf<Outcome.Ok<JobRow>>()
@@ -97,22 +149,29 @@
 
         test("each result has one position, even if several VMs store it and answers are lost") {
             val store = FakeRowStore()
-            JobStore(store, 65_536).submit()
+            JobStore(store, 65_536, UNCONFINED).submit()
             store.faults += listOf(StoreFault.ANSWER_LOST, StoreFault.SILENT, StoreFault.ANSWER_LOST)
             coroutineScope {
                 listOf("i1", "i2", "i1", "i2")
                     .map { item ->
-                        async { JobStore(store, 65_536).appendResult(TEAM, ItemRef(JOB, ItemId(item)), item) }
+                        async {
+                            JobStore(
+                                store,
+                                65_536,
+                                UNCONFINED,
+                            ).appendResult(TEAM, ItemRef(JOB, ItemId(item)), item)
+                        }
                     }.awaitAll()
             }
-            val results = JobStore(store, 65_536).read()
+            val results = JobStore(store, 65_536, UNCONFINED).read()
             results.map { it.item.value } shouldContainExactlyInAnyOrder listOf("i1", "i2")
-            JobStore(store, 65_536).read(after = 1).map { it.item } shouldContainExactly listOf(results[1].item)
+            JobStore(store, 65_536, UNCONFINED).read(after = 1).map { it.item } shouldContainExactly
+                listOf(results[1].item)
         }
 
         test("an output that exceeds a row is read back in full") {
             val store = FakeRowStore()
-            val jobs = JobStore(store, 1_000)
+            val jobs = JobStore(store, 1_000, UNCONFINED)
             jobs.submit()
             val text = "x".repeat(5_000)
             jobs.appendResult(TEAM, ItemRef(JOB, ItemId("i1")), text)
@@ -121,7 +180,7 @@
 
         test("a job missing from the store is unknown, and unavailable while the store is down") {
             val store = FakeRowStore()
-            val jobs = JobStore(store, 65_536)
+            val jobs = JobStore(store, 65_536, UNCONFINED)
             jobs.find(TEAM, JOB).kind() shouldBe ErrorKind.UNKNOWN_JOB
             store.isDown = true
             jobs.find(TEAM, JOB).kind() shouldBe ErrorKind.PLATFORM_UNAVAILABLE
@@ -129,7 +188,7 @@
 
         test("an expired job is deleted with its rows and objects once it is finished or ended") {
             val store = FakeRowStore()
-            val jobs = JobStore(store, 1_000)
+            val jobs = JobStore(store, 1_000, UNCONFINED)
             val cleaner = JobCleaner(store, jobs, 120.seconds)
             store.now = StoreTime(0)
             jobs.submit()
@@ -149,7 +208,7 @@
 
         test("a job of another workspace is unknown") {
             val store = FakeRowStore()
-            JobStore(store, 65_536).submit()
-            JobStore(store, 65_536).find(WorkspaceId("other"), JOB).kind() shouldBe ErrorKind.UNKNOWN_JOB
+            JobStore(store, 65_536, UNCONFINED).submit()
+            JobStore(store, 65_536, UNCONFINED).find(WorkspaceId("other"), JOB).kind() shouldBe ErrorKind.UNKNOWN_JOB
         }
     })
--- a/standins/src/test/kotlin/org/agatestream/standin/PlatformFleet.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/PlatformFleet.kt
@@ -33,12 +33,17 @@
     val body: String,
 )
 
-/** VMs, a store and backend servers; the first VM coordinates, and the store can refuse the [restricted] VMs. */
+/**
+ * VMs, a store and backend servers; the first VM coordinates, and the store can refuse the [restricted] VMs.
+ *
+ * VMs named in [storeLinks] reach the store by a link of that many bytes per second.
+ */
 internal class PlatformFleet(
     names: List<String> = listOf("a", "b"),
     private val restricted: Set<String> = emptySet(),
     val servers: List<PlatformServerStandIn> = listOf(PlatformServerStandIn("i-1")),
     private val manifest: String = MANIFEST,
+    storeLinks: Map<String, Long> = emptyMap(),
 ) : AutoCloseable {
     val store = RowStoreStandIn()
     val server = servers.first()
@@ -46,6 +51,7 @@
     private val client = HttpClient(loops)
     private val storeAddress = "127.0.0.1:${store.listen(0)}"
     private val restrictedAddress = "127.0.0.1:${store.listenRestricted(0)}"
+    private val links = storeLinks.mapValues { (_, bytesPerSecond) -> SlowLink(storeAddress, bytesPerSecond) }
     private val configs = names.map { configOf(it) }
     val vms = configs.map { PlatformVm(it, "secret".encodeToByteArray()) }
 
@@ -118,24 +124,16 @@
         }
 
     override fun close() {
+        links.values.forEach { it.close() }
         store.close()
         servers.forEach { it.close() }
         loops.close()
     }
 
-    private fun configOf(name: String): PlatformVmConfig =
-        vmConfigOf(
-            name,
-            if (name in
-                restricted
-            ) {
-                restrictedAddress
-            } else {
-                storeAddress
-            },
-            graceSeconds = 3.0,
-            ttlSeconds = 0.1,
-        )
+    private fun configOf(name: String): PlatformVmConfig {
+        val address = if (name in restricted) restrictedAddress else storeAddress
+        return vmConfigOf(name, links[name]?.address ?: address, graceSeconds = 3.0, ttlSeconds = 0.1)
+    }
 }
 
 /** Returns the settings of a VM on free loopback ports. */
--- /dev/null
+++ b/standins/src/test/kotlin/org/agatestream/standin/SlowLinkTest.kt
@@ -0,0 +1,51 @@
+package org.agatestream.standin
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import kotlinx.coroutines.delay
+import java.util.Base64
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private const val ITEMS = 8
+private const val ITEM_BYTES = 200_000
+
+// The object of a job takes 4.3 s on its way.
+private const val LINK_BYTES_PER_SECOND = 500_000L
+private val JOB_BODY = jobOf(ITEMS, ITEM_BYTES)
+
+private fun jobOf(
+    items: Int,
+    bytes: Int,
+): String {
+    val body = Base64.getEncoder().encodeToString(Random(bytes).nextBytes(bytes))
+    val requests = List(items) { """{"Id":"i$it","Path":"/lot/$it","Body":"$body","Tokens":10}""" }
+    return """{"Requests":[${requests.joinToString(",")}]}"""
+}
+
+/** Runs [block] on two VMs, of which the second one has a slow link to the store. */
+private suspend fun withSlowVm(block: suspend (PlatformFleet) -> Unit) {
+    PlatformFleet(storeLinks = mapOf("b" to LINK_BYTES_PER_SECOND)).use { fleet ->
+        fleet.start()
+        block(fleet)
+        fleet.vms.forEach { it.stop() }
+    }
+}
+
+class SlowLinkTest :
+    FunSpec({
+        timeout = 60_000
+
+        // Guards against the loss of the items of large jobs that a VM with a slow link is to run.
+        test("the items of a large job are listed, also those that a VM with a slow link runs") {
+            withSlowVm { fleet ->
+                fleet.send(0, "POST", "/lot/j", id = "job", body = JOB_BODY).first shouldBe 202
+                eventually(15.seconds) {
+                    fleet.send(0, "GET", "/-/lots/job?After=0").second shouldContain "\"Next\":$ITEMS"
+                }
+            }
+        }
+    })
