Count a run's silence from when its item is sent, not from its placement

Callers saw: online requests answered seconds late, by servers that were sound. A run that waited for the body of its item counted as sent, so that its server passed for silent after 0.4 s and got no requests; a wait that ended without the body counted as a failure of the server.

The wait for the body now comes before the run is recorded as sent, and the time to the first event is taken from there.

--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
+import org.agatestream.core.Failure
 import org.agatestream.core.ItemOutcome
 import org.agatestream.core.ItemRef
 import org.agatestream.core.MonotonicTime
@@ -150,10 +151,19 @@
         var end: ItemEnd = ItemEnd.Interrupted("stopped")
         try {
             earlierRuns.forEach { it.job.cancelAndJoin() }
-            val startedAt = MonotonicTime.now()
-            observer = RunObserver(startedAt) { report, now -> slots.onServerReport(request.server, report, now) }
-            slots.onSent(request.number, startedAt)
-            end = exchange(request, observer) { slots.onFirstEvent(request.number, it) }
+            when (val prepared = prepare(request)) {
+                is Prepared.Unable -> {
+                    end = prepared.end
+                }
+
+                is Prepared.Ready -> {
+                    // The time before is none that the server took.
+                    val sentAt = MonotonicTime.now()
+                    observer = RunObserver(sentAt) { report, now -> slots.onServerReport(request.server, report, now) }
+                    slots.onSent(request.number, sentAt)
+                    end = exchange(request, prepared.call, observer) { slots.onFirstEvent(request.number, it) }
+                }
+            }
             outcome = end.outcome
         } finally {
             withContext(NonCancellable) {
@@ -224,24 +234,43 @@
         report(ItemReport(number, ref, ItemOutcome.LISTED))
     }
 
+    /** What is known of an item before its run at a server. */
+    private sealed interface Prepared {
+        class Ready(
+            val call: BackendCall,
+        ) : Prepared
+
+        class Unable(
+            val end: ItemEnd,
+        ) : Prepared
+    }
+
+    /** Waits for the body of the item, which may have to be read from the store. */
+    private suspend fun prepare(request: RunItemRequest): Prepared {
+        val item =
+            when (val items = jobs.items(request.workspace, request.item.job)) {
+                is Outcome.Ok -> items.value[request.item.item] ?: return Prepared.Unable(NO_SUCH_ITEM)
+                is Outcome.Failed -> return unable("bodies_unavailable", items.failure)
+            }
+        return when (val row = jobs.find(request.workspace, request.item.job)) {
+            is Outcome.Ok -> Prepared.Ready(toBackendCall(item, row.value.host, request.workspace))
+            is Outcome.Failed -> unable("job_unavailable", row.failure)
+        }
+    }
+
+    private fun unable(
+        reason: String,
+        failure: Failure,
+    ): Prepared = Prepared.Unable(ItemEnd.Interrupted("$reason: ${failure.message}"))
+
     private suspend fun exchange(
         request: RunItemRequest,
+        call: BackendCall,
         observer: RunObserver,
         onFirst: (MonotonicTime) -> Unit,
     ): ItemEnd {
-        val item =
-            when (val items = jobs.items(request.workspace, request.item.job)) {
-                is Outcome.Ok -> items.value[request.item.item] ?: return ItemEnd.Impossible("no such item")
-                is Outcome.Failed -> return ItemEnd.Interrupted("bodies_unavailable: ${items.failure.message}")
-            }
-        val host =
-            when (val row = jobs.find(request.workspace, request.item.job)) {
-                is Outcome.Ok -> row.value.host
-                is Outcome.Failed -> return ItemEnd.Interrupted("job_unavailable")
-            }
         val output = outputs.use(request.item) { Output() }
         request.partial?.let { output.mergeFrom(it) }
-        val call = toBackendCall(item, host, request.workspace)
         val end = exchange(request, call, output, observer, onFirst)
         if (end !is ItemEnd.NothingLeft) return end
         // Only a run from the start shows where the output ends.
@@ -439,6 +468,7 @@
     }
 
     private companion object {
+        val NO_SUCH_ITEM = ItemEnd.Impossible("no such item")
         const val STATUS_OK = 200
         const val STATUS_UNPROCESSABLE = 422
         const val STATUS_FAILED = 500
--- a/standins/src/test/kotlin/org/agatestream/standin/SlowLinkTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/SlowLinkTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import kotlinx.coroutines.delay
@@ -9,12 +10,17 @@
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.measureTimedValue
 
 private const val ITEMS = 8
 private const val ITEM_BYTES = 200_000
 
 // The object of a job takes 4.3 s on its way.
 private const val LINK_BYTES_PER_SECOND = 500_000L
+private const val REQUESTS = 5
+
+// An item that waits for its body has no event for longer than a server may need for one.
+private val REQUEST_INTERVAL = 500.milliseconds
 private val JOB_BODY = jobOf(ITEMS, ITEM_BYTES)
 
 private fun jobOf(
@@ -48,4 +54,18 @@
                 }
             }
         }
+
+        // Guards against a sound server that gets no requests as the item it is to run still waits for its body.
+        test("online requests are served while an item waits for its body at a VM with a slow link") {
+            withSlowVm { fleet ->
+                fleet.send(0, "POST", "/lot/j", id = "job", body = JOB_BODY).first shouldBe 202
+                delay(1.seconds)
+                repeat(REQUESTS) {
+                    val (response, took) = measureTimedValue { fleet.send(0, "GET", "/ask/1", id = "r$it") }
+                    response.first shouldBe 200
+                    took shouldBeLessThan 1.seconds
+                    delay(REQUEST_INTERVAL)
+                }
+            }
+        }
     })
