Pause before an item runs again after a run that brought nothing

Callers saw: items of accepted jobs that are never listed while servers are idle.

An interrupted run is now followed by a pause of 25 to 50 ms, which doubles with each run that brings no new event, up to 2 s. After two such runs the item goes to the next VM of its job, in whatever failure domain. Runs that the coordinator stops, and those at a server that is leaving, are followed by no pause, as before.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -48,7 +48,7 @@
     private val rates = WorkspaceRates()
     private val heldSlots = HeldSlots()
     private val earlyReleases = LinkedHashMap<CallId, MonotonicTime>()
-    private val jobs = JobTracker(policy.sharesSlots)
+    private val jobs = JobTracker(policy.sharesSlots, random)
     private val paces = HashMap<ServiceId, RunPace>()
     private val observed = HashMap<ServiceId, ObservedCapacity>()
     private var judgedVersion = 0L
@@ -189,6 +189,7 @@
     ): List<DispatchAction> {
         if (queues.remove(call) != null) return schedule(now)
         jobs.onReleased(call, now)
+        if (detail.isServerLeaving) jobs.allowRestart(call)
         isolation.onReleased(call, hasBegun = firstEvent != null || outcome == RunOutcome.ANSWERED, now)
         val held = removeHeld(call)
         if (held == null) {
@@ -237,14 +238,19 @@
         limits.forEach { servers.onReportedLimit(it, now) }
     }
 
-    /** Applies the outcome of an item's run; its slot is freed by a separate [release]. */
+    /**
+     * Applies the outcome of an item's run; its slot is freed by a separate [release].
+     *
+     * [hasNewOutput] tells that a run that was interrupted brought events that were not known.
+     */
     public fun onItem(
         ref: ItemRef,
         call: CallId,
         outcome: ItemOutcome,
         now: MonotonicTime,
+        hasNewOutput: Boolean = false,
     ): List<DispatchAction> {
-        val failures = jobs.onOutcome(ref, call, outcome, now)
+        val failures = jobs.onOutcome(ref, call, outcome, now, hasNewOutput)
         if (outcome == ItemOutcome.FAILED && failures >= allowedFailures(ref)) {
             return listOf(DispatchAction.GiveUpItem(ref, "failed_attempts")) + schedule(now)
         }
@@ -645,7 +651,8 @@
      *
      * Spreading a job limits how many of its runs are interrupted, with their slots still occupied, when a VM is lost.
      * The number of VMs is small because each of them reads the job's bodies. Among them, those in the [domain] of the
-     * item's server are preferred.
+     * item's server are preferred. An item whose runs bring nothing goes from one to the next, as the reason may lie with
+     * its VM.
      */
     private fun chooseVm(
         ref: ItemRef,
@@ -655,8 +662,10 @@
         val holder = jobs.bodyHolder(ref)?.takeIf { it in vms }
         val others = (vms - setOfNotNull(holder)).sortedByDescending { rendezvousRank(ref.job.value, it.value) }
         val candidates = (listOfNotNull(holder) + others).take(VMS_PER_JOB)
-        val near = candidates.filter { policy.comparesServers && vmDomains[it] == domain }.ifEmpty { candidates }
-        return near[jobs.position(ref) % near.size]
+        val triedVms = jobs.vainRuns(ref) / MAX_VAIN_RUNS_PER_VM
+        val prefersDomain = policy.comparesServers && triedVms == 0
+        val near = candidates.filter { prefersDomain && vmDomains[it] == domain }.ifEmpty { candidates }
+        return near[(jobs.position(ref) + triedVms) % near.size]
     }
 
     /** Returns whether the known manifest is at least as new as the one under which the job was accepted. */
@@ -725,6 +734,7 @@
         reason: String,
     ): DispatchAction {
         heldSlots[call]?.let { servers.find(it.server) }?.markStopping(call)
+        jobs.allowRestart(call)
         return DispatchAction.StopItem(call, reason)
     }
 
@@ -766,6 +776,9 @@
 
         // Each VM of a job reads its bodies of about 200 kB; the loss of one of 11 VMs must not interrupt whole jobs.
         const val VMS_PER_JOB = 3
+
+        // After the first such run the VM has the bodies already, and mostly the server was at fault.
+        const val MAX_VAIN_RUNS_PER_VM = 2
         val NO_SERVER_RETRY_AFTER = 1.seconds
 
         // VMs set the latest start of a request this long before its first event is due.
--- a/core/src/main/kotlin/org/agatestream/core/JobTracker.kt
+++ b/core/src/main/kotlin/org/agatestream/core/JobTracker.kt
@@ -3,6 +3,7 @@
 import org.agatestream.core.fairness.ItemShares
 import java.util.PriorityQueue
 import java.util.TreeSet
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -32,6 +33,7 @@
 internal class JobTracker(
     /** True if workspaces take turns in starting items. */
     private val sharesSlots: Boolean = true,
+    private val random: Random = Random.Default,
 ) {
     private sealed interface Progress {
         /** Starts from [notBefore] on; until then [silentVm], which may still run it, is given time to report. */
@@ -45,6 +47,8 @@
             val since: MonotonicTime,
             /** When the slot was freed, if the outcome of the item is not known yet; else null. */
             val releasedAt: MonotonicTime? = null,
+            /** True if the item may start again as soon as there is a slot, as the reason for the end is known and gone. */
+            val mayRestartAtOnce: Boolean = false,
         ) : Progress
 
         /** [vm] holds the complete output, which is not in the store; known to the coordinator since [since]. */
@@ -67,6 +71,9 @@
         var progress: Progress = if (isDone) Progress.Done else Progress.Waiting(MonotonicTime.ZERO)
         var failures: Int = 0
 
+        /** The number of runs that ended without a result since the last one with new output. */
+        var vainRuns: Int = 0
+
         /** The total time of earlier runs whose events were kept. */
         var accumulatedRunTime: Duration = Duration.ZERO
     }
@@ -255,6 +262,9 @@
     /** Returns the position of an item in its job, or 0 if it is not known. */
     fun position(ref: ItemRef): Int = item(ref)?.position ?: 0
 
+    /** Returns the number of runs of an item that ended without a result since the last one with new output. */
+    fun vainRuns(ref: ItemRef): Int = item(ref)?.vainRuns ?: 0
+
     fun path(ref: ItemRef): String? = item(ref)?.plan?.path
 
     fun plan(job: JobId): JobPlan? = jobs[job]?.plan
@@ -296,12 +306,25 @@
         item(ref)?.takeIf { it.progress is Progress.Waiting }?.let { track(it, call, now) }
     }
 
-    /** Applies the end of an item's run; returns the number of its failed attempts. */
+    /** Records that the run [call] of an item ends by order of this coordinator, or as its server is leaving. */
+    fun allowRestart(call: CallId) {
+        val item = itemsByCall[call]?.let { item(it) } ?: return
+        val running = item.progress as? Progress.Running ?: return
+        if (running.call == call) setProgress(item, running.copy(mayRestartAtOnce = true))
+    }
+
+    /**
+     * Applies the end of an item's run; returns the number of its failed attempts.
+     *
+     * A run that is [ItemOutcome.INTERRUPTED] is followed by a pause, unless [allowRestart] was called for it. The pause
+     * grows while runs bring nothing; [hasNewOutput] tells that this one brought events.
+     */
     fun onOutcome(
         ref: ItemRef,
         call: CallId,
         outcome: ItemOutcome,
         now: MonotonicTime,
+        hasNewOutput: Boolean = false,
     ): Int {
         itemsByCall -= call
         val item = item(ref) ?: return 0
@@ -328,7 +351,7 @@
             }
 
             ItemOutcome.INTERRUPTED -> {
-                if (!isSuperseded) setProgress(item, Progress.Waiting(now))
+                if (!isSuperseded) setProgress(item, Progress.Waiting(now + pauseAfter(item, running, hasNewOutput)))
             }
 
             ItemOutcome.WITHHELD -> {
@@ -338,6 +361,17 @@
         return item.failures
     }
 
+    /** Returns how long an item waits after a run that ended without a result. */
+    private fun pauseAfter(
+        item: Item,
+        running: Progress.Running?,
+        hasNewOutput: Boolean,
+    ): Duration {
+        if (running?.mayRestartAtOnce == true) return Duration.ZERO
+        if (hasNewOutput) item.vainRuns = 0 else item.vainRuns++
+        return RESTART_BACKOFF.delay(item.vainRuns.coerceAtLeast(1), random)
+    }
+
     /** Records that [vm] holds the complete output of [ref] and has not stored it yet. */
     fun onUnstoredResult(
         ref: ItemRef,
@@ -469,6 +503,9 @@
         // A failed item may run at another server at once; the delay keeps an item that always fails from looping.
         val RETRY_DELAY: Duration = 50.milliseconds
 
+        // A server that is sound again gets the items that it failed within 2 s.
+        val RESTART_BACKOFF: Backoff = Backoff(first = 50.milliseconds, max = 2.seconds)
+
         // A sixth of the time for which a condemned prompt part is kept without requests.
         val WITHHELD_DELAY: Duration = 10.seconds
     }
--- a/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
@@ -5,11 +5,31 @@
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.collections.shouldNotContain
+import io.kotest.matchers.comparables.shouldBeGreaterThan
+import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+private val TICK = 10.milliseconds
+private val LONGEST_PAUSE = 2.seconds
+
+/** Ends [run] at [endedAt] without a result and returns the next run of its item, whose start [onStarted] gets. */
+private fun Dispatcher.interrupt(
+    run: DispatchAction.StartItem,
+    endedAt: MonotonicTime,
+    hasNewOutput: Boolean = false,
+    onStarted: (MonotonicTime) -> Unit,
+): DispatchAction.StartItem {
+    release(run.call, RunOutcome.ANSWERED, null, endedAt).started().shouldBeEmpty()
+    onItem(run.item, run.call, ItemOutcome.INTERRUPTED, endedAt, hasNewOutput).started().shouldBeEmpty()
+    return generateSequence(endedAt) { it + TICK }
+        .takeWhile { it <= endedAt + LONGEST_PAUSE }
+        .firstNotNullOf { now -> tick(now).started().singleOrNull()?.also { onStarted(now) } }
+}
+
 class DispatcherTest :
     FunSpec({
         test("a request gets a slot at the server with the most free ones") {
@@ -168,6 +188,59 @@
             last shouldContainExactly listOf(DispatchAction.GiveUpItem(run.item, "failed_attempts"))
         }
 
+        // Guards against an item that runs thousands of times a second where no run can bring a result.
+        test("an item whose runs bring nothing starts again after growing pauses, and within 2 s at most") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
+            var run = dispatcher.onJob(jobOf("j", 1), emptySet(), START).started().single()
+            var now = START
+            val pauses = ArrayList<Duration>()
+            repeat(12) {
+                val endedAt = now
+                run = dispatcher.interrupt(run, endedAt) { now = it }
+                pauses += now - endedAt
+            }
+            pauses.first() shouldBeLessThanOrEqualTo 60.milliseconds
+            pauses.forEach { it shouldBeLessThanOrEqualTo LONGEST_PAUSE }
+            pauses.forEach { it shouldBeGreaterThan 20.milliseconds }
+            pauses.takeLast(4).forEach { it shouldBeGreaterThan 900.milliseconds }
+        }
+
+        test("an item whose runs bring output starts again after a short pause each time") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
+            var run = dispatcher.onJob(jobOf("j", 1), emptySet(), START).started().single()
+            var now = START
+            repeat(12) {
+                val endedAt = now
+                run = dispatcher.interrupt(run, endedAt, hasNewOutput = true) { now = it }
+                now - endedAt shouldBeLessThanOrEqualTo 60.milliseconds
+            }
+        }
+
+        // Guards against an item that always goes to the one VM that can't read its body.
+        test("an item whose runs bring nothing goes from one VM of its job to the next") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
+            var run = dispatcher.onJob(jobOf("j", 1), emptySet(), START).started().single()
+            var now = START
+            val vms = arrayListOf(run.call.vm)
+            repeat(5) {
+                run = dispatcher.interrupt(run, now) { now = it }
+                vms += run.call.vm
+            }
+            vms shouldContainExactly listOf(VM_A, VM_A, VM_B, VM_B, VM_A, VM_A)
+        }
+
+        test("an item that was stopped for an online request starts again as soon as there is a slot") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 3))
+            val run = dispatcher.onJob(jobOf("j", 1), emptySet(), START).started().single()
+            repeat(2) { dispatcher.place(requestOf(it.toLong()), START) }
+            val stopped = dispatcher.place(requestOf(2), START).filterIsInstance<DispatchAction.StopItem>().single()
+            stopped.call shouldBe run.call
+            dispatcher.release(run.call, RunOutcome.STOPPED, null, START)
+            dispatcher.onItem(run.item, run.call, ItemOutcome.INTERRUPTED, START).started().shouldBeEmpty()
+            dispatcher.release(CallId(VM_A, 0), RunOutcome.ANSWERED, null, START).started().shouldBeEmpty()
+            dispatcher.release(CallId(VM_A, 1), RunOutcome.ANSWERED, null, START).started() shouldHaveSize 1
+        }
+
         test("items of a lost VM are rerun on another VM") {
             val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
             val first = dispatcher.onJob(jobOf("j", 1), emptySet(), START).started().single()
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -255,8 +255,8 @@
             workspaces -= report.item
             partialOutputs.onListed(report.item)
         }
-        report.partial?.let { partialOutputs.offer(report.item, it) }
-        execute(dispatcher.onItem(report.item, CallId(from, report.number), report.outcome, now))
+        val hasNewOutput = report.partial?.let { partialOutputs.offer(report.item, it) } == true
+        execute(dispatcher.onItem(report.item, CallId(from, report.number), report.outcome, now, hasNewOutput))
     }
 
     fun onStatusReport(
--- a/server/src/main/kotlin/org/agatestream/server/PartialOutputs.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PartialOutputs.kt
@@ -45,14 +45,16 @@
         if (open.isEmpty()) onJobEnded(item.job)
     }
 
-    /** Keeps [partial] if [item] may run again and no later output of it is known. */
+    /** Keeps [partial] if [item] may run again and no later output of it is known; returns whether it did. */
     fun offer(
         item: ItemRef,
         partial: PartialOutput,
-    ) {
+    ): Boolean {
         val open = openItems[item.job]
         val isFinished = if (open == null) item.job in closedJobs else item.item !in open
-        if (!isFinished && partial.replaces(outputs[item])) outputs[item] = partial
+        if (isFinished || !partial.replaces(outputs[item])) return false
+        outputs[item] = partial
+        return true
     }
 
     private companion object {
