Relay objects between VMs piece by piece

Callers saw: items that never run, or jobs that can't be read, at VMs that the store turns away. Such a VM asked another one for the whole object and gave up after 1 s; the relay's own read and 4 MB on a link of 15.4 Mbit/s take longer, so that each attempt failed and began anew at byte 0. The single message also held up all others between the two VMs for as long.

VMs of earlier builds ask for, and send, whole objects as before.

Not changed: jobs are put through a relay in one message, and its time of 1 s stays.

--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -72,6 +72,7 @@
             network = network,
             isStoreReachable = { view.isStoreReachable(MonotonicTime.now()) },
             relays = { membership.storeRelayCandidates() },
+            scope = scope,
         )
     private val jobStore = JobStore(relay, config.rowBytes, scope)
     private val parts = PromptPartWatch(view, client::isRefused)
--- a/server/src/main/kotlin/org/agatestream/server/SharedReads.kt
+++ b/server/src/main/kotlin/org/agatestream/server/SharedReads.kt
@@ -22,6 +22,9 @@
     /** The number of reads that are not complete, with those that wait for others. */
     val pending: Int get() = reads.size
 
+    /** Returns whether a read of [name] is pending. */
+    operator fun contains(name: String): Boolean = name in reads
+
     /** Returns the result of the pending read of [name], or of [read] if there is none. */
     suspend fun await(
         name: String,
--- a/server/src/main/kotlin/org/agatestream/server/StoreRelay.kt
+++ b/server/src/main/kotlin/org/agatestream/server/StoreRelay.kt
@@ -1,9 +1,13 @@
 package org.agatestream.server
 
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
+import org.agatestream.core.MonotonicTime
 import org.agatestream.core.RowChange
 import org.agatestream.core.RowName
 import org.agatestream.core.RowPage
@@ -11,7 +15,9 @@
 import org.agatestream.core.StoreRead
 import org.agatestream.core.VmId
 import org.agatestream.core.WriteResult
+import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** A store call that a VM without access to the store sends to another VM. */
@@ -48,6 +54,8 @@
     @SerialName("store-get")
     class GetObject(
         val name: String,
+        /** The position of the piece that is asked for; null from builds that ask for the whole object. */
+        val from: Int? = null,
     ) : StoreRequest
 }
 
@@ -57,7 +65,7 @@
     val version: Long,
 )
 
-/** The result of a relayed read: a page of rows or the bytes of an object; both are null if [isGone]. */
+/** The result of a relayed read: a page of rows or bytes of an object; both are null if it [isGone] or [isPending]. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 @SerialName("store-read")
@@ -65,6 +73,10 @@
     val page: RowPage? = null,
     @ByteString val bytes: ByteArray? = null,
     val isGone: Boolean = false,
+    /** The size of the object of which [bytes] are a piece; null if they are the whole object. */
+    val total: Int? = null,
+    /** True if the relay is still reading the object, or has to read others first. */
+    val isPending: Boolean = false,
 ) : PeerResponse
 
 @Serializable
@@ -80,7 +92,10 @@
     private val isStoreReachable: () -> Boolean,
     /** The VMs that may reach the store, in order of preference. */
     private val relays: () -> List<VmId>,
+    scope: CoroutineScope,
 ) : RowStore {
+    private val relayedObjects = RelayedObjects(direct, scope)
+
     /** Makes a store call on behalf of another VM. */
     suspend fun answer(request: StoreRequest): PeerResponse? {
         if (!isStoreReachable()) {
@@ -94,6 +109,8 @@
             }
 
             is StoreRequest.GetObject -> {
+                val from = request.from
+                if (from != null) return relayedObjects.piece(request.name, from, MonotonicTime.now())
                 direct.getObject(request.name).toRelayed { RelayedRead(bytes = it) }
             }
 
@@ -120,7 +137,29 @@
 
     override suspend fun getObject(name: String): StoreRead<ByteArray> {
         if (isStoreReachable()) return direct.getObject(name)
-        return relayRead(StoreRequest.GetObject(name)) { it.bytes }
+        return withTimeoutOrNull(RELAYED_OBJECT_TIMEOUT) { relayObject(name) } ?: NOT_REACHED
+    }
+
+    /** Reads an object piece by piece; what one relay has passed on need not come from the next one, too. */
+    private suspend fun relayObject(name: String): StoreRead<ByteArray> {
+        val content = ByteArrayOutputStream()
+        for (relay in relays().take(MAX_RELAYS)) {
+            while (true) {
+                val request = StoreRequest.GetObject(name, content.size())
+                val read = network.call(relay, request, RELAY_TIMEOUT) as? RelayedRead ?: break
+                if (read.isGone) return StoreRead.Gone
+                if (read.isPending) {
+                    delay(PENDING_INTERVAL)
+                    continue
+                }
+                val bytes = read.bytes ?: break
+                val total = read.total ?: return StoreRead.Found(bytes)
+                content.write(bytes)
+                if (content.size() >= total) return StoreRead.Found(content.toByteArray())
+                if (bytes.isEmpty()) break
+            }
+        }
+        return NOT_REACHED
     }
 
     override suspend fun write(
@@ -156,7 +195,7 @@
             if (read.isGone) return StoreRead.Gone
             value(read)?.let { return StoreRead.Found(it) }
         }
-        return StoreRead.Unavailable("neither this VM nor others reach the store")
+        return NOT_REACHED
     }
 
     /** Returns [WriteResult.NotDone] only if every relay refused: one that did not answer may have made the write. */
@@ -172,16 +211,22 @@
         return WriteResult.NotDone("the store is not reached")
     }
 
-    private fun <T> StoreRead<T>.toRelayed(encode: (T) -> RelayedRead): PeerResponse? =
-        when (this) {
-            is StoreRead.Found -> encode(value)
-            is StoreRead.Gone -> RelayedRead(isGone = true)
-            is StoreRead.Unavailable -> null
-        }
-
     private companion object {
         // A job should be accepted within 400 ms; two attempts leave time for the caller to retry at another VM.
         const val MAX_RELAYS = 2
         val RELAY_TIMEOUT = 1.seconds
+        val PENDING_INTERVAL = 100.milliseconds
+
+        // As long as a call to the store may take.
+        val RELAYED_OBJECT_TIMEOUT = 60.seconds
+        val NOT_REACHED = StoreRead.Unavailable("neither this VM nor others reach the store")
     }
 }
+
+/** Returns the response that passes a read on; null, so that another relay is asked, if the store is not available. */
+internal fun <T> StoreRead<T>.toRelayed(encode: (T) -> RelayedRead): PeerResponse? =
+    when (this) {
+        is StoreRead.Found -> encode(value)
+        is StoreRead.Gone -> RelayedRead(isGone = true)
+        is StoreRead.Unavailable -> null
+    }
