End a run that waits long for its body, and let the read go on

Callers saw: items that are listed late, as others held the slots. A run that waits for the body of its item has a slot that it does not use; since reads are not cut any more, a VM with a slow link could hold all slots for the length of a read, while another VM had the body.

A run now waits 5 s at most.

--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -11,7 +11,6 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
-import org.agatestream.core.Failure
 import org.agatestream.core.ItemOutcome
 import org.agatestream.core.ItemRef
 import org.agatestream.core.MonotonicTime
@@ -245,23 +244,22 @@
         ) : Prepared
     }
 
-    /** Waits for the body of the item, which may have to be read from the store. */
+    /** Waits for the body of the item, which may have to be read from the store; the read outlasts the wait. */
     private suspend fun prepare(request: RunItemRequest): Prepared {
+        val items = withTimeoutOrNull(MAX_BODY_WAIT) { jobs.items(request.workspace, request.item.job) }
         val item =
-            when (val items = jobs.items(request.workspace, request.item.job)) {
+            when (items) {
+                null -> return unable("bodies_pending")
                 is Outcome.Ok -> items.value[request.item.item] ?: return Prepared.Unable(NO_SUCH_ITEM)
-                is Outcome.Failed -> return unable("bodies_unavailable", items.failure)
+                is Outcome.Failed -> return unable("bodies_unavailable: ${items.failure.message}")
             }
         return when (val row = jobs.find(request.workspace, request.item.job)) {
             is Outcome.Ok -> Prepared.Ready(toBackendCall(item, row.value.host, request.workspace))
-            is Outcome.Failed -> unable("job_unavailable", row.failure)
+            is Outcome.Failed -> unable("job_unavailable: ${row.failure.message}")
         }
     }
 
-    private fun unable(
-        reason: String,
-        failure: Failure,
-    ): Prepared = Prepared.Unable(ItemEnd.Interrupted("$reason: ${failure.message}"))
+    private fun unable(reason: String): Prepared = Prepared.Unable(ItemEnd.Interrupted(reason))
 
     private suspend fun exchange(
         request: RunItemRequest,
@@ -479,6 +477,9 @@
         // The job's completion target bounds items, not the route's timeout; a run takes about 5 s.
         val RUN_TIMEOUT = 60.seconds
 
+        // A run that waits holds a slot that others could use; its item may go to a VM that has the body.
+        val MAX_BODY_WAIT = 5.seconds
+
         // The coordinator has the output, too, and may have another VM go on; items are due within 18 s.
         val OUTPUT_RETENTION = 30.seconds
 
--- a/standins/src/test/kotlin/org/agatestream/standin/SlowLinkTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/SlowLinkTest.kt
@@ -17,6 +17,9 @@
 
 // The object of a job takes 4.3 s on its way.
 private const val LINK_BYTES_PER_SECOND = 500_000L
+
+// The same object takes 43 s.
+private const val VERY_SLOW_LINK_BYTES_PER_SECOND = 50_000L
 private const val REQUESTS = 5
 
 // An item that waits for its body has no event for longer than a server may need for one.
@@ -33,8 +36,11 @@
 }
 
 /** Runs [block] on two VMs, of which the second one has a slow link to the store. */
-private suspend fun withSlowVm(block: suspend (PlatformFleet) -> Unit) {
-    PlatformFleet(storeLinks = mapOf("b" to LINK_BYTES_PER_SECOND)).use { fleet ->
+private suspend fun withSlowVm(
+    bytesPerSecond: Long = LINK_BYTES_PER_SECOND,
+    block: suspend (PlatformFleet) -> Unit,
+) {
+    PlatformFleet(storeLinks = mapOf("b" to bytesPerSecond)).use { fleet ->
         fleet.start()
         block(fleet)
         fleet.vms.forEach { it.stop() }
@@ -55,6 +61,16 @@
             }
         }
 
+        // Guards against items that hold slots at a VM that can't read their bodies, while another VM has them.
+        test("an item goes to another VM if its own needs too long to read the body") {
+            withSlowVm(VERY_SLOW_LINK_BYTES_PER_SECOND) { fleet ->
+                fleet.send(0, "POST", "/lot/j", id = "job", body = JOB_BODY).first shouldBe 202
+                eventually(18.seconds) {
+                    fleet.send(0, "GET", "/-/lots/job?After=0").second shouldContain "\"Next\":$ITEMS"
+                }
+            }
+        }
+
         // Guards against a sound server that gets no requests as the item it is to run still waits for its body.
         test("online requests are served while an item waits for its body at a VM with a slow link") {
             withSlowVm { fleet ->
