Answer a caller of an item's body within its time

Callers saw: nothing, until a body had come over a slow link. The read that such a request waits for ended after 3 s; it now goes on while bytes move, so the request needs its own bound, which is the time that the caller still waits. It gets 503 with Retry-After, and the read goes on for the next one.

--- a/server/src/main/kotlin/org/agatestream/server/JobCalls.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobCalls.kt
@@ -1,5 +1,6 @@
 package org.agatestream.server
 
+import kotlinx.coroutines.withTimeoutOrNull
 import org.agatestream.core.Admission
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.Failure
@@ -13,6 +14,7 @@
 import org.agatestream.platform.CallerProtocol
 import org.agatestream.platform.encodeResults
 import org.agatestream.platform.parseJob
+import kotlin.time.Duration.Companion.seconds
 
 /** Serves the API calls for batch jobs. */
 internal class JobCalls(
@@ -74,7 +76,8 @@
         item: ItemId,
     ) {
         jobs.find(workspace, job).getOrElse { return refuse(call, "item_read", workspace, job, it) }
-        val items = jobs.items(workspace, job).getOrElse { return refuse(call, "item_read", workspace, job, it) }
+        val read = withTimeoutOrNull(CallerProtocol.callerTimeout(call)) { jobs.items(workspace, job) }
+        val items = (read ?: PENDING).getOrElse { return refuse(call, "item_read", workspace, job, it) }
         val body =
             items[item]?.body ?: return call.respondNotServed(Failure(ErrorKind.UNKNOWN_JOB, "there is no such item"))
         call.respond(STATUS_OK, BYTES, body)
@@ -127,6 +130,15 @@
 
         // Row keys have up to 200 bytes and may hold the ids of a job and an item.
         const val MAX_ID_CHARS = 80
+        val PENDING_RETRY_DELAY = 1.seconds
+        val PENDING =
+            Outcome.Failed(
+                Failure(
+                    ErrorKind.PLATFORM_UNAVAILABLE,
+                    "the bodies of the job are still being read",
+                    PENDING_RETRY_DELAY,
+                ),
+            )
         val BAD_ID = Failure(ErrorKind.MALFORMED_REQUEST, "the id of the job is missing or has other characters")
     }
 }
--- a/standins/src/test/kotlin/org/agatestream/standin/SlowLinkTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/SlowLinkTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
@@ -71,6 +72,19 @@
             }
         }
 
+        // Guards against callers that get no answer in their time, as a transfer that goes on has no limit of its own.
+        test("a caller whose time ends before the body of its item has come is told when to ask again") {
+            withSlowVm(VERY_SLOW_LINK_BYTES_PER_SECOND) { fleet ->
+                fleet.send(0, "POST", "/lot/j", id = "job", body = JOB_BODY).first shouldBe 202
+                val deadline = listOf("x-agatestream-deadline-ms" to "1000")
+                val (response, took) =
+                    measureTimedValue { fleet.sendWhole(1, "GET", "/-/items/job?Id=i1", headers = deadline) }
+                response?.status shouldBe 503
+                response?.headers.orEmpty().map { it.first } shouldContain "retry-after"
+                took shouldBeLessThan 2.seconds
+            }
+        }
+
         // Guards against a sound server that gets no requests as the item it is to run still waits for its body.
         test("online requests are served while an item waits for its body at a VM with a slow link") {
             withSlowVm { fleet ->
