--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -777,7 +777,7 @@
         // Each VM of a job reads its bodies of about 200 kB; the loss of one of 11 VMs must not interrupt whole jobs.
         const val VMS_PER_JOB = 3
 
-        // After the first such run the VM has the bodies already, and mostly the server was at fault.
+        // A second run at the same VM reads no bodies, and mostly the server was at fault.
         const val MAX_VAIN_RUNS_PER_VM = 2
         val NO_SERVER_RETRY_AFTER = 1.seconds
 
--- a/core/src/main/kotlin/org/agatestream/core/JobTracker.kt
+++ b/core/src/main/kotlin/org/agatestream/core/JobTracker.kt
@@ -503,7 +503,7 @@
         // A failed item may run at another server at once; the delay keeps an item that always fails from looping.
         val RETRY_DELAY: Duration = 50.milliseconds
 
-        // A server that is sound again gets the items that it failed within 2 s.
+        // The maximum bounds how long a server that is sound again stays without the items that it failed.
         val RESTART_BACKOFF: Backoff = Backoff(first = 50.milliseconds, max = 2.seconds)
 
         // A sixth of the time for which a condemned prompt part is kept without requests.
--- a/server/src/main/kotlin/org/agatestream/server/HttpPlatform.kt
+++ b/server/src/main/kotlin/org/agatestream/server/HttpPlatform.kt
@@ -28,7 +28,7 @@
     private val address: String,
     private val vm: VmId,
     /** The longest time without a byte in a call. */
-    private val stallTimeout: Duration = 2.seconds,
+    private val stallTimeout: Duration = DEFAULT_STALL_TIMEOUT,
 ) : TableService,
     ObjectStore,
     VmList {
@@ -162,6 +162,8 @@
         const val STATUS_UNAVAILABLE = 503
         const val MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
+        val DEFAULT_STALL_TIMEOUT = 2.seconds
+
         // Time for the largest object on a link of 2 Mbit/s.
         val CALL_TIMEOUT = 60.seconds
 
--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -156,7 +156,7 @@
                 }
 
                 is Prepared.Ready -> {
-                    // The time before is none that the server took.
+                    // The wait for the body is not the server's.
                     val sentAt = MonotonicTime.now()
                     observer = RunObserver(sentAt) { report, now -> slots.onServerReport(request.server, report, now) }
                     slots.onSent(request.number, sentAt)
@@ -233,7 +233,7 @@
         report(ItemReport(number, ref, ItemOutcome.LISTED))
     }
 
-    /** What is known of an item before its run at a server. */
+    /** An item that can be sent to a server, or the reason why its run ends without that. */
     private sealed interface Prepared {
         class Ready(
             val call: BackendCall,
