List the servers of the tests of raw answers in one transaction

By the log the coordinator knew one of the six servers then: the fixture wrote their rows one after the other, the feed brought the first row alone, and the next poll came 50 ms later. A refusal by the only server is final, so the product was right.

The rows now go in one transaction, so that a VM knows none of them or all; no check changes.

--- a/standins/src/main/kotlin/org/agatestream/standin/RowStoreStandIn.kt
+++ b/standins/src/main/kotlin/org/agatestream/standin/RowStoreStandIn.kt
@@ -36,8 +36,19 @@
         key: String,
         text: String,
     ) {
-        val value = Base64.getEncoder().encodeToString(text.encodeToByteArray())
-        synchronized(rows) { apply(StoreTransaction(upserts = listOf(StoreRow(table, "", key, value)))) }
+        putAll(table, mapOf(key to text))
+    }
+
+    /** Writes rows, by their keys, in one transaction, so that no reader sees a part of them. */
+    fun putAll(
+        table: String,
+        texts: Map<String, String>,
+    ) {
+        val upserts =
+            texts.map { (key, text) ->
+                StoreRow(table, "", key, Base64.getEncoder().encodeToString(text.encodeToByteArray()))
+            }
+        synchronized(rows) { apply(StoreTransaction(upserts = upserts)) }
     }
 
     /** Returns the text of a row, or null if the row does not exist. */
--- a/standins/src/test/kotlin/org/agatestream/standin/CutFleet.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/CutFleet.kt
@@ -77,10 +77,12 @@
     val servers = List(CUT_SERVERS) { CutServer(runs, script) }
     PlatformFleet(manifest = CUT_MANIFEST).use { fleet ->
         fleet.start()
-        servers.forEachIndexed { number, server ->
-            val entry = """{"Service":"c","Address":"${server.address}","Zone":"d","Slots":8,"State":"ready"}"""
-            fleet.store.put("servers", "c-$number", entry)
-        }
+        // All at once: while a VM knows only one of the servers, a refusal by that one is final.
+        val entries =
+            servers.withIndex().associate { (number, server) ->
+                "c-$number" to """{"Service":"c","Address":"${server.address}","Zone":"d","Slots":8,"State":"ready"}"""
+            }
+        fleet.store.putAll("servers", entries)
         eventually(FLEET_TIMEOUT) { fleet.send(1, "POST", "/once/1", id = "ready").first shouldBe 200 }
         block(fleet, runs)
         fleet.vms.forEach { it.stop() }
