--- a/review/common-3/src/Unconfirmed.java
+++ b/review/common-3/src/Unconfirmed.java
@@ -23,6 +23,11 @@
         return WORKERS.stream().mapToInt(it -> it.runs.size()).sum();
     }
 
+    private static long runsOf(String job) {
+        return WORKERS.stream().flatMap(it -> List.copyOf(it.runs).stream())
+            .filter(it -> it.id().startsWith(job.substring(0, 12))).count();
+    }
+
     private static int body() throws Exception {
         Store store = new Store();
         for (int i = 0; i < 4; i++) {
@@ -52,7 +57,9 @@
                 int first = n;
                 Lib.thread("job", () -> {
                     for (int i = 0; i < 2; i++) {
-                        Http.Message answer = Lib.submit(VMS.get((first + i) % 3), key, id, Lib.job(id, ITEMS, 3000, 500), 4000);
+                        Lib.Vm vm = VMS.get((first + i) % 3);
+                        Http.Message answer = Lib.submit(vm, key, id, Lib.job(id, ITEMS, 3000, 500), 4000);
+                        Lib.note("job " + id + " of " + ITEMS + " items at " + vm.name + ": " + Lib.status(answer));
                         if (answer != null && answer.status() == 202) {
                             synchronized (jobs) {
                                 jobs.put(id, key);
@@ -104,8 +111,10 @@
                     for (Object result : (List<?>) map.get("Results")) listed.add((String) ((Map<?, ?>) result).get("Id"));
                     after = ((Number) map.get("Next")).intValue();
                 }
-                if (listed.size() < ITEMS) openJobs++;
-                unlisted += ITEMS - listed.size();
+                int missing = ITEMS - listed.size();
+                Lib.note("job " + job.getKey() + ": " + runsOf(job.getKey()) + " runs, " + missing + " items not listed");
+                if (missing > 0) openJobs++;
+                unlisted += missing;
             }
         }
         Lib.note("unlisted items " + FINISH_S + " s after the traffic: " + unlisted + " of " + openJobs + " jobs");
