Log the checks by which a coordinator is confirmed

The logs show only that coordinator_confirmed is missing, which fits a read of the coordinator's row that never ends, a reading of jobs that never ends, and a result that is ignored.

The checks move from PlatformVm into JobWatch, one for each coordinator, without a change of behaviour.

--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -135,7 +135,11 @@
         number: Int,
         now: MonotonicTime,
     ) {
-        if (isStopped || isConfirmed || number != confirmations) return
+        if (isStopped || isConfirmed) return
+        if (number != confirmations) {
+            EventLog.info("confirmation_outdated", "vm" to self, "check" to number, "newest" to confirmations)
+            return
+        }
         isConfirmed = true
         EventLog.info("coordinator_confirmed", "vm" to self, "term" to term)
         if (!isResigning) dispatcher.allowItems(now + TAKEOVER_WAIT)
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -120,7 +120,7 @@
     private val measuredRollouts = HashSet<ServiceId>()
     private var role: CoordinatorRole? = null
     private var rolloutControl: RolloutControl? = null
-    private var jobWatcher: Job? = null
+    private var jobWatch: JobWatch? = null
     private var cleaner: Job? = null
     private val calls = HashSet<Job>()
     private val itemReports = SupervisorJob(scope.coroutineContext[Job])
@@ -373,6 +373,7 @@
 
     private fun startCoordinating() {
         EventLog.info("coordinator_began", "vm" to self)
+        lateinit var jobs: JobWatch
         val started =
             CoordinatorRole(
                 self = self,
@@ -389,12 +390,14 @@
                 unlist = roster::unlist,
                 listedVms = { membership.listedCount },
                 isLeaving = { shutdown.hasBegun },
-                confirm = ::confirmRole,
+                confirm = { jobs.confirm(it) },
                 leaving = leaving,
                 policy = policy,
                 onDomainFlow = metrics::onDomainFlow,
             )
         role = started
+        jobs = watchJobs(started)
+        jobWatch = jobs
         rolloutControl =
             RolloutControl(
                 rollouts = started.rollouts,
@@ -408,39 +411,30 @@
         started.start(MonotonicTime.now())
         started.onStatusReport(self, status(), MonotonicTime.now())
         rolloutControl?.onViewChanged(MonotonicTime.now())
-        watchJobs(started)
+        jobs.start()
         cleaner = JobCleaner(store, jobStore, config.resultsKeptSeconds.seconds).start(scope)
     }
 
-    private fun watchJobs(
-        coordinator: CoordinatorRole,
-        onLoaded: () -> Unit = {},
-    ) {
-        jobWatcher?.cancel()
-        jobWatcher =
-            JobWatcher(
-                store = store,
-                rules = { job ->
-                    view.manifest
-                        ?.routes
-                        ?.firstOrNull { it.name == job.route }
-                        ?.jobs
-                },
-                onJob = coordinator::onJob,
-                onJobEnded = coordinator::onJobEnded,
-                onLoaded = onLoaded,
-            ).start(scope)
-    }
-
-    /** Reads from the store who coordinates and, if that is still this VM, all jobs. */
-    private fun confirmRole(number: Int) {
-        val unconfirmed = role ?: return
-        scope.launch {
-            while (role === unconfirmed && !membership.readCoordinator()) delay(CONFIRM_RETRY_INTERVAL)
-            if (role !== unconfirmed) return@launch
-            watchJobs(unconfirmed) { unconfirmed.onConfirmed(number, MonotonicTime.now()) }
-        }
-    }
+    private fun watchJobs(coordinator: CoordinatorRole): JobWatch =
+        JobWatch(
+            scope = scope,
+            readCoordinator = membership::readCoordinator,
+            newWatcher = { onLoaded ->
+                JobWatcher(
+                    store = store,
+                    rules = { job ->
+                        view.manifest
+                            ?.routes
+                            ?.firstOrNull { it.name == job.route }
+                            ?.jobs
+                    },
+                    onJob = coordinator::onJob,
+                    onJobEnded = coordinator::onJobEnded,
+                    onLoaded = onLoaded,
+                )
+            },
+            onConfirmed = { coordinator.onConfirmed(it, MonotonicTime.now()) },
+        )
 
     private fun stopCoordinating() {
         EventLog.info("coordinator_ended", "vm" to self)
@@ -448,7 +442,7 @@
         role = null
         rolloutControl?.stop()
         rolloutControl = null
-        jobWatcher?.cancel()
+        jobWatch?.stop()
         cleaner?.cancel()
         scope.launch { ended?.stop() }
     }
@@ -486,7 +480,6 @@
         // The retention time of the items of a job, after which nobody waits for its bodies.
         val STORE_CALL_TIMEOUT = 60.seconds
         val ITEM_REPORT_TIMEOUT = 500.milliseconds
-        val CONFIRM_RETRY_INTERVAL = 100.milliseconds
 
         // Callers reuse connections that were idle for up to 12 s, four fifths of the manifest's limit of 15 s.
         val CALLER_LIMITS = HttpLimits(maxRequestLineBytes = 16_384, keepAliveTimeout = 120.seconds)
