Make the newest check of a paused coordinator the one that counts

Cause: each pause began a check in a coroutine of its own that nothing ended. When the store returned, all of them replaced the watcher of jobs, in any order, and the result of an earlier one is ignored, while nothing else ends the state.

A check is now part of the watch of jobs that it starts, and each watch ends the one before it; a check that fails in any way is made again by the feed of the watch. A watch belongs to one coordinator, so that one that was replaced can't restart that of its successor.

--- a/server/src/main/kotlin/org/agatestream/server/JobWatcher.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobWatcher.kt
@@ -25,6 +25,8 @@
     private val rules: (JobRow) -> JobRules?,
     private val onJob: (JobPlan, Set<ItemId>, MonotonicTime) -> Unit,
     private val onJobEnded: (JobId, MonotonicTime) -> Unit,
+    /** Runs before the jobs are read; returns whether to read them now, else it is run again after a pause. */
+    private val beforeRead: suspend () -> Boolean = { true },
     /** Called whenever all jobs have been read from the store. */
     private val onLoaded: () -> Unit = {},
 ) {
@@ -47,6 +49,7 @@
 
     /** Reads the jobs and finished items of all partitions, as of the returned version or later. */
     private suspend fun readAllPartitions(): Pair<List<PartitionState>, Long>? {
+        if (!beforeRead()) return null
         // The version is read first, so that the feed covers all writes during the reads below.
         val firstPage = (store.rows(FleetTables.JOBS, "", limit = 1) as? StoreRead.Found)?.value ?: return null
         val partitions = (store.partitions(FleetTables.JOBS) as? StoreRead.Found)?.value ?: return null
--- a/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PlatformVm.kt
@@ -419,7 +419,7 @@
         JobWatch(
             scope = scope,
             readCoordinator = membership::readCoordinator,
-            newWatcher = { onLoaded ->
+            newWatcher = { beforeRead, onLoaded ->
                 JobWatcher(
                     store = store,
                     rules = { job ->
@@ -430,6 +430,7 @@
                     },
                     onJob = coordinator::onJob,
                     onJobEnded = coordinator::onJobEnded,
+                    beforeRead = beforeRead,
                     onLoaded = onLoaded,
                 )
             },
