--- a/core/src/main/kotlin/org/agatestream/core/Dispatch.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatch.kt
@@ -13,15 +13,6 @@
     override fun toString(): String = "$vm/$number"
 }
 
-/** Identifies an item across all jobs. */
-@Serializable
-public data class ItemRef(
-    val job: JobId,
-    val item: ItemId,
-) {
-    override fun toString(): String = "$job/$item"
-}
-
 /** A request that needs a slot of a backend server. */
 public data class PlaceRequest(
     val call: CallId,
--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -279,10 +279,10 @@
 
     /** Removes a job that its caller ended. */
     public fun onJobEnded(
-        id: JobId,
+        job: JobRef,
         now: MonotonicTime,
     ): List<DispatchAction> {
-        val stops = jobs.remove(id).map { stopItem(it, "job_ended") }
+        val stops = jobs.remove(job).map { stopItem(it, "job_ended") }
         return stops + schedule(now)
     }
 
@@ -660,7 +660,7 @@
         domain: FailureDomainId,
     ): VmId {
         val holder = jobs.bodyHolder(ref)?.takeIf { it in vms }
-        val others = (vms - setOfNotNull(holder)).sortedByDescending { rendezvousRank(ref.job.value, it.value) }
+        val others = (vms - setOfNotNull(holder)).sortedByDescending { rendezvousRank(ref.job.id.value, it.value) }
         val candidates = (listOfNotNull(holder) + others).take(VMS_PER_JOB)
         val triedVms = jobs.vainRuns(ref) / MAX_VAIN_RUNS_PER_VM
         val prefersDomain = policy.comparesServers && triedVms == 0
--- a/core/src/main/kotlin/org/agatestream/core/JobTracker.kt
+++ b/core/src/main/kotlin/org/agatestream/core/JobTracker.kt
@@ -20,7 +20,10 @@
     /** The VM that accepted the job and holds its bodies. */
     val acceptedBy: VmId?,
     val items: List<PlannedItem>,
-)
+) {
+    /** Identifies the job among those of all workspaces. */
+    val ref: JobRef get() = JobRef(workspace, id)
+}
 
 /** One item of a [JobPlan]. */
 public data class PlannedItem(
@@ -67,7 +70,7 @@
         val position: Int,
         isDone: Boolean,
     ) {
-        val ref = ItemRef(job.plan.id, plan.id)
+        val ref = ItemRef(job.plan.ref, plan.id)
         var progress: Progress = if (isDone) Progress.Done else Progress.Waiting(MonotonicTime.ZERO)
         var failures: Int = 0
 
@@ -97,7 +100,7 @@
         val progress: Progress.Waiting,
     )
 
-    private val jobs = LinkedHashMap<JobId, Job>()
+    private val jobs = LinkedHashMap<JobRef, Job>()
     private val itemsByCall = HashMap<CallId, ItemRef>()
     private val delayed = PriorityQueue(compareBy<DelayedItem> { it.progress.notBefore })
 
@@ -118,18 +121,18 @@
         done: Set<ItemId>,
         now: MonotonicTime,
     ) {
-        if (plan.id in jobs) return
+        if (plan.ref in jobs) return
         val job = Job(plan, plan.acceptedBy, done)
         if (job.unfinished == 0) return
-        jobs[plan.id] = job
+        jobs[plan.ref] = job
         job.items.values
             .filter { it.progress != Progress.Done }
             .forEach { setProgress(it, Progress.Waiting(now)) }
     }
 
     /** Removes a job that its caller ended and returns the runs to stop. */
-    fun remove(id: JobId): List<CallId> {
-        val job = jobs[id] ?: return emptyList()
+    fun remove(ref: JobRef): List<CallId> {
+        val job = jobs[ref] ?: return emptyList()
         val running = job.items.values.mapNotNull { (it.progress as? Progress.Running)?.call }
         running.forEach { itemsByCall -= it }
         forget(job)
@@ -137,7 +140,7 @@
     }
 
     private fun forget(job: Job) {
-        jobs -= job.plan.id
+        jobs -= job.plan.ref
         jobsWithReadyItems -= job
         job.items.values.forEach { unlink(it) }
     }
@@ -177,7 +180,7 @@
         while (delayed.isNotEmpty() && delayed.peek().progress.notBefore <= now) {
             val entry = delayed.remove()
             val item = entry.item
-            if (item.progress !== entry.progress || jobs[item.job.plan.id] !== item.job) continue
+            if (item.progress !== entry.progress || jobs[item.job.plan.ref] !== item.job) continue
             item.job.ready += item
             jobsWithReadyItems += item.job
         }
@@ -267,7 +270,7 @@
 
     fun path(ref: ItemRef): String? = item(ref)?.plan?.path
 
-    fun plan(job: JobId): JobPlan? = jobs[job]?.plan
+    fun plan(job: JobRef): JobPlan? = jobs[job]?.plan
 
     /** Returns the VM that holds the bodies of the item's job, or null if it is lost or not known. */
     fun bodyHolder(ref: ItemRef): VmId? = jobs[ref.job]?.bodyHolder
--- a/core/src/test/kotlin/org/agatestream/core/DispatchModel.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatchModel.kt
@@ -297,7 +297,7 @@
         val id = JobId("job${nextNumber++}")
         val planned = (1..ITEMS_PER_JOB).map { PlannedItem(ItemId("$it"), "/batch/x") }
         val plan = JobPlan(id, null, "h.example", JobLifetime(now + ITEM_DEADLINE, now + 60.seconds), 0, null, planned)
-        for (item in planned) items[ItemRef(id, item.id)] = ItemState(queue.time + ITEM_DEADLINE)
+        for (item in planned) items[ItemRef(plan.ref, item.id)] = ItemState(queue.time + ITEM_DEADLINE)
         itemCount = itemCount.copy(arrived = itemCount.arrived + planned.size)
         execute(dispatcherOf(vms.first()).onJob(plan, emptySet(), now))
     }
--- a/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.collections.shouldNotContain
 import io.kotest.matchers.comparables.shouldBeGreaterThan
@@ -144,7 +145,7 @@
             val started =
                 dispatcher.release(CallId(VM_A, 1), RunOutcome.ANSWERED, null, START).started() +
                     dispatcher.release(CallId(VM_A, 2), RunOutcome.ANSWERED, null, START).started()
-            started.map { it.item.job.value } shouldContainExactly listOf("timely")
+            started.map { it.item.job.id.value } shouldContainExactly listOf("timely")
         }
 
         test("a late item is preempted before one that can meet its deadline") {
@@ -168,7 +169,7 @@
             val started =
                 dispatcher.release(CallId(VM_A, 1), RunOutcome.ANSWERED, null, later).started() +
                     dispatcher.release(CallId(VM_A, 2), RunOutcome.ANSWERED, null, later).started()
-            started.map { it.item.job.value } shouldContainExactly listOf("begun")
+            started.map { it.item.job.id.value } shouldContainExactly listOf("begun")
         }
 
         test("an item that reached the attempt limit of its route is given up") {
@@ -277,7 +278,7 @@
         test("a new coordinator does not start an item that a VM reported before its job was loaded") {
             val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
             val job = jobOf("j", 1)
-            val running = listOf(RunningCall(7, BackendServerId("s1"), ItemRef(job.id, job.items.single().id)))
+            val running = listOf(RunningCall(7, BackendServerId("s1"), ItemRef(job.ref, job.items.single().id)))
             dispatcher.onReport(VM_A, running, emptyList(), START)
             dispatcher.pauseItems()
             dispatcher.onJob(job, emptySet(), START)
@@ -394,10 +395,23 @@
             dispatcher.runningCalls shouldBe 0
         }
 
+        // The end of a job stopped the items of another workspace's job with the same id, or they never started.
+        test("JobsOfOneId: jobs of two workspaces with the same id are kept apart") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 8))
+            val job = jobOf("j", 2)
+            val other = job.copy(workspace = WorkspaceId("other"))
+            val started = listOf(job, other).flatMap { dispatcher.onJob(it, emptySet(), START).started() }
+            started shouldHaveSize 4
+            val stopped = dispatcher.onJobEnded(job.ref, START).filterIsInstance<DispatchAction.StopItem>()
+            stopped.map { it.call } shouldContainExactlyInAnyOrder
+                started.filter { it.item.job == job.ref }.map { it.call }
+            dispatcher.openJobs shouldBe 1
+        }
+
         test("ending a job stops its items and starts no others") {
             val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
             val started = dispatcher.onJob(jobOf("j", 10), emptySet(), START).started()
-            val actions = dispatcher.onJobEnded(JobId("j"), START)
+            val actions = dispatcher.onJobEnded(JobRef(TEAM, JobId("j")), START)
             actions.filterIsInstance<DispatchAction.StopItem>().map { it.call } shouldContainExactly
                 started.map { it.call }
             actions.started().shouldBeEmpty()
--- a/core/src/test/kotlin/org/agatestream/core/fairness/FairQueueTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/fairness/FairQueueTest.kt
@@ -156,7 +156,7 @@
                     dispatcher.onItem(run.item, run.call, ItemOutcome.LISTED, START)
                     dispatcher.release(run.call, RunOutcome.ANSWERED, null, START).started().also { first += it }
                 }
-            next.groupingBy { it.item.job.value }.eachCount().getValue("late") shouldBe 3
+            next.groupingBy { it.item.job.id.value }.eachCount().getValue("late") shouldBe 3
         }
 
         // Guards against online requests that wait for the jobs of another workspace. The earlier code passes, too.
--- a/server/src/main/kotlin/org/agatestream/server/CallerRoutes.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CallerRoutes.kt
@@ -2,6 +2,7 @@
 
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.Failure
+import org.agatestream.core.JobRef
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.RouteKind
 import org.agatestream.core.WorkspaceId
@@ -34,9 +35,9 @@
             is CallerRequest.Readiness -> respondReadiness(call)
             is CallerRequest.EntryAddresses -> respondAddresses(call)
             is CallerRequest.RouteRequest -> serveRoute(call)
-            is CallerRequest.Results -> serveJob(call) { jobs.results(call, it, request.job, request.after) }
-            is CallerRequest.ItemBody -> serveJob(call) { jobs.itemBody(call, it, request.job, request.item) }
-            is CallerRequest.EndJob -> serveJob(call) { jobs.end(call, it, request.job) }
+            is CallerRequest.Results -> serveJob(call) { jobs.results(call, JobRef(it, request.job), request.after) }
+            is CallerRequest.ItemBody -> serveJob(call) { jobs.itemBody(call, JobRef(it, request.job), request.item) }
+            is CallerRequest.EndJob -> serveJob(call) { jobs.end(call, JobRef(it, request.job)) }
         }
     }
 
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -16,8 +16,8 @@
 import org.agatestream.core.ItemId
 import org.agatestream.core.ItemOutcome
 import org.agatestream.core.ItemRef
-import org.agatestream.core.JobId
 import org.agatestream.core.JobPlan
+import org.agatestream.core.JobRef
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.PauseDetector
 import org.agatestream.core.PlaceRequest
@@ -25,7 +25,6 @@
 import org.agatestream.core.SchedulingPolicy
 import org.agatestream.core.ServerSuspicion
 import org.agatestream.core.VmId
-import org.agatestream.core.WorkspaceId
 import org.agatestream.core.placement.DomainFlow
 import org.agatestream.core.rollout.Rollout
 import org.agatestream.core.rollout.RolloutSituation
@@ -47,7 +46,7 @@
     private val scope: CoroutineScope,
     private val runItem: (RunItemRequest) -> Unit,
     private val stopItem: (StopItemRequest) -> Unit,
-    private val giveUpItem: (ItemRef, WorkspaceId?) -> Unit,
+    private val giveUpItem: (ItemRef) -> Unit,
     private val onDecision: (DecisionNotice) -> Unit,
     private val markSilent: suspend (String) -> Unit,
     private val unlist: suspend (String) -> Unit,
@@ -87,7 +86,6 @@
     private val silentVms = HashMap<String, SilentVm>()
     private val markedSilent = HashSet<String>()
     private val pendingPlacements = HashMap<CallId, CompletableDeferred<PlaceDecision>>()
-    private val workspaces = HashMap<ItemRef, WorkspaceId?>()
 
     // Lets an interrupted item resume on whichever VM runs it next.
     private val partialOutputs = PartialOutputs()
@@ -189,20 +187,18 @@
         now: MonotonicTime,
     ) {
         noticePause(now)
-        plan.items.forEach { workspaces[ItemRef(plan.id, it.id)] = plan.workspace }
-        partialOutputs.onJob(plan.id, plan.items.map { it.id } - done)
+        partialOutputs.onJob(plan.ref, plan.items.map { it.id } - done)
         val known = view.manifest?.version ?: 0
         if (known < plan.manifestVersion) {
-            EventLog.info("job_held", "job" to plan.id, "accepted_under" to plan.manifestVersion, "manifest" to known)
+            EventLog.info("job_held", "job" to plan.ref, "accepted_under" to plan.manifestVersion, "manifest" to known)
         }
         execute(dispatcher.onJob(plan, done, now))
     }
 
     fun onJobEnded(
-        job: JobId,
+        job: JobRef,
         now: MonotonicTime,
     ) {
-        workspaces.keys.removeAll { it.job == job }
         partialOutputs.onJobEnded(job)
         execute(dispatcher.onJobEnded(job, now))
     }
@@ -256,7 +252,6 @@
     ) {
         noticePause(now)
         if (report.outcome == ItemOutcome.LISTED) {
-            workspaces -= report.item
             partialOutputs.onListed(report.item)
         }
         val hasNewOutput = report.partial?.let { partialOutputs.offer(report.item, it) } == true
@@ -445,7 +440,7 @@
             RunItemRequest(
                 number = action.call.number,
                 item = action.item,
-                workspace = workspaces[action.item],
+                workspace = action.item.job.workspace,
                 server = action.server,
                 partial = partialOutputs[action.item],
                 term = term,
@@ -478,7 +473,7 @@
     private fun abandonItem(action: DispatchAction.GiveUpItem) {
         EventLog.info("item_given_up", "item" to action.item, "reason" to action.reason)
         dispatcher.onListed(action.item)
-        giveUpItem(action.item, workspaces[action.item])
+        giveUpItem(action.item)
     }
 
     private companion object {
--- a/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
@@ -10,6 +10,7 @@
 import org.agatestream.core.FailureDomainId
 import org.agatestream.core.ItemOutcome
 import org.agatestream.core.ItemRef
+import org.agatestream.core.JobRef
 import org.agatestream.core.PartFacts
 import org.agatestream.core.PromptPart
 import org.agatestream.core.RunDetail
@@ -111,7 +112,10 @@
     val partial: PartialOutput?,
     /** The term of the coordinator; null from builds that do not send it. */
     val term: CoordinatorTerm? = null,
-) : PeerRequest
+) : PeerRequest {
+    /** The item to run; builds that do not name the workspace in [item] do so in [workspace] only. */
+    val target: ItemRef get() = ItemRef(JobRef(workspace, item.job.id), item.item)
+}
 
 /** The output of an interrupted item: the data of its events up to the one numbered [lastEvent]. */
 @Serializable
--- a/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
@@ -9,6 +9,7 @@
 import org.agatestream.core.ItemId
 import org.agatestream.core.ItemRef
 import org.agatestream.core.JobId
+import org.agatestream.core.JobRef
 import org.agatestream.core.JobRules
 import org.agatestream.core.RowName
 import org.agatestream.core.ServiceId
@@ -54,7 +55,9 @@
     val manifestVersion: Long = 0,
     /** The limits of its route in that manifest; null in rows of builds that did not record them. */
     val rules: JobRules? = null,
-)
+) {
+    val ref: JobRef get() = JobRef(workspace, id)
+}
 
 @Serializable
 internal data class JobRowItem(
@@ -116,43 +119,34 @@
     /** Returns the partition of a workspace's rows; all share one, so that a transaction can cover them. */
     fun partitionOf(workspace: WorkspaceId?): String = workspace?.value.orEmpty()
 
-    fun job(
-        partition: String,
-        job: JobId,
-    ): RowName = RowName(JOBS, partition, job.value)
+    fun job(job: JobRef): RowName = RowName(JOBS, partitionOf(job.workspace), job.id.value)
 
-    fun end(
-        partition: String,
-        job: JobId,
-    ): RowName = RowName(JOBS, partition, job.value + END_SUFFIX)
+    fun end(job: JobRef): RowName = RowName(JOBS, partitionOf(job.workspace), job.id.value + END_SUFFIX)
 
-    /** Returns the job that the row [key] marks as ended, or null if the row is a job. */
-    fun endedJob(key: String): JobId? = if (key.endsWith(END_SUFFIX)) JobId(key.removeSuffix(END_SUFFIX)) else null
+    /** Returns the job that the row [name] marks as ended, or null if the row is a job. */
+    fun endedJob(name: RowName): JobRef? {
+        if (!name.key.endsWith(END_SUFFIX)) return null
+        val workspace = name.partition.takeIf { it.isNotEmpty() }?.let { WorkspaceId(it) }
+        return JobRef(workspace, JobId(name.key.removeSuffix(END_SUFFIX)))
+    }
 
-    fun done(
-        partition: String,
-        ref: ItemRef,
-    ): RowName = RowName(DONE, partition, "${ref.job}/${ref.item}")
+    fun done(ref: ItemRef): RowName = RowName(DONE, partitionOf(ref.job.workspace), "${ref.job.id}/${ref.item}")
 
-    /** Parses the key of a row named by [done]. */
-    fun doneItem(key: String): ItemRef = ItemRef(JobId(key.substringBefore('/')), ItemId(key.substringAfter('/')))
+    /** Returns the job and the item that the row [key], named by [done], marks as finished in its partition. */
+    fun doneItem(key: String): Pair<JobId, ItemId> = JobId(key.substringBefore('/')) to ItemId(key.substringAfter('/'))
 
     fun result(
-        partition: String,
-        job: JobId,
+        job: JobRef,
         position: Int,
-    ): RowName = RowName(RESULTS, partition, "$job/${position.toString().padStart(POSITION_DIGITS, '0')}")
+    ): RowName {
+        val key = "${job.id}/${position.toString().padStart(POSITION_DIGITS, '0')}"
+        return RowName(RESULTS, partitionOf(job.workspace), key)
+    }
 
     /** Returns the exclusive end of the keys of [job] in the tables of results and finished items. */
     fun endKey(job: JobId): String = "$job/~"
 
-    fun bodies(
-        partition: String,
-        job: JobId,
-    ): String = "job-$partition-$job"
+    fun bodies(job: JobRef): String = "job-${partitionOf(job.workspace)}-${job.id}"
 
-    fun output(
-        partition: String,
-        ref: ItemRef,
-    ): String = "out-$partition-${ref.job}-${ref.item}"
+    fun output(ref: ItemRef): String = "out-${partitionOf(ref.job.workspace)}-${ref.job.id}-${ref.item}"
 }
--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -111,12 +111,12 @@
 
     /** Starts the requested run. */
     fun start(request: RunItemRequest) {
-        slots.onItemStarted(RunningCall(request.number, request.server, request.item))
+        slots.onItemStarted(RunningCall(request.number, request.server, request.target))
         // Two runs would both append to the item's output; only the newest, which the coordinator knows, continues.
-        val earlierRuns = running.values.filter { it.item == request.item }
+        val earlierRuns = running.values.filter { it.item == request.target }
         // Undispatched, so that a run that is cancelled at once still releases its slot.
         val job = scope.launch(start = CoroutineStart.UNDISPATCHED) { run(request, earlierRuns) }
-        running[request.number] = ActiveRun(request.item, job)
+        running[request.number] = ActiveRun(request.target, job)
         job.invokeOnCompletion { running -= request.number }
     }
 
@@ -133,12 +133,9 @@
     }
 
     /** Stores an empty result for an item that is given up. */
-    fun giveUp(
-        ref: ItemRef,
-        workspace: WorkspaceId?,
-    ) {
+    fun giveUp(ref: ItemRef) {
         if (!pendingResults.add(ref)) return
-        scope.launch { storeResult(0, ref, workspace, null) }
+        scope.launch { storeResult(0, ref, null) }
     }
 
     private suspend fun run(
@@ -170,8 +167,8 @@
                 slots.releaseItem(request.number, outcome, observer.firstEvent, detail)
                 finish(request, end)
                 // Another run of the item here has cancelled this one and uses the output.
-                if (running.none { (number, it) -> number != request.number && it.item == request.item }) {
-                    outputs.onIdle(request.item, MonotonicTime.now())
+                if (running.none { (number, it) -> number != request.number && it.item == request.target }) {
+                    outputs.onIdle(request.target, MonotonicTime.now())
                 }
             }
         }
@@ -181,10 +178,10 @@
         request: RunItemRequest,
         end: ItemEnd,
     ) {
-        val output = outputs[request.item]
+        val output = outputs[request.target]
         EventLog.info(
             "item",
-            "id" to request.item,
+            "id" to request.target,
             "server" to request.server,
             "outcome" to end::class.simpleName,
             "detail" to end.detail,
@@ -192,30 +189,30 @@
         )
         when (end) {
             is ItemEnd.Complete -> {
-                report(ItemReport(request.number, request.item, ItemOutcome.FINISHED))
+                report(ItemReport(request.number, request.target, ItemOutcome.FINISHED))
                 val text = output?.data.orEmpty().joinToString("\n")
-                if (pendingResults.add(request.item)) {
-                    scope.launch { storeResult(request.number, request.item, request.workspace, text) }
+                if (pendingResults.add(request.target)) {
+                    scope.launch { storeResult(request.number, request.target, text) }
                 }
             }
 
             is ItemEnd.Impossible -> {
-                report(ItemReport(request.number, request.item, ItemOutcome.FINISHED))
-                if (pendingResults.add(request.item)) {
-                    scope.launch { storeResult(request.number, request.item, request.workspace, null) }
+                report(ItemReport(request.number, request.target, ItemOutcome.FINISHED))
+                if (pendingResults.add(request.target)) {
+                    scope.launch { storeResult(request.number, request.target, null) }
                 }
             }
 
             is ItemEnd.Failed -> {
-                report(ItemReport(request.number, request.item, ItemOutcome.FAILED))
+                report(ItemReport(request.number, request.target, ItemOutcome.FAILED))
             }
 
             is ItemEnd.Withheld -> {
-                report(ItemReport(request.number, request.item, ItemOutcome.WITHHELD))
+                report(ItemReport(request.number, request.target, ItemOutcome.WITHHELD))
             }
 
             is ItemEnd.NothingLeft, is ItemEnd.Interrupted -> {
-                report(ItemReport(request.number, request.item, ItemOutcome.INTERRUPTED, output?.toPartial()))
+                report(ItemReport(request.number, request.target, ItemOutcome.INTERRUPTED, output?.toPartial()))
             }
         }
     }
@@ -223,10 +220,9 @@
     private suspend fun storeResult(
         number: Long,
         ref: ItemRef,
-        workspace: WorkspaceId?,
         text: String?,
     ) {
-        jobs.appendResult(workspace, ref, text)
+        jobs.appendResult(ref, text)
         pendingResults -= ref
         outputs -= ref
         EventLog.info("item_listed", "id" to ref, "completed" to (text != null))
@@ -246,15 +242,15 @@
 
     /** Waits for the body of the item, which may have to be read from the store; the read outlasts the wait. */
     private suspend fun prepare(request: RunItemRequest): Prepared {
-        val items = withTimeoutOrNull(MAX_BODY_WAIT) { jobs.items(request.workspace, request.item.job) }
+        val items = withTimeoutOrNull(MAX_BODY_WAIT) { jobs.items(request.target.job) }
         val item =
             when (items) {
                 null -> return unable("bodies_pending")
-                is Outcome.Ok -> items.value[request.item.item] ?: return Prepared.Unable(NO_SUCH_ITEM)
+                is Outcome.Ok -> items.value[request.target.item] ?: return Prepared.Unable(NO_SUCH_ITEM)
                 is Outcome.Failed -> return unable("bodies_unavailable: ${items.failure.message}")
             }
-        return when (val row = jobs.find(request.workspace, request.item.job)) {
-            is Outcome.Ok -> Prepared.Ready(toBackendCall(item, row.value.host, request.workspace))
+        return when (val row = jobs.find(request.target.job)) {
+            is Outcome.Ok -> Prepared.Ready(toBackendCall(item, row.value.host, request.target.job.workspace))
             is Outcome.Failed -> unable("job_unavailable: ${row.failure.message}")
         }
     }
@@ -267,12 +263,17 @@
         observer: RunObserver,
         onFirst: (MonotonicTime) -> Unit,
     ): ItemEnd {
-        val output = outputs.use(request.item) { Output() }
+        val output = outputs.use(request.target) { Output() }
         request.partial?.let { output.mergeFrom(it) }
         val end = exchange(request, call, output, observer, onFirst)
         if (end !is ItemEnd.NothingLeft) return end
         // Only a run from the start shows where the output ends.
-        EventLog.info("item_restarted", "id" to request.item, "server" to request.server, "events" to output.lastEvent)
+        EventLog.info(
+            "item_restarted",
+            "id" to request.target,
+            "server" to request.server,
+            "events" to output.lastEvent,
+        )
         output.restart()
         return exchange(request, call, output, observer, onFirst)
     }
--- a/server/src/main/kotlin/org/agatestream/server/JobCalls.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobCalls.kt
@@ -6,9 +6,9 @@
 import org.agatestream.core.Failure
 import org.agatestream.core.ItemId
 import org.agatestream.core.JobId
+import org.agatestream.core.JobRef
 import org.agatestream.core.Outcome
 import org.agatestream.core.VmId
-import org.agatestream.core.WorkspaceId
 import org.agatestream.core.getOrElse
 import org.agatestream.http.HttpCall
 import org.agatestream.platform.CallerProtocol
@@ -45,7 +45,7 @@
                 rules = admission.route.jobs,
             )
         val accepted = jobs.accept(row, body, items, admission.route.jobs?.maxWaitingTokens ?: 0)
-        log("job_submitted", row.workspace, id, accepted, "items" to items.size, "manifest" to manifestVersion)
+        log("job_submitted", row.ref, accepted, "items" to items.size, "manifest" to manifestVersion)
         when (accepted) {
             is Outcome.Ok -> call.respond(STATUS_ACCEPTED, JSON, "{}".encodeToByteArray())
             is Outcome.Failed -> call.respondNotServed(accepted.failure)
@@ -54,30 +54,23 @@
 
     suspend fun results(
         call: HttpCall,
-        workspace: WorkspaceId?,
-        job: JobId,
+        job: JobRef,
         after: Int,
     ) {
-        val row = jobs.find(workspace, job).getOrElse { return refuse(call, "job_read", workspace, job, it) }
+        val row = jobs.find(job).getOrElse { return refuse(call, "job_read", job, it) }
         val results =
-            jobs
-                .results(
-                    workspace,
-                    job,
-                    after,
-                ).getOrElse { return refuse(call, "job_read", workspace, job, it) }
+            jobs.results(job, after).getOrElse { return refuse(call, "job_read", job, it) }
         call.respond(STATUS_OK, JSON, encodeResults(row.items.size, results, after + results.size))
     }
 
     suspend fun itemBody(
         call: HttpCall,
-        workspace: WorkspaceId?,
-        job: JobId,
+        job: JobRef,
         item: ItemId,
     ) {
-        jobs.find(workspace, job).getOrElse { return refuse(call, "item_read", workspace, job, it) }
-        val read = withTimeoutOrNull(CallerProtocol.callerTimeout(call)) { jobs.items(workspace, job) }
-        val items = (read ?: PENDING).getOrElse { return refuse(call, "item_read", workspace, job, it) }
+        jobs.find(job).getOrElse { return refuse(call, "item_read", job, it) }
+        val read = withTimeoutOrNull(CallerProtocol.callerTimeout(call)) { jobs.items(job) }
+        val items = (read ?: PENDING).getOrElse { return refuse(call, "item_read", job, it) }
         val body =
             items[item]?.body ?: return call.respondNotServed(Failure(ErrorKind.UNKNOWN_JOB, "there is no such item"))
         call.respond(STATUS_OK, BYTES, body)
@@ -85,12 +78,11 @@
 
     suspend fun end(
         call: HttpCall,
-        workspace: WorkspaceId?,
-        job: JobId,
+        job: JobRef,
     ) {
-        jobs.find(workspace, job).getOrElse { return refuse(call, "job_end", workspace, job, it) }
-        val ended = jobs.end(workspace, job)
-        log("job_ended", workspace, job, ended)
+        jobs.find(job).getOrElse { return refuse(call, "job_end", job, it) }
+        val ended = jobs.end(job)
+        log("job_ended", job, ended)
         when (ended) {
             is Outcome.Ok -> call.respond(STATUS_OK, JSON, "{}".encodeToByteArray())
             is Outcome.Failed -> call.respondNotServed(ended.failure)
@@ -100,23 +92,21 @@
     private suspend fun refuse(
         call: HttpCall,
         event: String,
-        workspace: WorkspaceId?,
-        job: JobId,
+        job: JobRef,
         failure: Failure,
     ) {
-        log(event, workspace, job, Outcome.Failed(failure))
+        log(event, job, Outcome.Failed(failure))
         call.respondNotServed(failure)
     }
 
     private fun log(
         event: String,
-        workspace: WorkspaceId?,
-        job: JobId,
+        job: JobRef,
         outcome: Outcome<*>,
         vararg more: Pair<String, Any?>,
     ) {
         val result = if (outcome is Outcome.Failed) outcome.failure.kind.code else "done"
-        EventLog.info(event, "job" to job, "workspace" to workspace, "outcome" to result, *more)
+        EventLog.info(event, "job" to job.id, "workspace" to job.workspace, "outcome" to result, *more)
     }
 
     private fun isStorable(id: String): Boolean =
--- a/server/src/main/kotlin/org/agatestream/server/JobStore.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobStore.kt
@@ -9,14 +9,13 @@
 import org.agatestream.core.Failure
 import org.agatestream.core.ItemId
 import org.agatestream.core.ItemRef
-import org.agatestream.core.JobId
+import org.agatestream.core.JobRef
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.Outcome
 import org.agatestream.core.RowChange
 import org.agatestream.core.RowStore
 import org.agatestream.core.StoreRead
 import org.agatestream.core.StoredRow
-import org.agatestream.core.WorkspaceId
 import org.agatestream.core.WriteResult
 import org.agatestream.core.toFailed
 import org.agatestream.core.toOk
@@ -35,12 +34,12 @@
     /** Runs the reads of bodies, which go on when the run that needed them first is stopped. */
     scope: CoroutineScope,
 ) {
-    private val jobs = LruMap<String, JobRow>(MAX_CACHED_JOBS)
+    private val jobs = LruMap<JobRef, JobRow>(MAX_CACHED_JOBS)
 
     // A guess at each job's next free result position, as other VMs may have added results.
-    private val nextPositions = LruMap<String, Int>(MAX_CACHED_JOBS)
+    private val nextPositions = LruMap<JobRef, Int>(MAX_CACHED_JOBS)
     private val bodies = BodyCache(MAX_CACHED_BODIES, BODY_CACHE_BYTES)
-    private val reads = SharedReads<Outcome<Map<ItemId, SubmittedItem>>>(scope, MAX_CONCURRENT_BODY_READS)
+    private val reads = SharedReads<JobRef, Outcome<Map<ItemId, SubmittedItem>>>(scope, MAX_CONCURRENT_BODY_READS)
 
     /** The number of objects with the bodies of jobs that are being read. */
     val bodyReads: Int get() = reads.pending
@@ -56,9 +55,8 @@
         maxWaitingTokens: Long,
     ): Outcome<JobRow> =
         coroutineScope {
-            val partition = FleetTables.partitionOf(row.workspace)
-            val put = async { store.putObject(FleetTables.bodies(partition, row.id), content) }
-            val state = store.readPartition(partition)
+            val put = async { store.putObject(FleetTables.bodies(row.ref), content) }
+            val state = store.readPartition(FleetTables.partitionOf(row.workspace))
             if (state == null) {
                 put.await()
                 return@coroutineScope unavailable()
@@ -72,21 +70,20 @@
                 )
             }
             when (put.await()) {
-                is WriteResult.Written -> write(partition, row.copy(acceptedAt = state.readAt), items)
+                is WriteResult.Written -> write(row.copy(acceptedAt = state.readAt), items)
                 else -> unavailable()
             }
         }
 
     private suspend fun write(
-        partition: String,
         row: JobRow,
         items: List<SubmittedItem>,
     ): Outcome<JobRow> {
-        val name = FleetTables.job(partition, row.id)
+        val name = FleetTables.job(row.ref)
         val value = FleetTables.encode(JobRow.serializer(), row)
         return when (val result = store.write(mapOf(name to 0L), listOf(RowChange(name, value)))) {
             is WriteResult.Written -> {
-                cacheJob(partition, row, items)
+                cacheJob(row, items)
                 row.toOk()
             }
 
@@ -100,47 +97,37 @@
             }
 
             is WriteResult.Unknown -> {
-                confirmWrite(partition, row)
+                confirmWrite(row)
             }
         }
     }
 
     /** Reads a job back after a write with an unknown result; if it is missing, the write may still take effect. */
-    private suspend fun confirmWrite(
-        partition: String,
-        row: JobRow,
-    ): Outcome<JobRow> =
-        when (find(row.workspace, row.id)) {
+    private suspend fun confirmWrite(row: JobRow): Outcome<JobRow> =
+        when (find(row.ref)) {
             is Outcome.Ok -> row.toOk()
             is Outcome.Failed -> ErrorKind.OUTCOME_UNKNOWN.toFailed("the store did not confirm the job")
-        }.also { EventLog.info("job_read_back", "job" to row.id, "part" to partition, "found" to (it is Outcome.Ok)) }
+        }.also { EventLog.info("job_read_back", "job" to row.ref, "found" to (it is Outcome.Ok)) }
 
     private fun cacheJob(
-        partition: String,
         row: JobRow,
         items: List<SubmittedItem>,
     ) {
-        val name = FleetTables.bodies(partition, row.id)
-        jobs[name] = row
-        bodies[name] = items.associateBy { it.id }
+        jobs[row.ref] = row
+        bodies[row.ref] = items.associateBy { it.id }
     }
 
     /** Returns a job; fails with [ErrorKind.UNKNOWN_JOB] only if the store confirms that it has none. */
-    suspend fun find(
-        workspace: WorkspaceId?,
-        job: JobId,
-    ): Outcome<JobRow> {
-        val partition = FleetTables.partitionOf(workspace)
-        val cacheKey = FleetTables.bodies(partition, job)
-        jobs[cacheKey]?.let { return it.toOk() }
-        val key = FleetTables.job(partition, job).key
-        return when (val read = store.rows(FleetTables.JOBS, partition, key, key + '\u0000', 1)) {
+    suspend fun find(job: JobRef): Outcome<JobRow> {
+        jobs[job]?.let { return it.toOk() }
+        val name = FleetTables.job(job)
+        return when (val read = store.rows(FleetTables.JOBS, name.partition, name.key, name.key + '\u0000', 1)) {
             is StoreRead.Found -> {
                 val row =
                     read.value.rows
                         .firstOrNull()
                         ?.let { parseJobRow(it) }
-                row?.also { jobs[cacheKey] = it }?.toOk() ?: ErrorKind.UNKNOWN_JOB.toFailed("there is no such job")
+                row?.also { jobs[job] = it }?.toOk() ?: ErrorKind.UNKNOWN_JOB.toFailed("there is no such job")
             }
 
             is StoreRead.Gone, is StoreRead.Unavailable -> {
@@ -151,13 +138,12 @@
 
     /** Returns results from position [after] on, as many as fit in one response. */
     suspend fun results(
-        workspace: WorkspaceId?,
-        job: JobId,
+        job: JobRef,
         after: Int,
     ): Outcome<List<ListedResult>> {
-        val partition = FleetTables.partitionOf(workspace)
-        val from = FleetTables.result(partition, job, after).key
-        val read = store.rows(FleetTables.RESULTS, partition, from, FleetTables.endKey(job), MAX_RESULTS_READ)
+        val from = FleetTables.result(job, after)
+        val to = FleetTables.endKey(job.id)
+        val read = store.rows(FleetTables.RESULTS, from.partition, from.key, to, MAX_RESULTS_READ)
         val page = (read as? StoreRead.Found)?.value ?: return unavailable()
         val results = ArrayList<ListedResult>()
         var bytes = 0
@@ -181,20 +167,15 @@
     }
 
     /** Returns the items of a job with their bodies; all that ask at the same time share one read of its object. */
-    suspend fun items(
-        workspace: WorkspaceId?,
-        job: JobId,
-    ): Outcome<Map<ItemId, SubmittedItem>> {
-        val name = FleetTables.bodies(FleetTables.partitionOf(workspace), job)
-        return bodies[name]?.toOk() ?: reads.await(name) { readItems(name) }
-    }
+    suspend fun items(job: JobRef): Outcome<Map<ItemId, SubmittedItem>> =
+        bodies[job]?.toOk() ?: reads.await(job) { readItems(job) }
 
-    private suspend fun readItems(name: String): Outcome<Map<ItemId, SubmittedItem>> {
+    private suspend fun readItems(job: JobRef): Outcome<Map<ItemId, SubmittedItem>> {
         val startedAt = MonotonicTime.now()
-        val read = store.getObject(name)
+        val read = store.getObject(FleetTables.bodies(job))
         EventLog.info(
             "bodies_read",
-            "object" to name,
+            "job" to job,
             "bytes" to (read as? StoreRead.Found)?.value?.size,
             "outcome" to read.outcome(),
             "took_ms" to (MonotonicTime.now() - startedAt).inWholeMilliseconds,
@@ -205,7 +186,7 @@
             is Outcome.Ok -> {
                 parsed.value
                     .associateBy { it.id }
-                    .also { bodies[name] = it }
+                    .also { bodies[job] = it }
                     .toOk()
             }
 
@@ -216,16 +197,11 @@
     }
 
     /** Marks a job as ended; idempotent. */
-    suspend fun end(
-        workspace: WorkspaceId?,
-        job: JobId,
-    ): Outcome<Unit> {
-        val name = FleetTables.end(FleetTables.partitionOf(workspace), job)
-        return when (store.write(emptyMap(), listOf(RowChange(name, EMPTY_VALUE)))) {
+    suspend fun end(job: JobRef): Outcome<Unit> =
+        when (store.write(emptyMap(), listOf(RowChange(FleetTables.end(job), EMPTY_VALUE)))) {
             is WriteResult.Written -> Unit.toOk()
             else -> unavailable()
         }
-    }
 
     /**
      * Adds a result at the next free position, at most once, and retries until the store has it.
@@ -233,18 +209,16 @@
      * A null [output] marks an item that was given up.
      */
     suspend fun appendResult(
-        workspace: WorkspaceId?,
         ref: ItemRef,
         output: String?,
     ) {
-        val partition = FleetTables.partitionOf(workspace)
-        val value = resultValue(partition, ref, output)
-        val done = FleetTables.done(partition, ref)
-        val job = FleetTables.bodies(partition, ref.job)
+        val job = ref.job
+        val value = resultValue(ref, output)
+        val done = FleetTables.done(ref)
         var position = nextPositions[job] ?: 0
         var failures = 0
         while (true) {
-            val resultRow = FleetTables.result(partition, ref.job, position)
+            val resultRow = FleetTables.result(job, position)
             val changes = listOf(RowChange(resultRow, value), RowChange(done, EMPTY_VALUE))
             when (val result = store.write(mapOf(done to 0L, resultRow to 0L), changes)) {
                 is WriteResult.Written -> {
@@ -254,7 +228,7 @@
 
                 is WriteResult.Conflict -> {
                     if (result.current.any { it.name == done && it.version > 0 }) return
-                    position = findNextPosition(partition, ref.job) ?: (position + 1)
+                    position = findNextPosition(job) ?: (position + 1)
                 }
 
                 is WriteResult.NotDone, is WriteResult.Unknown -> {
@@ -274,32 +248,31 @@
         // The job's own row is deleted last, so that a partly deleted job is found again.
         val names =
             (results.rows + done.rows).map { it.name } +
-                FleetTables.end(partition, row.id) +
-                FleetTables.job(partition, row.id)
+                FleetTables.end(row.ref) +
+                FleetTables.job(row.ref)
         for (batch in names.chunked(MAX_CHANGES_PER_WRITE)) {
             if (store.write(emptyMap(), batch.map { RowChange(it, null) }) !is WriteResult.Written) return false
         }
         val outputs = results.rows.mapNotNull { parseResult(it)?.outputObject }
         outputs.forEach { store.deleteObject(it) }
-        store.deleteObject(FleetTables.bodies(partition, row.id))
+        store.deleteObject(FleetTables.bodies(row.ref))
         return true
     }
 
     /** Returns the first free result position of [job], by counting the small rows that mark its finished items. */
-    private suspend fun findNextPosition(
-        partition: String,
-        job: JobId,
-    ): Int? = store.readAll(FleetTables.DONE, partition, "$job/", FleetTables.endKey(job))?.rows?.size
+    private suspend fun findNextPosition(job: JobRef): Int? {
+        val partition = FleetTables.partitionOf(job.workspace)
+        return store.readAll(FleetTables.DONE, partition, "${job.id}/", FleetTables.endKey(job.id))?.rows?.size
+    }
 
     private suspend fun resultValue(
-        partition: String,
         ref: ItemRef,
         output: String?,
     ): ByteArray {
         val inline = encode(ResultRow(ref.item, output))
         // The row limit applies to the value in base64.
         if (output == null || Base64.getEncoder().encodeToString(inline).length <= rowBytes) return inline
-        val name = FleetTables.output(partition, ref)
+        val name = FleetTables.output(ref)
         var failures = 0
         while (store.putObject(name, output.encodeToByteArray()) !is WriteResult.Written) {
             delay(WRITE_RETRY_BACKOFF.delay(++failures, Random.Default))
--- a/server/src/main/kotlin/org/agatestream/server/JobWatcher.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobWatcher.kt
@@ -7,9 +7,9 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import org.agatestream.core.ItemId
-import org.agatestream.core.JobId
 import org.agatestream.core.JobLifetime
 import org.agatestream.core.JobPlan
+import org.agatestream.core.JobRef
 import org.agatestream.core.JobRules
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.PlannedItem
@@ -24,13 +24,13 @@
     /** Returns the limits of a job whose row does not hold them. */
     private val rules: (JobRow) -> JobRules?,
     private val onJob: (JobPlan, Set<ItemId>, MonotonicTime) -> Unit,
-    private val onJobEnded: (JobId, MonotonicTime) -> Unit,
+    private val onJobEnded: (JobRef, MonotonicTime) -> Unit,
     /** Runs before the jobs are read; returns whether to read them now, else it is run again after a pause. */
     private val beforeRead: suspend () -> Boolean = { true },
     /** Called whenever all jobs have been read from the store. */
     private val onLoaded: () -> Unit = {},
 ) {
-    private val seen = HashSet<JobId>()
+    private val seen = HashSet<JobRef>()
 
     fun start(scope: CoroutineScope): Job {
         val feed =
@@ -64,7 +64,7 @@
         for (partition in partitions) {
             for (job in partition.jobs.values) {
                 if (job.id in partition.ended) {
-                    end(job.id)
+                    end(job.ref)
                 } else {
                     add(job, partition.readAt, partition.done[job.id].orEmpty())
                 }
@@ -75,7 +75,7 @@
     private fun applyChanges(page: RowPage) {
         for (row in page.rows) {
             if (row.value == null) continue
-            val ended = FleetTables.endedJob(row.name.key)
+            val ended = FleetTables.endedJob(row.name)
             if (ended != null) end(ended) else parseJobRow(row)?.let { add(it, page.readAt, emptySet()) }
         }
     }
@@ -85,7 +85,7 @@
         readAt: StoreTime?,
         done: Set<ItemId>,
     ) {
-        if (!seen.add(row.id)) return
+        if (!seen.add(row.ref)) return
         val now = MonotonicTime.now()
         val plan =
             JobPlan(
@@ -100,7 +100,7 @@
         onJob(plan, done, now)
     }
 
-    private fun end(job: JobId) {
+    private fun end(job: JobRef) {
         seen += job
         onJobEnded(job, MonotonicTime.now())
     }
--- a/server/src/main/kotlin/org/agatestream/server/PartialOutputs.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PartialOutputs.kt
@@ -2,7 +2,7 @@
 
 import org.agatestream.core.ItemId
 import org.agatestream.core.ItemRef
-import org.agatestream.core.JobId
+import org.agatestream.core.JobRef
 
 /**
  * The outputs of interrupted items, from which the coordinator lets other VMs resume them.
@@ -11,8 +11,8 @@
  * jobs that are not known yet are kept, as a new coordinator hears of interrupted items while it still reads the jobs.
  */
 internal class PartialOutputs {
-    private val openItems = HashMap<JobId, MutableSet<ItemId>>()
-    private val closedJobs = LruMap<JobId, Unit>(MAX_CLOSED_JOBS)
+    private val openItems = HashMap<JobRef, MutableSet<ItemId>>()
+    private val closedJobs = LruMap<JobRef, Unit>(MAX_CLOSED_JOBS)
     private val outputs = HashMap<ItemRef, PartialOutput>()
 
     val size: Int get() = outputs.size
@@ -21,7 +21,7 @@
 
     /** Records a job with its unfinished items. */
     fun onJob(
-        job: JobId,
+        job: JobRef,
         open: Collection<ItemId>,
     ) {
         if (job in openItems || job in closedJobs) return
@@ -31,7 +31,7 @@
     }
 
     /** Records that the job ended. */
-    fun onJobEnded(job: JobId) {
+    fun onJobEnded(job: JobRef) {
         openItems -= job
         closedJobs[job] = Unit
         outputs.keys.removeAll { it.job == job }
--- a/server/src/main/kotlin/org/agatestream/server/PartitionState.kt
+++ b/server/src/main/kotlin/org/agatestream/server/PartitionState.kt
@@ -17,15 +17,15 @@
 
     fun add(rows: List<StoredRow>) {
         for (row in rows) {
-            val end = FleetTables.endedJob(row.name.key)
-            if (end != null) ended += end else parseJobRow(row)?.let { jobs[it.id] = it }
+            val end = FleetTables.endedJob(row.name)
+            if (end != null) ended += end.id else parseJobRow(row)?.let { jobs[it.id] = it }
         }
     }
 
     fun addDone(rows: List<StoredRow>) {
         for (row in rows) {
-            val ref = FleetTables.doneItem(row.name.key)
-            done.getOrPut(ref.job) { HashSet() } += ref.item
+            val (job, item) = FleetTables.doneItem(row.name.key)
+            done.getOrPut(job) { HashSet() } += item
         }
     }
 
--- a/server/src/main/kotlin/org/agatestream/server/RelayedObjects.kt
+++ b/server/src/main/kotlin/org/agatestream/server/RelayedObjects.kt
@@ -23,7 +23,7 @@
     )
 
     private val held = HashMap<String, Held>()
-    private val reads = SharedReads<StoreRead<ByteArray>>(scope, MAX_OBJECTS)
+    private val reads = SharedReads<String, StoreRead<ByteArray>>(scope, MAX_OBJECTS)
 
     /**
      * Returns the piece of the object [name] that begins at [from], or that the object is pending.
--- a/server/src/main/kotlin/org/agatestream/server/SharedReads.kt
+++ b/server/src/main/kotlin/org/agatestream/server/SharedReads.kt
@@ -12,31 +12,31 @@
  *
  * A read goes on in [scope] when a caller stops waiting, so that the next one need not begin it anew. Not thread-safe.
  */
-internal class SharedReads<T>(
+internal class SharedReads<K, T>(
     private val scope: CoroutineScope,
     maxAtOnce: Int,
 ) {
-    private val reads = HashMap<String, Deferred<T>>()
+    private val reads = HashMap<K, Deferred<T>>()
     private val permits = Semaphore(maxAtOnce)
 
     /** The number of reads that are not complete, with those that wait for others. */
     val pending: Int get() = reads.size
 
-    /** Returns whether a read of [name] is pending. */
-    operator fun contains(name: String): Boolean = name in reads
+    /** Returns whether a read of [key] is pending. */
+    operator fun contains(key: K): Boolean = key in reads
 
-    /** Returns the result of the pending read of [name], or of [read] if there is none. */
+    /** Returns the result of the pending read of [key], or of [read] if there is none. */
     suspend fun await(
-        name: String,
+        key: K,
         read: suspend () -> T,
     ): T {
         val pending =
-            reads.getOrPut(name) {
+            reads.getOrPut(key) {
                 scope.async(start = CoroutineStart.LAZY) {
                     try {
                         permits.withPermit { read() }
                     } finally {
-                        reads -= name
+                        reads -= key
                     }
                 }
             }
--- a/server/src/test/kotlin/org/agatestream/server/CoordinatorRoleTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/CoordinatorRoleTest.kt
@@ -112,7 +112,7 @@
         scope = scope,
         runItem = {},
         stopItem = {},
-        giveUpItem = { _, _ -> },
+        giveUpItem = {},
         onDecision = {},
         markSilent = {},
         unlist = {},
--- a/server/src/test/kotlin/org/agatestream/server/JobClockTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/JobClockTest.kt
@@ -15,6 +15,7 @@
 import org.agatestream.core.ItemRef
 import org.agatestream.core.JobId
 import org.agatestream.core.JobPlan
+import org.agatestream.core.JobRef
 import org.agatestream.core.JobRules
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.Outcome
@@ -29,7 +30,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 private val TEAM = WorkspaceId("team")
-private val JOB = JobId("job")
+private val JOB = JobRef(TEAM, JobId("job"))
 private val CONTENT = """{"Requests":[{"Id":"i1","Path":"/b/1","Body":"YQ==","Tokens":60}]}""".encodeToByteArray()
 private val RULES = JobRules(completionTarget = 18.seconds, retention = 36.seconds, maxWaitingTokens = 0)
 private val START = StoreTime(1_000_000)
@@ -41,7 +42,7 @@
 ) {
     val receivedAt = System.currentTimeMillis() + clockError.inWholeMilliseconds
     val jobItems = listOf(JobRowItem(ItemId("i1"), "/b/1", 60))
-    val row = JobRow(JOB, TEAM, "h", "r", receivedAt, VmId("v"), jobItems, rules = rules)
+    val row = JobRow(JOB.id, TEAM, "h", "r", receivedAt, VmId("v"), jobItems, rules = rules)
     val items = (parseJob(CONTENT) as Outcome.Ok).value
     JobStore(this, 65_536, UNCONFINED).accept(row, CONTENT, items, 0).shouldBeInstanceOf<Outcome.Ok<JobRow>>()
 }
@@ -86,7 +87,7 @@
                 val jobs = JobStore(store, 65_536, UNCONFINED)
                 store.now = START
                 store.acceptJob(clockError)
-                jobs.appendResult(TEAM, ItemRef(JOB, ItemId("i1")), "done")
+                jobs.appendResult(ItemRef(JOB, ItemId("i1")), "done")
                 val cleaner = JobCleaner(store, jobs, retention = 120.seconds)
                 store.now = START + 120.seconds
                 cleaner.clean()
@@ -119,7 +120,7 @@
                 .lifetime.expiresAt
                 .shouldBeNull()
             val jobs = JobStore(store, 65_536, UNCONFINED)
-            jobs.appendResult(TEAM, ItemRef(JOB, ItemId("i1")), "done")
+            jobs.appendResult(ItemRef(JOB, ItemId("i1")), "done")
             JobCleaner(store, jobs, retention = 120.seconds).clean()
             store.rows.keys.filter { it.table == FleetTables.JOBS } shouldHaveSize 1
         }
--- a/server/src/test/kotlin/org/agatestream/server/JobStoreTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/JobStoreTest.kt
@@ -17,6 +17,7 @@
 import org.agatestream.core.ItemId
 import org.agatestream.core.ItemRef
 import org.agatestream.core.JobId
+import org.agatestream.core.JobRef
 import org.agatestream.core.Outcome
 import org.agatestream.core.StoreTime
 import org.agatestream.core.VmId
@@ -27,15 +28,17 @@
 import kotlin.time.Duration.Companion.seconds
 
 private val TEAM = WorkspaceId("team")
-private val JOB = JobId("job")
+private val JOB = JobRef(TEAM, JobId("job"))
+
+private val SECOND = JobRef(TEAM, JobId("second"))
 
 private val CONTENT =
     """{"Requests":[{"Id":"i1","Path":"/b/1","Body":"YQ==","Tokens":60},{"Id":"i2","Path":"/b/2","Tokens":40}]}"""
         .encodeToByteArray()
 
-private fun rowOf(job: JobId = JOB): JobRow {
+private fun rowOf(job: JobRef = JOB): JobRow {
     val items = listOf(JobRowItem(ItemId("i1"), "/b/1", 60), JobRowItem(ItemId("i2"), "/b/2", 40))
-    return JobRow(job, TEAM, "h", "r", 0, VmId("v"), items)
+    return JobRow(job.id, job.workspace, "h", "r", 0, VmId("v"), items)
 }
 
 private suspend fun JobStore.submit(
@@ -44,7 +47,7 @@
 ): Outcome<JobRow> = accept(row, CONTENT, (parseJob(CONTENT) as Outcome.Ok).value, maxTokens)
 
 private suspend fun JobStore.read(after: Int = 0): List<ListedResult> =
-    results(TEAM, JOB, after).shouldBeInstanceOf<Outcome.Ok<List<ListedResult>>>().value
+    results(JOB, after).shouldBeInstanceOf<Outcome.Ok<List<ListedResult>>>().value
 
 private fun Outcome<*>.kind(): ErrorKind = shouldBeInstanceOf<Outcome.Failed>().failure.kind
 
@@ -54,8 +57,8 @@
             val store = FakeRowStore()
             JobStore(store, 65_536, UNCONFINED).submit().shouldBeInstanceOf<Outcome.Ok<JobRow>>()
             val other = JobStore(store, 65_536, UNCONFINED)
-            other.find(TEAM, JOB).shouldBeInstanceOf<Outcome.Ok<JobRow>>()
-            val items = other.items(TEAM, JOB).shouldBeInstanceOf<Outcome.Ok<Map<ItemId, Any>>>().value
+            other.find(JOB).shouldBeInstanceOf<Outcome.Ok<JobRow>>()
+            val items = other.items(JOB).shouldBeInstanceOf<Outcome.Ok<Map<ItemId, Any>>>().value
             items.keys.map { it.value } shouldContainExactlyInAnyOrder listOf("i1", "i2")
         }
 
@@ -65,7 +68,7 @@
             JobStore(store, 65_536, UNCONFINED).submit()
             store.objectsArrive = CompletableDeferred()
             val jobs = JobStore(store, 65_536, UNCONFINED)
-            val items = List(10) { UNCONFINED.async { jobs.items(TEAM, JOB) } }
+            val items = List(10) { UNCONFINED.async { jobs.items(JOB) } }
             store.objectsArrive?.complete(Unit)
             items.awaitAll().forEach { it.shouldBeInstanceOf<Outcome.Ok<*>>() }
             store.objectReads shouldHaveSize 1
@@ -77,9 +80,9 @@
             JobStore(store, 65_536, UNCONFINED).submit()
             store.objectsArrive = CompletableDeferred()
             val jobs = JobStore(store, 65_536, UNCONFINED)
-            UNCONFINED.launch { jobs.items(TEAM, JOB) }.cancelAndJoin()
+            UNCONFINED.launch { jobs.items(JOB) }.cancelAndJoin()
             jobs.bodyReads shouldBe 1
-            val next = UNCONFINED.async { jobs.items(TEAM, JOB) }
+            val next = UNCONFINED.async { jobs.items(JOB) }
             store.objectsArrive?.complete(Unit)
             next.await().shouldBeInstanceOf<Outcome.Ok<*>>()
             store.objectReads shouldHaveSize 1
@@ -90,9 +93,9 @@
             JobStore(store, 65_536, UNCONFINED).submit()
             store.isDown = true
             val jobs = JobStore(store, 65_536, UNCONFINED)
-            jobs.items(TEAM, JOB).kind() shouldBe ErrorKind.PLATFORM_UNAVAILABLE
+            jobs.items(JOB).kind() shouldBe ErrorKind.PLATFORM_UNAVAILABLE
             store.isDown = false
-            jobs.items(TEAM, JOB).shouldBeInstanceOf<Outcome.Ok<*>>()
+            jobs.items(JOB).shouldBeInstanceOf<Outcome.Ok<*>>()
         }
 
         // Guards against a heap that is full of the bodies of large jobs.
@@ -101,9 +104,9 @@
             val content = """{"Requests":[{"Id":"i1","Path":"/b/1","Body":"$body","Tokens":60}]}""".encodeToByteArray()
             val items = (parseJob(content) as Outcome.Ok).value
             val jobs = JobStore(FakeRowStore(), 65_536, UNCONFINED)
-            repeat(20) { jobs.accept(rowOf(JobId("job-$it")), content, items, 0) }
+            repeat(20) { jobs.accept(rowOf(JobRef(TEAM, JobId("job-$it"))), content, items, 0) }
             jobs.cachedBodyBytes shouldBeInRange 12_000_000L..16L * 1024 * 1024
-            jobs.items(TEAM, JobId("job-0")).shouldBeInstanceOf<Outcome.Ok<*>>()
+            jobs.items(JobRef(TEAM, JobId("job-0"))).shouldBeInstanceOf<Outcome.Ok<*>>()
         }
 
         test("a repeated submission of a job is accepted and stored once") {
@@ -135,16 +138,16 @@
             val store = FakeRowStore()
             val jobs = JobStore(store, 65_536, UNCONFINED)
             jobs.submit(maxTokens = 150).shouldBeInstanceOf<Outcome.Ok<JobRow>>()
-            jobs.submit(rowOf(JobId("second")), maxTokens = 150).kind() shouldBe ErrorKind.RATE_EXCEEDED
-            jobs.appendResult(TEAM, ItemRef(JOB, ItemId("i1")), "text")
-            jobs.submit(rowOf(JobId("second")), maxTokens = 150).shouldBeInstanceOf<Outcome.Ok<JobRow>>()
+            jobs.submit(rowOf(SECOND), maxTokens = 150).kind() shouldBe ErrorKind.RATE_EXCEEDED
+            jobs.appendResult(ItemRef(JOB, ItemId("i1")), "text")
+            jobs.submit(rowOf(SECOND), maxTokens = 150).shouldBeInstanceOf<Outcome.Ok<JobRow>>()
         }
 
         test("an ended job releases its tokens") {
             val jobs = JobStore(FakeRowStore(), 65_536, UNCONFINED)
             jobs.submit(maxTokens = 150)
-            jobs.end(TEAM, JOB)
-            jobs.submit(rowOf(JobId("second")), maxTokens = 150).shouldBeInstanceOf<Outcome.Ok<JobRow>>()
+            jobs.end(JOB)
+            jobs.submit(rowOf(SECOND), maxTokens = 150).shouldBeInstanceOf<Outcome.Ok<JobRow>>()
         }
 
         test("each result has one position, even if several VMs store it and answers are lost") {
@@ -159,7 +162,7 @@
                                 store,
                                 65_536,
                                 UNCONFINED,
-                            ).appendResult(TEAM, ItemRef(JOB, ItemId(item)), item)
+                            ).appendResult(ItemRef(JOB, ItemId(item)), item)
                         }
                     }.awaitAll()
             }
@@ -174,16 +177,16 @@
             val jobs = JobStore(store, 1_000, UNCONFINED)
             jobs.submit()
             val text = "x".repeat(5_000)
-            jobs.appendResult(TEAM, ItemRef(JOB, ItemId("i1")), text)
+            jobs.appendResult(ItemRef(JOB, ItemId("i1")), text)
             jobs.read().single().output shouldBe text
         }
 
         test("a job missing from the store is unknown, and unavailable while the store is down") {
             val store = FakeRowStore()
             val jobs = JobStore(store, 65_536, UNCONFINED)
-            jobs.find(TEAM, JOB).kind() shouldBe ErrorKind.UNKNOWN_JOB
+            jobs.find(JOB).kind() shouldBe ErrorKind.UNKNOWN_JOB
             store.isDown = true
-            jobs.find(TEAM, JOB).kind() shouldBe ErrorKind.PLATFORM_UNAVAILABLE
+            jobs.find(JOB).kind() shouldBe ErrorKind.PLATFORM_UNAVAILABLE
         }
 
         test("an expired job is deleted with its rows and objects once it is finished or ended") {
@@ -192,11 +195,11 @@
             val cleaner = JobCleaner(store, jobs, 120.seconds)
             store.now = StoreTime(0)
             jobs.submit()
-            jobs.appendResult(TEAM, ItemRef(JOB, ItemId("i1")), "x".repeat(5_000))
+            jobs.appendResult(ItemRef(JOB, ItemId("i1")), "x".repeat(5_000))
             store.now = StoreTime(200_000)
             cleaner.clean()
             store.rows.keys.filter { it.table == FleetTables.JOBS } shouldHaveSize 1
-            jobs.appendResult(TEAM, ItemRef(JOB, ItemId("i2")), null)
+            jobs.appendResult(ItemRef(JOB, ItemId("i2")), null)
             store.now = StoreTime(130_000)
             cleaner.clean()
             store.rows.keys.filter { it.table == FleetTables.JOBS } shouldHaveSize 1
@@ -209,6 +212,7 @@
         test("a job of another workspace is unknown") {
             val store = FakeRowStore()
             JobStore(store, 65_536, UNCONFINED).submit()
-            JobStore(store, 65_536, UNCONFINED).find(WorkspaceId("other"), JOB).kind() shouldBe ErrorKind.UNKNOWN_JOB
+            JobStore(store, 65_536, UNCONFINED).find(JOB.copy(workspace = WorkspaceId("other"))).kind() shouldBe
+                ErrorKind.UNKNOWN_JOB
         }
     })
--- a/server/src/test/kotlin/org/agatestream/server/JobWatcherTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/JobWatcherTest.kt
@@ -8,6 +8,7 @@
 import org.agatestream.core.ItemId
 import org.agatestream.core.JobId
 import org.agatestream.core.JobPlan
+import org.agatestream.core.JobRef
 import org.agatestream.core.RowChange
 import org.agatestream.core.RowStore
 import org.agatestream.core.StoreRead
@@ -24,7 +25,7 @@
         JobRow(JobId(job), WorkspaceId(workspace), "h", "r", 0, VmId("v"), listOf(JobRowItem(ItemId("i"), "/", 1)))
     write(
         emptyMap(),
-        listOf(RowChange(FleetTables.job(workspace, row.id), FleetTables.encode(JobRow.serializer(), row))),
+        listOf(RowChange(FleetTables.job(row.ref), FleetTables.encode(JobRow.serializer(), row))),
     )
 }
 
@@ -65,4 +66,29 @@
                 }
             }
         }
+
+        // Guards against a job that never runs, as another workspace's job has the same id.
+        test("JobsOfOneId: jobs of two workspaces with the same id are both found, and end apart") {
+            val rows = FakeRowStore()
+            listOf("a", "b").forEach { rows.addJob(it, "j") }
+            val ended = JobRef(WorkspaceId("a"), JobId("j"))
+            rows.write(emptyMap(), listOf(RowChange(FleetTables.end(ended), "{}".encodeToByteArray())))
+            val seen = CopyOnWriteArrayList<JobRef>()
+            val ends = CopyOnWriteArrayList<JobRef>()
+            coroutineScope {
+                val watch =
+                    JobWatcher(
+                        PolledStore(rows),
+                        { null },
+                        { plan, _, _ -> seen += plan.ref },
+                        { job, _ -> ends += job },
+                    ).start(this)
+                try {
+                    eventually(3.seconds) { seen shouldContainExactlyInAnyOrder listOf(ended.copy(WorkspaceId("b"))) }
+                    ends.distinct() shouldContainExactlyInAnyOrder listOf(ended)
+                } finally {
+                    watch.cancelAndJoin()
+                }
+            }
+        }
     })
--- a/server/src/test/kotlin/org/agatestream/server/PartialOutputsTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/PartialOutputsTest.kt
@@ -5,10 +5,11 @@
 import org.agatestream.core.ItemId
 import org.agatestream.core.ItemRef
 import org.agatestream.core.JobId
+import org.agatestream.core.JobRef
 import org.agatestream.core.MonotonicTime
 import kotlin.time.Duration.Companion.seconds
 
-private val JOB = JobId("j")
+private val JOB = JobRef(null, JobId("j"))
 private val FIRST = ItemRef(JOB, ItemId("i1"))
 private val SECOND = ItemRef(JOB, ItemId("i2"))
 
