Name the objects of jobs so that no two share one

Cause: the name of an object was made of workspace, job and item joined by a hyphen, which each of them may hold. Evidence: bodies_read names this one object with 101,029 bytes at two VMs before the second job was submitted, and no VM read bodies after that.

The parts of a name are escaped, byte by byte, and joined with a character that no escaped part holds. The row of a job names its object, so that jobs of earlier builds are still found and removed. Escaped names also need no escapes in the store's calls, which put them into a path as they are.

--- a/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
@@ -55,6 +55,8 @@
     val manifestVersion: Long = 0,
     /** The limits of its route in that manifest; null in rows of builds that did not record them. */
     val rules: JobRules? = null,
+    /** The name of the object with the bodies; null in rows of builds that did not record it. */
+    val bodies: String? = null,
 ) {
     val ref: JobRef get() = JobRef(workspace, id)
 }
@@ -87,6 +89,7 @@
     private const val END_SUFFIX = "/end"
     private const val COORDINATOR_KEY = "coordinator"
     private const val POSITION_DIGITS = 5
+    private val PLAIN_CHARS = (('a'..'z') + ('A'..'Z') + ('0'..'9') + '-').toSet()
 
     private val json = Json { ignoreUnknownKeys = true }
 
@@ -146,7 +149,25 @@
     /** Returns the exclusive end of the keys of [job] in the tables of results and finished items. */
     fun endKey(job: JobId): String = "$job/~"
 
-    fun bodies(job: JobRef): String = "job-${partitionOf(job.workspace)}-${job.id}"
+    /** Returns the name of the object with the bodies of [job]. */
+    fun bodies(job: JobRef): String = objectName("bodies", partitionOf(job.workspace), job.id.value)
 
-    fun output(ref: ItemRef): String = "out-${partitionOf(ref.job.workspace)}-${ref.job.id}-${ref.item}"
+    /** Returns the name that builds gave to the object with the bodies of [job] before they recorded it in its row. */
+    fun unrecordedBodies(job: JobRef): String = "job-${partitionOf(job.workspace)}-${job.id}"
+
+    /** Returns the name of the object with the output of the item [ref]. */
+    fun output(ref: ItemRef): String =
+        objectName("output", partitionOf(ref.job.workspace), ref.job.id.value, ref.item.value)
+
+    /** Joins [parts] to a name that no other parts have and that needs no escapes in the store's calls. */
+    private fun objectName(vararg parts: String): String = parts.joinToString(".") { escape(it) }
+
+    /** Replaces all but letters, digits and hyphens by `_` and the two hexadecimal digits of each byte. */
+    private fun escape(part: String): String =
+        buildString {
+            for (byte in part.encodeToByteArray()) {
+                val char = byte.toInt().toChar()
+                if (char in PLAIN_CHARS) append(char) else append('_').append(byte.toHexString())
+            }
+        }
 }
--- a/server/src/main/kotlin/org/agatestream/server/JobStore.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobStore.kt
@@ -17,6 +17,7 @@
 import org.agatestream.core.StoreRead
 import org.agatestream.core.StoredRow
 import org.agatestream.core.WriteResult
+import org.agatestream.core.getOrElse
 import org.agatestream.core.toFailed
 import org.agatestream.core.toOk
 import org.agatestream.platform.ListedResult
@@ -55,7 +56,8 @@
         maxWaitingTokens: Long,
     ): Outcome<JobRow> =
         coroutineScope {
-            val put = async { store.putObject(FleetTables.bodies(row.ref), content) }
+            val bodiesName = FleetTables.bodies(row.ref)
+            val put = async { store.putObject(bodiesName, content) }
             val state = store.readPartition(FleetTables.partitionOf(row.workspace))
             if (state == null) {
                 put.await()
@@ -70,7 +72,7 @@
                 )
             }
             when (put.await()) {
-                is WriteResult.Written -> write(row.copy(acceptedAt = state.readAt), items)
+                is WriteResult.Written -> write(row.copy(acceptedAt = state.readAt, bodies = bodiesName), items)
                 else -> unavailable()
             }
         }
@@ -171,8 +173,9 @@
         bodies[job]?.toOk() ?: reads.await(job) { readItems(job) }
 
     private suspend fun readItems(job: JobRef): Outcome<Map<ItemId, SubmittedItem>> {
+        val row = find(job).getOrElse { return Outcome.Failed(it) }
         val startedAt = MonotonicTime.now()
-        val read = store.getObject(FleetTables.bodies(job))
+        val read = store.getObject(row.bodiesName)
         EventLog.info(
             "bodies_read",
             "job" to job,
@@ -255,7 +258,7 @@
         }
         val outputs = results.rows.mapNotNull { parseResult(it)?.outputObject }
         outputs.forEach { store.deleteObject(it) }
-        store.deleteObject(FleetTables.bodies(row.ref))
+        store.deleteObject(row.bodiesName)
         return true
     }
 
@@ -280,6 +283,8 @@
         return encode(ResultRow(ref.item, outputObject = name))
     }
 
+    private val JobRow.bodiesName: String get() = bodies ?: FleetTables.unrecordedBodies(ref)
+
     private fun encode(row: ResultRow): ByteArray = FleetTables.encode(ResultRow.serializer(), row)
 
     private fun StoreRead<*>.outcome(): String =
--- a/server/src/test/kotlin/org/agatestream/server/JobStoreTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/JobStoreTest.kt
@@ -1,6 +1,7 @@
 package org.agatestream.server
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import io.kotest.matchers.collections.shouldHaveSize
@@ -19,10 +20,12 @@
 import org.agatestream.core.JobId
 import org.agatestream.core.JobRef
 import org.agatestream.core.Outcome
+import org.agatestream.core.RowChange
 import org.agatestream.core.StoreTime
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
 import org.agatestream.platform.ListedResult
+import org.agatestream.platform.SubmittedItem
 import org.agatestream.platform.parseJob
 import java.util.Base64
 import kotlin.time.Duration.Companion.seconds
@@ -36,6 +39,20 @@
     """{"Requests":[{"Id":"i1","Path":"/b/1","Body":"YQ==","Tokens":60},{"Id":"i2","Path":"/b/2","Tokens":40}]}"""
         .encodeToByteArray()
 
+/** Pairs of jobs whose workspaces and ids give the same text if they are joined or escaped carelessly. */
+private val JOINED_NAMES =
+    listOf(
+        JobRef(WorkspaceId("ta"), JobId("b-7c")) to JobRef(WorkspaceId("ta-b"), JobId("7c")),
+        JobRef(null, JobId("ta-7c")) to JobRef(WorkspaceId("ta"), JobId("7c")),
+        JobRef(WorkspaceId("t.a"), JobId("b")) to JobRef(WorkspaceId("t"), JobId("a-b")),
+        JobRef(WorkspaceId("t_2d"), JobId("b")) to JobRef(WorkspaceId("t-"), JobId("b")),
+    )
+
+private fun contentOf(item: String): ByteArray =
+    """{"Requests":[{"Id":"$item","Path":"/b/1","Body":"YQ==","Tokens":60}]}""".encodeToByteArray()
+
+private fun parse(content: ByteArray): List<SubmittedItem> = (parseJob(content) as Outcome.Ok).value
+
 private fun rowOf(job: JobRef = JOB): JobRow {
     val items = listOf(JobRowItem(ItemId("i1"), "/b/1", 60), JobRowItem(ItemId("i2"), "/b/2", 40))
     return JobRow(job.id, job.workspace, "h", "r", 0, VmId("v"), items)
@@ -44,10 +61,13 @@
 private suspend fun JobStore.submit(
     row: JobRow = rowOf(),
     maxTokens: Long = 0,
-): Outcome<JobRow> = accept(row, CONTENT, (parseJob(CONTENT) as Outcome.Ok).value, maxTokens)
+    content: ByteArray = CONTENT,
+): Outcome<JobRow> = accept(row, content, parse(content), maxTokens)
 
-private suspend fun JobStore.read(after: Int = 0): List<ListedResult> =
-    results(JOB, after).shouldBeInstanceOf<Outcome.Ok<List<ListedResult>>>().value
+private suspend fun JobStore.read(
+    after: Int = 0,
+    job: JobRef = JOB,
+): List<ListedResult> = results(job, after).shouldBeInstanceOf<Outcome.Ok<List<ListedResult>>>().value
 
 private fun Outcome<*>.kind(): ErrorKind = shouldBeInstanceOf<Outcome.Failed>().failure.kind
 
@@ -209,6 +229,70 @@
             store.objects.size shouldBe 0
         }
 
+        // Callers got the total, and lost the items, of another workspace's job whose names run together with theirs.
+        for ((one, other) in JOINED_NAMES) {
+            test("NamesJoined: the job ${one.id} of ${one.workspace} has bodies of its own beside ${other.id}") {
+                val store = FakeRowStore()
+                val contents = listOf(one to "1", other to "2").associate { (job, name) -> job to contentOf(name) }
+                for ((job, content) in contents) {
+                    JobStore(
+                        store,
+                        65_536,
+                        UNCONFINED,
+                    ).submit(rowOf(job), content = content)
+                }
+                val reader = JobStore(store, 65_536, UNCONFINED)
+                for ((job, content) in contents) {
+                    val items = reader.items(job).shouldBeInstanceOf<Outcome.Ok<Map<ItemId, Any>>>().value
+                    items.keys shouldBe parse(content).map { it.id }.toSet()
+                    reader
+                        .find(job)
+                        .shouldBeInstanceOf<Outcome.Ok<JobRow>>()
+                        .value.ref shouldBe job
+                }
+            }
+
+            test("NamesJoined: outputs of ${one.id} of ${one.workspace} and of ${other.id} are stored apart") {
+                val store = FakeRowStore()
+                val jobs = JobStore(store, 100, UNCONFINED)
+                val outputs = mapOf(one to "1".repeat(200), other to "2".repeat(200))
+                outputs.forEach { (job, text) -> jobs.appendResult(ItemRef(job, ItemId("i")), text) }
+                for ((job, text) in outputs) jobs.read(job = job).single().output shouldBe text
+            }
+        }
+
+        test("NamesJoined: outputs of items whose ids run together with those of their jobs are stored apart") {
+            val jobs = JobStore(FakeRowStore(), 100, UNCONFINED)
+            val items =
+                listOf("j" to "a-b", "j-a" to "b").map { (job, item) ->
+                    ItemRef(JobRef(TEAM, JobId(job)), ItemId(item))
+                }
+            items.forEach { jobs.appendResult(it, "$it ".repeat(20)) }
+            for (item in items) jobs.read(job = item.job).single().output shouldBe "$item ".repeat(20)
+        }
+
+        // Guards against a name that a call of the store cuts, or takes for another one.
+        test("names of objects hold no character that a call must escape") {
+            val job = JobRef(WorkspaceId("a/b c?d%2F.é_"), JobId("j"))
+            val names = listOf(FleetTables.bodies(job), FleetTables.output(ItemRef(job, ItemId("i/../i"))))
+            names.filterNot { Regex("[A-Za-z0-9._-]+").matches(it) }.shouldBeEmpty()
+        }
+
+        // Guards against jobs that are lost when a fleet is updated.
+        test("the bodies of a job whose row does not name their object are found by the name of earlier builds") {
+            val store = FakeRowStore()
+            val row = FleetTables.encode(JobRow.serializer(), rowOf())
+            store.write(emptyMap(), listOf(RowChange(FleetTables.job(JOB), row)))
+            store.putObject("job-team-job", CONTENT)
+            val jobs = JobStore(store, 65_536, UNCONFINED)
+            jobs
+                .items(JOB)
+                .shouldBeInstanceOf<Outcome.Ok<Map<ItemId, Any>>>()
+                .value.keys shouldHaveSize 2
+            jobs.delete(rowOf())
+            store.objects.size shouldBe 0
+        }
+
         test("a job of another workspace is unknown") {
             val store = FakeRowStore()
             JobStore(store, 65_536, UNCONFINED).submit()
