Read all rows of a job, whatever its items' ids begin with

A result of an item whose id begins with a tilde or a letter beyond ASCII was written to a taken position without end, once others of its job were listed, and the marks of such items stayed in the store when their job was removed.

Cause: the range of a job's keys ended at "JOB/~", before those items' keys, so that the count of finished items, which gives the next position, left them out. The range now ends at the key that follows all that begin with "JOB/".

JobStoreTest "ItemIds" failed before: the second result timed out after 3 s.

--- a/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetTables.kt
@@ -89,6 +89,9 @@
     private const val END_SUFFIX = "/end"
     private const val COORDINATOR_KEY = "coordinator"
     private const val POSITION_DIGITS = 5
+
+    /** Follows the slash that ends a job's id in the keys of its rows. */
+    private const val AFTER_SEPARATOR = '/' + 1
     private val PLAIN_CHARS = (('a'..'z') + ('A'..'Z') + ('0'..'9') + '-').toSet()
 
     private val json = Json { ignoreUnknownKeys = true }
@@ -147,7 +150,7 @@
     }
 
     /** Returns the exclusive end of the keys of [job] in the tables of results and finished items. */
-    fun endKey(job: JobId): String = "$job/~"
+    fun endKey(job: JobId): String = job.value + AFTER_SEPARATOR
 
     /** Returns the name of the object with the bodies of [job]. */
     fun bodies(job: JobRef): String = objectName("bodies", partitionOf(job.workspace), job.id.value)
--- a/server/src/test/kotlin/org/agatestream/server/JobStoreTest.kt
+++ b/server/src/test/kotlin/org/agatestream/server/JobStoreTest.kt
@@ -14,6 +14,8 @@
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.yield
 import org.agatestream.core.ErrorKind
 import org.agatestream.core.ItemId
 import org.agatestream.core.ItemRef
@@ -21,9 +23,12 @@
 import org.agatestream.core.JobRef
 import org.agatestream.core.Outcome
 import org.agatestream.core.RowChange
+import org.agatestream.core.RowName
+import org.agatestream.core.RowStore
 import org.agatestream.core.StoreTime
 import org.agatestream.core.VmId
 import org.agatestream.core.WorkspaceId
+import org.agatestream.core.WriteResult
 import org.agatestream.platform.ListedResult
 import org.agatestream.platform.SubmittedItem
 import org.agatestream.platform.parseJob
@@ -71,6 +76,19 @@
 
 private fun Outcome<*>.kind(): ErrorKind = shouldBeInstanceOf<Outcome.Failed>().failure.kind
 
+/** A store whose writes can be cancelled. */
+private class CancellableWrites(
+    private val rows: FakeRowStore,
+) : RowStore by rows {
+    override suspend fun write(
+        expected: Map<RowName, Long>,
+        changes: List<RowChange>,
+    ): WriteResult {
+        yield()
+        return rows.write(expected, changes)
+    }
+}
+
 class JobStoreTest :
     FunSpec({
         test("every VM finds an accepted job with its bodies") {
@@ -271,6 +289,22 @@
             for (item in items) jobs.read(job = item.job).single().output shouldBe "$item ".repeat(20)
         }
 
+        // Results were written to taken positions without end, as the marks of such items were not counted.
+        test("ItemIds: items whose ids begin with any character are listed by every VM, and deleted") {
+            val store = FakeRowStore()
+            val items = listOf("~1", "é2", "/3", "4").map { ItemRef(JOB, ItemId(it)) }
+            JobStore(store, 65_536, UNCONFINED).submit()
+            for (item in items) {
+                withTimeout(
+                    3.seconds,
+                ) { JobStore(CancellableWrites(store), 65_536, UNCONFINED).appendResult(item, "text") }
+            }
+            val jobs = JobStore(store, 65_536, UNCONFINED)
+            jobs.read().map { it.item } shouldContainExactly items.map { it.item }
+            jobs.delete(rowOf())
+            store.rows.size shouldBe 0
+        }
+
         // Guards against a name that a call of the store cuts, or takes for another one.
         test("names of objects hold no character that a call must escape") {
             val job = JobRef(WorkspaceId("a/b c?d%2F.é_"), JobId("j"))
