Log how long an item waited to be sent, and the stops at a job's end

The logs can't tell whether the new coordinator has not read the end, has no run to stop, or sends a stop that is not carried out, nor when an item was sent. A coordinator now logs how many jobs and ended jobs it has read, and the runs that it stops at an end; a VM logs how long an item waited from its order until it was sent.

--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -200,7 +200,10 @@
         now: MonotonicTime,
     ) {
         partialOutputs.onJobEnded(job)
-        execute(dispatcher.onJobEnded(job, now))
+        val actions = dispatcher.onJobEnded(job, now)
+        val stops = actions.count { it is DispatchAction.StopItem }
+        if (stops > 0) EventLog.info("job_stopped", "job" to job, "runs" to stops)
+        execute(actions)
     }
 
     suspend fun place(
--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -31,6 +31,7 @@
 import org.agatestream.platform.PromptHeader
 import org.agatestream.platform.SubmittedItem
 import kotlin.coroutines.coroutineContext
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -111,11 +112,12 @@
 
     /** Starts the requested run. */
     fun start(request: RunItemRequest) {
+        val orderedAt = MonotonicTime.now()
         slots.onItemStarted(RunningCall(request.number, request.server, request.target))
         // Two runs would both append to the item's output; only the newest, which the coordinator knows, continues.
         val earlierRuns = running.values.filter { it.item == request.target }
         // Undispatched, so that a run that is cancelled at once still releases its slot.
-        val job = scope.launch(start = CoroutineStart.UNDISPATCHED) { run(request, earlierRuns) }
+        val job = scope.launch(start = CoroutineStart.UNDISPATCHED) { run(request, orderedAt, earlierRuns) }
         running[request.number] = ActiveRun(request.target, job)
         job.invokeOnCompletion { running -= request.number }
     }
@@ -140,11 +142,13 @@
 
     private suspend fun run(
         request: RunItemRequest,
+        orderedAt: MonotonicTime,
         earlierRuns: List<ActiveRun>,
     ) {
         var outcome = RunOutcome.STOPPED
         var observer = RunObserver(MonotonicTime.now())
         var end: ItemEnd = ItemEnd.Interrupted("stopped")
+        var waited: Duration? = null
         try {
             earlierRuns.forEach { it.job.cancelAndJoin() }
             when (val prepared = prepare(request)) {
@@ -155,6 +159,7 @@
                 is Prepared.Ready -> {
                     // The wait for the body is not the server's.
                     val sentAt = MonotonicTime.now()
+                    waited = sentAt - orderedAt
                     observer = RunObserver(sentAt) { report, now -> slots.onServerReport(request.server, report, now) }
                     slots.onSent(request.number, sentAt)
                     end = exchange(request, prepared.call, observer) { slots.onFirstEvent(request.number, it) }
@@ -165,7 +170,7 @@
             withContext(NonCancellable) {
                 val detail = observer.detail(MonotonicTime.now())
                 slots.releaseItem(request.number, outcome, observer.firstEvent, detail)
-                finish(request, end)
+                finish(request, end, waited)
                 // Another run of the item here has cancelled this one and uses the output.
                 if (running.none { (number, it) -> number != request.number && it.item == request.target }) {
                     outputs.onIdle(request.target, MonotonicTime.now())
@@ -177,6 +182,7 @@
     private fun finish(
         request: RunItemRequest,
         end: ItemEnd,
+        waited: Duration?,
     ) {
         val output = outputs[request.target]
         EventLog.info(
@@ -186,6 +192,7 @@
             "outcome" to end::class.simpleName,
             "detail" to end.detail,
             "events" to output?.lastEvent,
+            "waited" to waited,
         )
         when (end) {
             is ItemEnd.Complete -> {
--- a/server/src/main/kotlin/org/agatestream/server/JobWatcher.kt
+++ b/server/src/main/kotlin/org/agatestream/server/JobWatcher.kt
@@ -61,6 +61,11 @@
         coroutineScope { partitions.map { partition -> async { store.readPartition(partition) } }.awaitAll() }
 
     private fun addAll(partitions: List<PartitionState>) {
+        EventLog.info(
+            "jobs_read",
+            "jobs" to partitions.sumOf { it.jobs.size },
+            "ended" to partitions.sumOf { it.ended.size },
+        )
         for (partition in partitions) {
             for (job in partition.jobs.values) {
                 if (job.id in partition.ended) {
