Return orders to run an item that have waited for over a second

Cause: an order to run an item was valid without limit, and a VM sent the item when its body had come. Only a stop from the coordinator prevents that, and a new one has no run to stop.

A VM now sends an item only within 1 s of its order, whatever it waited for: a body, an earlier run of the item here, a pause of its process, or a run whose resumption brought nothing. Else it returns the order, and the coordinator decides by what it knows then; the body is there by that time, so the next order is carried out at once.

--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -16,6 +16,7 @@
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.Outcome
 import org.agatestream.core.PromptVerdict
+import org.agatestream.core.RunOrder
 import org.agatestream.core.RunOutcome
 import org.agatestream.core.RunningCall
 import org.agatestream.core.ServerEntry
@@ -112,12 +113,12 @@
 
     /** Starts the requested run. */
     fun start(request: RunItemRequest) {
-        val orderedAt = MonotonicTime.now()
+        val order = RunOrder(MonotonicTime.now())
         slots.onItemStarted(RunningCall(request.number, request.server, request.target))
         // Two runs would both append to the item's output; only the newest, which the coordinator knows, continues.
         val earlierRuns = running.values.filter { it.item == request.target }
         // Undispatched, so that a run that is cancelled at once still releases its slot.
-        val job = scope.launch(start = CoroutineStart.UNDISPATCHED) { run(request, orderedAt, earlierRuns) }
+        val job = scope.launch(start = CoroutineStart.UNDISPATCHED) { run(request, order, earlierRuns) }
         running[request.number] = ActiveRun(request.target, job)
         job.invokeOnCompletion { running -= request.number }
     }
@@ -142,7 +143,7 @@
 
     private suspend fun run(
         request: RunItemRequest,
-        orderedAt: MonotonicTime,
+        order: RunOrder,
         earlierRuns: List<ActiveRun>,
     ) {
         var outcome = RunOutcome.STOPPED
@@ -159,10 +160,10 @@
                 is Prepared.Ready -> {
                     // The wait for the body is not the server's.
                     val sentAt = MonotonicTime.now()
-                    waited = sentAt - orderedAt
+                    waited = order.ageAt(sentAt)
                     observer = RunObserver(sentAt) { report, now -> slots.onServerReport(request.server, report, now) }
                     slots.onSent(request.number, sentAt)
-                    end = exchange(request, prepared.call, observer) { slots.onFirstEvent(request.number, it) }
+                    end = exchange(request, order, prepared.call, observer) { slots.onFirstEvent(request.number, it) }
                 }
             }
             outcome = end.outcome
@@ -266,13 +267,14 @@
 
     private suspend fun exchange(
         request: RunItemRequest,
+        order: RunOrder,
         call: BackendCall,
         observer: RunObserver,
         onFirst: (MonotonicTime) -> Unit,
     ): ItemEnd {
         val output = outputs.use(request.target) { Output() }
         request.partial?.let { output.mergeFrom(it) }
-        val end = exchange(request, call, output, observer, onFirst)
+        val end = exchange(request, order, call, output, observer, onFirst)
         if (end !is ItemEnd.NothingLeft) return end
         // Only a run from the start shows where the output ends.
         EventLog.info(
@@ -282,12 +284,13 @@
             "events" to output.lastEvent,
         )
         output.restart()
-        return exchange(request, call, output, observer, onFirst)
+        return exchange(request, order, call, output, observer, onFirst)
     }
 
     /** Sends [call] once, to continue [output]. */
     private suspend fun exchange(
         request: RunItemRequest,
+        order: RunOrder,
         call: BackendCall,
         output: Output,
         observer: RunObserver,
@@ -300,6 +303,7 @@
         }
         val shared = PromptHeader.sharedParts(call.headers)
         val sentAt = MonotonicTime.now()
+        order.faultAt(sentAt)?.let { return ItemEnd.Interrupted("order_${it.name.lowercase()}") }
         if (parts.judge(shared, sentAt) is PromptVerdict.Condemned) return ItemEnd.Withheld
         slots.onItemParts(request.number, shared, PromptHeader.shape(call.headers).totalTokens)
         output.progress.startRun()
--- a/standins/src/test/kotlin/org/agatestream/standin/FleetProcesses.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/FleetProcesses.kt
@@ -8,12 +8,17 @@
 import java.io.File
 import kotlin.time.Duration.Companion.seconds
 
-/** The VMs of a fleet as processes of the binary, beside a store and backend servers in this process. */
+/**
+ * The VMs of a fleet as processes of the binary, beside a store and backend servers in this process.
+ *
+ * VMs named in [storeLinks] reach the store by a link of that many bytes per second, and leave it to the others to coordinate.
+ */
 internal class FleetProcesses(
     names: List<String>,
     val servers: List<PlatformServerStandIn>,
     private val manifest: String,
     private val directory: File,
+    private val storeLinks: Map<String, Long> = emptyMap(),
 ) : AutoCloseable {
     /** A VM and the process that runs it; a VM keeps its addresses when it is started again. */
     class Vm(
@@ -25,6 +30,7 @@
 
     val store = RowStoreStandIn()
     private val storeAddress = "127.0.0.1:${store.listen(0)}"
+    private val links = storeLinks.mapValues { (_, bytesPerSecond) -> SlowLink(storeAddress, bytesPerSecond) }
     private var starts = 0
     val vms: List<Vm> = names.map { name -> Vm(configOf(name), File(directory, "$name.json")) }
 
@@ -62,17 +68,22 @@
 
     override fun close() {
         for (vm in vms) vm.process.killAndWait()
+        links.values.forEach { it.close() }
         store.close()
         servers.forEach { it.close() }
     }
 
-    private fun configOf(name: String): PlatformVmConfig =
-        vmConfigOf(name, storeAddress, graceSeconds = GRACE.inWholeSeconds.toDouble(), ttlSeconds = 5.0)
+    private fun configOf(name: String): PlatformVmConfig {
+        val address = links[name]?.address ?: storeAddress
+        val config = vmConfigOf(name, address, graceSeconds = GRACE.inWholeSeconds.toDouble(), ttlSeconds = 5.0)
+        return if (name in links) config.copy(coreShare = SMALL_CORE_SHARE) else config
+    }
 
     companion object {
         /** The time from SIGTERM until the platform kills a process. */
         val GRACE = 8.seconds
         private const val SLOTS = 16
+        private const val SMALL_CORE_SHARE = 0.1
         private val START_TIMEOUT = 20.seconds
         private val BINARY = File("../cli/target/agatestream")
     }
