Stop the runs of ended jobs that an earlier coordinator ordered

The end of a job stopped only runs that the coordinator had started, or was told of for a job that it knew as open.

So the order in which it hears of ends and runs does not matter, nor a stop that is lost.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -61,6 +61,7 @@
     private var expectedFollowers = 0
     private val reported = HashSet<VmId>()
     private val unanswering = HashSet<VmId>()
+    private val endedJobs = EndedJobs()
     private var itemsAllowedAt: MonotonicTime? = null
 
     /** The number of queued requests. */
@@ -277,11 +278,12 @@
         return schedule(now)
     }
 
-    /** Removes a job that its caller ended. */
+    /** Removes a job that its caller ended; runs of its items that are reported later are stopped too. */
     public fun onJobEnded(
         job: JobRef,
         now: MonotonicTime,
     ): List<DispatchAction> {
+        endedJobs.add(job, now)
         val stops = jobs.remove(job).map { stopItem(it, "job_ended") }
         return stops + schedule(now)
     }
@@ -305,6 +307,7 @@
             releaseSlot(call)
         }
         running.forEach { applyReportedRun(vm, it, now) }
+        val stops = running.filter { it.item?.job in endedJobs }.map { stopItem(CallId(vm, it.number), "job_ended") }
         unstoredResults.forEach { jobs.onUnstoredResult(it, vm, now) }
         reported += vm
         unanswering -= vm
@@ -312,7 +315,7 @@
         if (endsItemWait) itemsAllowedAt = now
         val hasRequeued =
             jobs.requeueUnreported(vm, numbers, unstoredResults.toSet(), heldSlots.calls, now - MAX_REPORT_DELAY, now)
-        return if (missing.isEmpty() && !hasRequeued && !endsItemWait) emptyList() else schedule(now)
+        return stops + if (missing.isEmpty() && !hasRequeued && !endsItemWait) emptyList() else schedule(now)
     }
 
     /**
@@ -366,6 +369,7 @@
         queues.services.values.forEach { it.forgetIdle(now) }
         val expiredItems = jobs.expiredItems(now).map { DispatchAction.GiveUpItem(it, "kept_too_long") }
         forgetEarlyReleases(now)
+        endedJobs.forget(now)
         servers.all.forEach { it.expireOrphans(now) }
         return refusals + expiredItems + schedule(now)
     }
--- a/core/src/test/kotlin/org/agatestream/core/DispatcherFixture.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherFixture.kt
@@ -106,5 +106,7 @@
 
 internal fun List<DispatchAction>.placed(): List<Long> = filterIsInstance<DispatchAction.Place>().map { it.call.number }
 
+internal fun List<DispatchAction>.stopped(): List<CallId> = filterIsInstance<DispatchAction.StopItem>().map { it.call }
+
 internal fun List<DispatchAction>.started(): List<DispatchAction.StartItem> =
     filterIsInstance<DispatchAction.StartItem>()
--- a/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
@@ -12,6 +12,7 @@
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
 private val TICK = 10.milliseconds
@@ -395,6 +396,45 @@
             dispatcher.runningCalls shouldBe 0
         }
 
+        // A new coordinator knew that a job had ended and let the runs go on that its predecessor had ordered.
+        for (isEndKnownFirst in listOf(true, false)) {
+            val order = if (isEndKnownFirst) "after" else "before"
+            test("EndedInGap: a run that a VM reports $order the end of its job is stopped by a new coordinator") {
+                val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
+                val job = jobOf("j", 1)
+                val run = RunningCall(7, BackendServerId("s1"), ItemRef(job.ref, job.items.single().id))
+                if (isEndKnownFirst) dispatcher.onJobEnded(job.ref, START)
+                val first = dispatcher.onReport(VM_A, listOf(run), emptyList(), START).stopped()
+                if (!isEndKnownFirst) dispatcher.onJobEnded(job.ref, START)
+                val second = dispatcher.onReport(VM_A, listOf(run), emptyList(), START + 250.milliseconds).stopped()
+                if (isEndKnownFirst) first shouldContainExactly listOf(CallId(VM_A, 7))
+                second shouldContainExactly listOf(CallId(VM_A, 7))
+            }
+        }
+
+        // Guards against an end that takes no effect as one message to a VM is lost.
+        test("EndedInGap: a stop is sent again with each report that still has the run") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
+            val started = dispatcher.onJob(jobOf("j", 1), emptySet(), START).started().single()
+            dispatcher.onJobEnded(started.item.job, START).stopped() shouldContainExactly listOf(started.call)
+            val run = RunningCall(started.call.number, started.server, started.item)
+            repeat(2) {
+                dispatcher.onReport(started.call.vm, listOf(run), emptyList(), START).stopped() shouldContainExactly
+                    listOf(started.call)
+            }
+            dispatcher.onReport(started.call.vm, emptyList(), emptyList(), START).stopped().shouldBeEmpty()
+        }
+
+        // Guards against ends that a coordinator keeps for as long as its process runs.
+        test("the end of a job is forgotten once no run of it can be reported any more") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
+            val job = jobOf("j", 1)
+            val run = RunningCall(7, BackendServerId("s1"), ItemRef(job.ref, job.items.single().id))
+            dispatcher.onJobEnded(job.ref, START)
+            dispatcher.tick(START + 3.minutes)
+            dispatcher.onReport(VM_A, listOf(run), emptyList(), START + 3.minutes).stopped().shouldBeEmpty()
+        }
+
         // The end of a job stopped the items of another workspace's job with the same id, or they never started.
         test("JobsOfOneId: jobs of two workspaces with the same id are kept apart") {
             val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 8))
