Send no item to a service that its route has left by a newer manifest

An order names the version by which it was decided. A VM that knows a newer one sends an item only to a service that its route leads to by that; by the validity of orders, items that waited longer are decided anew anyway. A VM whose manifest is older than the order's carries it out, so that no item goes back and forth.

--- a/core/src/main/kotlin/org/agatestream/core/Manifest.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Manifest.kt
@@ -82,6 +82,12 @@
         }
         return shares.last().service
     }
+
+    /** Returns whether [chooseService] returns [service] for any hash. */
+    public fun mayLeadTo(service: ServiceId): Boolean {
+        val inUse = shares.filter { it.weight > 0 }.ifEmpty { shares.take(1) }
+        return inUse.any { it.service == service }
+    }
 }
 
 /** The settings of a service in the manifest. */
--- a/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
+++ b/server/src/main/kotlin/org/agatestream/server/CoordinatorRole.kt
@@ -447,6 +447,7 @@
                 server = action.server,
                 partial = partialOutputs[action.item],
                 term = term,
+                manifestVersion = view.manifest?.version ?: 0,
             )
         EventLog.info("item_placed", "item" to action.item, "vm" to action.call.vm, "server" to action.server)
         if (action.call.vm == self) {
--- a/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
@@ -112,6 +112,8 @@
     val partial: PartialOutput?,
     /** The term of the coordinator; null from builds that do not send it. */
     val term: CoordinatorTerm? = null,
+    /** The version of the manifest by which the server was chosen; 0 from builds that do not send it. */
+    val manifestVersion: Long = 0,
 ) : PeerRequest {
     /** The item to run; builds that do not name the workspace in [item] do so in [workspace] only. */
     val target: ItemRef get() = ItemRef(JobRef(workspace, item.job.id), item.item)
--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.agatestream.core.ItemOutcome
 import org.agatestream.core.ItemRef
+import org.agatestream.core.ItemTarget
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.Outcome
 import org.agatestream.core.PromptVerdict
@@ -113,7 +114,7 @@
 
     /** Starts the requested run. */
     fun start(request: RunItemRequest) {
-        val order = RunOrder(MonotonicTime.now())
+        val order = RunOrder(MonotonicTime.now(), request.manifestVersion)
         slots.onItemStarted(RunningCall(request.number, request.server, request.target))
         // Two runs would both append to the item's output; only the newest, which the coordinator knows, continues.
         val earlierRuns = running.values.filter { it.item == request.target }
@@ -303,7 +304,10 @@
         }
         val shared = PromptHeader.sharedParts(call.headers)
         val sentAt = MonotonicTime.now()
-        order.faultAt(sentAt)?.let { return ItemEnd.Interrupted("order_${it.name.lowercase()}") }
+        val target = ItemTarget(call.host, call.target, server.service)
+        order.faultAt(sentAt, view.manifest, target)?.let {
+            return ItemEnd.Interrupted("order_${it.name.lowercase()}")
+        }
         if (parts.judge(shared, sentAt) is PromptVerdict.Condemned) return ItemEnd.Withheld
         slots.onItemParts(request.number, shared, PromptHeader.shape(call.headers).totalTokens)
         output.progress.startRun()
