--- a/core/src/main/kotlin/org/agatestream/core/RunOrder.kt
+++ b/core/src/main/kotlin/org/agatestream/core/RunOrder.kt
@@ -13,7 +13,7 @@
 }
 
 /** Where an item is to be sent. */
-public class ItemTarget(
+public class ItemDestination(
     /** The host and the path that determine the item's route. */
     public val host: String,
     public val path: String,
@@ -36,25 +36,25 @@
     /** Returns how long this order has waited at [now]. */
     public fun ageAt(now: MonotonicTime): Duration = now - receivedAt
 
-    /** Returns why the item must not be sent to [target] at [now] by a VM that knows [manifest], or null if it may. */
+    /** Returns why the item must not be sent to [destination] at [now] by a VM that knows [manifest], or null if it may. */
     public fun faultAt(
         now: MonotonicTime,
         manifest: Manifest?,
-        target: ItemTarget,
+        destination: ItemDestination,
     ): OrderFault? =
         when {
             ageAt(now) > VALIDITY -> OrderFault.EXPIRED
-            manifest != null && hasMoved(target, manifest) -> OrderFault.ROUTE_MOVED
+            manifest != null && hasMoved(destination, manifest) -> OrderFault.ROUTE_MOVED
             else -> null
         }
 
     /** Returns whether [manifest], if it is newer than that of this order, leads the item elsewhere. */
     private fun hasMoved(
-        target: ItemTarget,
+        destination: ItemDestination,
         manifest: Manifest,
     ): Boolean =
         manifest.version > manifestVersion &&
-            manifest.route(target.host, target.path)?.mayLeadTo(target.service) != true
+            manifest.route(destination.host, destination.path)?.mayLeadTo(destination.service) != true
 
     public companion object {
         /** A third of the time in which a job's end must take effect; the coordinator needs the rest to hear of it. */
--- a/core/src/test/kotlin/org/agatestream/core/RunOrderTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/RunOrderTest.kt
@@ -4,7 +4,7 @@
 import io.kotest.matchers.shouldBe
 import kotlin.time.Duration.Companion.milliseconds
 
-private val TARGET = ItemTarget("h.example", "/batch/1", CHAT)
+private val DESTINATION = ItemDestination("h.example", "/batch/1", CHAT)
 private val OTHER_SERVICE = ServiceId("other")
 
 /** Returns the manifest that follows the usual one, with the shares of the batch route replaced. */
@@ -20,31 +20,31 @@
 
         // Guards against items that are sent after a wait in which their job ended, or their VM was paused.
         test("an order that has waited for longer than its validity sends no item") {
-            order.faultAt(START, manifestOf(), TARGET) shouldBe null
-            order.faultAt(START + RunOrder.VALIDITY, manifestOf(), TARGET) shouldBe null
+            order.faultAt(START, manifestOf(), DESTINATION) shouldBe null
+            order.faultAt(START + RunOrder.VALIDITY, manifestOf(), DESTINATION) shouldBe null
             val late = START + RunOrder.VALIDITY + 1.milliseconds
-            order.faultAt(late, manifestOf(), TARGET) shouldBe OrderFault.EXPIRED
+            order.faultAt(late, manifestOf(), DESTINATION) shouldBe OrderFault.EXPIRED
         }
 
         // Guards against items that a VM sends to a service that their route has left, as it knows.
         test("MovedRoute: an order sends no item to a service that its route has left by a newer manifest") {
             val moved = nextManifest(RouteShare(OTHER_SERVICE, 1))
-            order.faultAt(START, moved, TARGET) shouldBe OrderFault.ROUTE_MOVED
+            order.faultAt(START, moved, DESTINATION) shouldBe OrderFault.ROUTE_MOVED
             val drained = nextManifest(RouteShare(CHAT, 0), RouteShare(OTHER_SERVICE, 1))
-            order.faultAt(START, drained, TARGET) shouldBe OrderFault.ROUTE_MOVED
+            order.faultAt(START, drained, DESTINATION) shouldBe OrderFault.ROUTE_MOVED
             val dropped = moved.copy(routes = moved.routes.filter { it.kind != RouteKind.BATCH })
-            order.faultAt(START, dropped, TARGET) shouldBe OrderFault.ROUTE_MOVED
+            order.faultAt(START, dropped, DESTINATION) shouldBe OrderFault.ROUTE_MOVED
         }
 
         test("MovedRoute: an order sends an item whose route is shared with another service") {
             val shared = nextManifest(RouteShare(CHAT, 1), RouteShare(OTHER_SERVICE, 9))
-            order.faultAt(START, shared, TARGET) shouldBe null
+            order.faultAt(START, shared, DESTINATION) shouldBe null
         }
 
         // Guards against an item that is returned again and again by a VM whose manifest is the older one.
         test("MovedRoute: an order by a newer manifest than the VM's is carried out") {
-            val target = ItemTarget("h.example", "/batch/1", OTHER_SERVICE)
-            RunOrder(START, manifestVersion = 2).faultAt(START, manifestOf(), target) shouldBe null
-            RunOrder(START, manifestVersion = 2).faultAt(START, manifest = null, target) shouldBe null
+            val destination = ItemDestination("h.example", "/batch/1", OTHER_SERVICE)
+            RunOrder(START, manifestVersion = 2).faultAt(START, manifestOf(), destination) shouldBe null
+            RunOrder(START, manifestVersion = 2).faultAt(START, manifest = null, destination) shouldBe null
         }
     })
--- a/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
+++ b/server/src/main/kotlin/org/agatestream/server/FleetMessages.kt
@@ -116,7 +116,7 @@
     val manifestVersion: Long = 0,
 ) : PeerRequest {
     /** The item to run; builds that do not name the workspace in [item] do so in [workspace] only. */
-    val target: ItemRef get() = ItemRef(JobRef(workspace, item.job.id), item.item)
+    val ref: ItemRef get() = ItemRef(JobRef(workspace, item.job.id), item.item)
 }
 
 /** The output of an interrupted item: the data of its events up to the one numbered [lastEvent]. */
--- a/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
+++ b/server/src/main/kotlin/org/agatestream/server/ItemExecutor.kt
@@ -11,9 +11,9 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
+import org.agatestream.core.ItemDestination
 import org.agatestream.core.ItemOutcome
 import org.agatestream.core.ItemRef
-import org.agatestream.core.ItemTarget
 import org.agatestream.core.MonotonicTime
 import org.agatestream.core.Outcome
 import org.agatestream.core.PromptVerdict
@@ -115,12 +115,12 @@
     /** Starts the requested run. */
     fun start(request: RunItemRequest) {
         val order = RunOrder(MonotonicTime.now(), request.manifestVersion)
-        slots.onItemStarted(RunningCall(request.number, request.server, request.target))
+        slots.onItemStarted(RunningCall(request.number, request.server, request.ref))
         // Two runs would both append to the item's output; only the newest, which the coordinator knows, continues.
-        val earlierRuns = running.values.filter { it.item == request.target }
+        val earlierRuns = running.values.filter { it.item == request.ref }
         // Undispatched, so that a run that is cancelled at once still releases its slot.
         val job = scope.launch(start = CoroutineStart.UNDISPATCHED) { run(request, order, earlierRuns) }
-        running[request.number] = ActiveRun(request.target, job)
+        running[request.number] = ActiveRun(request.ref, job)
         job.invokeOnCompletion { running -= request.number }
     }
 
@@ -174,8 +174,8 @@
                 slots.releaseItem(request.number, outcome, observer.firstEvent, detail)
                 finish(request, end, waited)
                 // Another run of the item here has cancelled this one and uses the output.
-                if (running.none { (number, it) -> number != request.number && it.item == request.target }) {
-                    outputs.onIdle(request.target, MonotonicTime.now())
+                if (running.none { (number, it) -> number != request.number && it.item == request.ref }) {
+                    outputs.onIdle(request.ref, MonotonicTime.now())
                 }
             }
         }
@@ -186,10 +186,10 @@
         end: ItemEnd,
         waited: Duration?,
     ) {
-        val output = outputs[request.target]
+        val output = outputs[request.ref]
         EventLog.info(
             "item",
-            "id" to request.target,
+            "id" to request.ref,
             "server" to request.server,
             "outcome" to end::class.simpleName,
             "detail" to end.detail,
@@ -198,30 +198,30 @@
         )
         when (end) {
             is ItemEnd.Complete -> {
-                report(ItemReport(request.number, request.target, ItemOutcome.FINISHED))
+                report(ItemReport(request.number, request.ref, ItemOutcome.FINISHED))
                 val text = output?.data.orEmpty().joinToString("\n")
-                if (pendingResults.add(request.target)) {
-                    scope.launch { storeResult(request.number, request.target, text) }
+                if (pendingResults.add(request.ref)) {
+                    scope.launch { storeResult(request.number, request.ref, text) }
                 }
             }
 
             is ItemEnd.Impossible -> {
-                report(ItemReport(request.number, request.target, ItemOutcome.FINISHED))
-                if (pendingResults.add(request.target)) {
-                    scope.launch { storeResult(request.number, request.target, null) }
+                report(ItemReport(request.number, request.ref, ItemOutcome.FINISHED))
+                if (pendingResults.add(request.ref)) {
+                    scope.launch { storeResult(request.number, request.ref, null) }
                 }
             }
 
             is ItemEnd.Failed -> {
-                report(ItemReport(request.number, request.target, ItemOutcome.FAILED))
+                report(ItemReport(request.number, request.ref, ItemOutcome.FAILED))
             }
 
             is ItemEnd.Withheld -> {
-                report(ItemReport(request.number, request.target, ItemOutcome.WITHHELD))
+                report(ItemReport(request.number, request.ref, ItemOutcome.WITHHELD))
             }
 
             is ItemEnd.NothingLeft, is ItemEnd.Interrupted -> {
-                report(ItemReport(request.number, request.target, ItemOutcome.INTERRUPTED, output?.toPartial()))
+                report(ItemReport(request.number, request.ref, ItemOutcome.INTERRUPTED, output?.toPartial()))
             }
         }
     }
@@ -251,15 +251,15 @@
 
     /** Waits for the body of the item, which may have to be read from the store; the read outlasts the wait. */
     private suspend fun prepare(request: RunItemRequest): Prepared {
-        val items = withTimeoutOrNull(MAX_BODY_WAIT) { jobs.items(request.target.job) }
+        val items = withTimeoutOrNull(MAX_BODY_WAIT) { jobs.items(request.ref.job) }
         val item =
             when (items) {
                 null -> return unable("bodies_pending")
-                is Outcome.Ok -> items.value[request.target.item] ?: return Prepared.Unable(NO_SUCH_ITEM)
+                is Outcome.Ok -> items.value[request.ref.item] ?: return Prepared.Unable(NO_SUCH_ITEM)
                 is Outcome.Failed -> return unable("bodies_unavailable: ${items.failure.message}")
             }
-        return when (val row = jobs.find(request.target.job)) {
-            is Outcome.Ok -> Prepared.Ready(toBackendCall(item, row.value.host, request.target.job.workspace))
+        return when (val row = jobs.find(request.ref.job)) {
+            is Outcome.Ok -> Prepared.Ready(toBackendCall(item, row.value.host, request.ref.job.workspace))
             is Outcome.Failed -> unable("job_unavailable: ${row.failure.message}")
         }
     }
@@ -273,14 +273,14 @@
         observer: RunObserver,
         onFirst: (MonotonicTime) -> Unit,
     ): ItemEnd {
-        val output = outputs.use(request.target) { Output() }
+        val output = outputs.use(request.ref) { Output() }
         request.partial?.let { output.mergeFrom(it) }
         val end = exchange(request, order, call, output, observer, onFirst)
         if (end !is ItemEnd.NothingLeft) return end
         // Only a run from the start shows where the output ends.
         EventLog.info(
             "item_restarted",
-            "id" to request.target,
+            "id" to request.ref,
             "server" to request.server,
             "events" to output.lastEvent,
         )
@@ -304,8 +304,8 @@
         }
         val shared = PromptHeader.sharedParts(call.headers)
         val sentAt = MonotonicTime.now()
-        val target = ItemTarget(call.host, call.target, server.service)
-        order.faultAt(sentAt, view.manifest, target)?.let {
+        val destination = ItemDestination(call.host, call.target, server.service)
+        order.faultAt(sentAt, view.manifest, destination)?.let {
             return ItemEnd.Interrupted("order_${it.name.lowercase()}")
         }
         if (parts.judge(shared, sentAt) is PromptVerdict.Condemned) return ItemEnd.Withheld
