Send the stop of an item again with each report that still has its run

An online request for which an item makes way waited until the item's own end, some seconds, if the one message with the stop was lost: the slot counts as nearly free, so that no other item makes way in its place.

Found by reading, as a path related to the stops of ended jobs. The dispatcher repeats any stop while a VM reports the run.

DispatcherTest "LostStop" failed before, with no stop in the report's answer.

--- a/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
+++ b/core/src/main/kotlin/org/agatestream/core/Dispatcher.kt
@@ -307,7 +307,7 @@
             releaseSlot(call)
         }
         running.forEach { applyReportedRun(vm, it, now) }
-        val stops = running.filter { it.item?.job in endedJobs }.map { stopItem(CallId(vm, it.number), "job_ended") }
+        val stops = running.mapNotNull { stopReported(CallId(vm, it.number), it) }
         unstoredResults.forEach { jobs.onUnstoredResult(it, vm, now) }
         reported += vm
         unanswering -= vm
@@ -733,6 +733,17 @@
         }
     }
 
+    /** Returns a stop of a run that should have ended: that of an ended job, or one whose stop may be lost. */
+    private fun stopReported(
+        call: CallId,
+        running: RunningCall,
+    ): DispatchAction? =
+        when {
+            running.item?.job in endedJobs -> stopItem(call, "job_ended")
+            servers.find(running.server)?.isStopping(call) == true -> stopItem(call, "stopped_before")
+            else -> null
+        }
+
     private fun stopItem(
         call: CallId,
         reason: String,
--- a/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
+++ b/core/src/main/kotlin/org/agatestream/core/ServerLoad.kt
@@ -94,6 +94,9 @@
     /** Returns whether [call] is an item's run that was not told to stop. */
     fun isStoppable(call: CallId): Boolean = call in itemRuns && call !in stopping
 
+    /** Returns whether the item's run [call] was told to stop and has not ended. */
+    fun isStopping(call: CallId): Boolean = call in stopping
+
     fun markStopping(call: CallId) {
         stopping += call
     }
--- a/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/agatestream/core/DispatcherTest.kt
@@ -425,6 +425,17 @@
             dispatcher.onReport(started.call.vm, emptyList(), emptyList(), START).stopped().shouldBeEmpty()
         }
 
+        // An online request waited for the end of an item whose stop was lost, as its slot counted as nearly free.
+        test("LostStop: an item that makes way is stopped again with each report that still has its run") {
+            val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 2))
+            val started = dispatcher.onJob(jobOf("j", 1), emptySet(), START).started().single()
+            dispatcher.place(requestOf(1), START)
+            dispatcher.place(requestOf(2), START).stopped() shouldContainExactly listOf(started.call)
+            val run = RunningCall(started.call.number, started.server, started.item)
+            dispatcher.onReport(started.call.vm, listOf(run), emptyList(), START).stopped() shouldContainExactly
+                listOf(started.call)
+        }
+
         // Guards against ends that a coordinator keeps for as long as its process runs.
         test("the end of a job is forgotten once no run of it can be reported any more") {
             val dispatcher = dispatcherOf(manifestOf(), serverOf("s1", slots = 4))
