Give the caller of EndedJobProcessTest the time that a large job needs

Its job of 2 MB is answered once the store has taken it; a second without an answer would have failed the test on a busy machine. No check and no bound of the test is changed.

--- a/standins/src/test/kotlin/org/agatestream/standin/EndedJobProcessTest.kt
+++ b/standins/src/test/kotlin/org/agatestream/standin/EndedJobProcessTest.kt
@@ -20,6 +20,9 @@
 // The object of the job takes 4.3 s on its way.
 private const val LINK_BYTES_PER_SECOND = 500_000L
 private const val SLOW_VM = "vm-slow"
+
+// The store takes the object of the job before its caller is answered.
+private const val ANSWER_TIMEOUT_MILLIS = 10_000
 private const val JOB = "0123456789abcdef"
 
 // By the rules of the platform, after which no item of an ended job may reach a server.
@@ -42,6 +45,7 @@
     return StreamCaller.exchange(
         config.callerAddress,
         "$line HTTP/1.1\r\n${headers}content-length: ${body.length}\r\n\r\n$body",
+        ANSWER_TIMEOUT_MILLIS,
     )
 }
 
